--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,198 @@
+// Package errkind holds the closed list of error kinds and the table that maps each kind to its answer.
+//
+// Every error that leaves a daemon has a Kind from this list. Packages return errors built by New, Wrap or WithRun;
+// the HTTP layer turns them into a status, a JSON body and a run state with Answer.
+package errkind
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Kind identifies one class of failure. The list is closed: a value outside it is treated as Internal.
+type Kind string
+
+// The closed list of kinds.
+const (
+	InvalidRequest       Kind = "invalid_request"       // malformed JSON, header or parameter
+	InvalidDeadline      Kind = "invalid_deadline"      // X-Request-Timeout is malformed, zero, negative or over the limit
+	Unauthorized         Kind = "unauthorized"          // missing or wrong key
+	Forbidden            Kind = "forbidden"             // the workspace may not use this service
+	UnknownService       Kind = "unknown_service"       // the text has no such service
+	UnknownModel         Kind = "unknown_model"         // the text has no such model
+	MethodNotAllowed     Kind = "method_not_allowed"    // the service's text does not list this call
+	BodyTooLarge         Kind = "body_too_large"        // body over the limit
+	PromptTooLarge       Kind = "prompt_too_large"      // more KV memory than the fleet's engines can hold together
+	KeyRequired          Kind = "key_required"          // paid call without Idempotency-Key
+	KeyInProgress        Kind = "key_in_progress"       // first call with this key has not finished
+	KeyMismatch          Kind = "key_mismatch"          // another payload under the same key
+	RateLimited          Kind = "rate_limited"          // workspace limit reached
+	Overloaded           Kind = "overloaded"            // shed, queue full, or retry budget spent
+	DeadlineUnmeetable   Kind = "deadline_unmeetable"   // estimate says it cannot finish in time
+	DeadlineExceeded     Kind = "deadline_exceeded"     // admitted, but not finished by its deadline
+	NoEndpoint           Kind = "no_endpoint"           // no live endpoint serves it
+	Draining             Kind = "draining"              // endpoint or process is leaving
+	Recalled             Kind = "recalled"              // model, adapter, version or batch is recalled
+	DependencyRecalled   Kind = "dependency_recalled"   // a supplier is recalled and there is no usable fallback
+	NotLoaded            Kind = "not_loaded"            // engine has not loaded the wanted version
+	Isolated             Kind = "isolated"              // node lacks fresh evidence of the current epoch
+	NotReady             Kind = "not_ready"             // process knows no current epoch yet
+	PromptBlamed         Kind = "prompt_blamed"         // prompt crashed endpoints; refused until the blame expires
+	StoreUnavailable     Kind = "store_unavailable"     // table or object store is down, nothing was written
+	OutcomeUnknown       Kind = "outcome_unknown"       // started, and no outcome is recorded
+	EndpointFailed       Kind = "endpoint_failed"       // endpoint crashed or broke the connection
+	StreamBroken         Kind = "stream_broken"         // answer stream is incomplete and cannot be resumed
+	Canceled             Kind = "canceled"              // caller went away
+	FleetInvalid         Kind = "fleet_invalid"         // submitted text has faults
+	EpochConflict        Kind = "epoch_conflict"        // another change came first
+	PreconditionRequired Kind = "precondition_required" // PUT without If-Match
+	AcceptanceUnknown    Kind = "acceptance_unknown"    // write of the new epoch is in doubt
+	Internal             Kind = "internal"              // bug or unclassified failure
+)
+
+// Run says whether the request was executed.
+type Run string
+
+// The three run states of an error answer.
+const (
+	NotRun  Run = "not_run" // certain: it did not run and never will
+	Ran     Run = "ran"     // certain: it ran
+	Unknown Run = "unknown" // it may have run
+)
+
+// statusClientClosedRequest is the conventional status for a caller that disconnected before the answer.
+const statusClientClosedRequest = 499
+
+// Rule is the row of the table for one kind.
+type Rule struct {
+	Status    int  // HTTP status
+	Run       Run  // run state unless the error carries its own
+	Retryable bool // the entry may try another endpoint within deadline and budget
+}
+
+var rules = map[Kind]Rule{
+	InvalidRequest:       {http.StatusBadRequest, NotRun, false},
+	InvalidDeadline:      {http.StatusBadRequest, NotRun, false},
+	Unauthorized:         {http.StatusUnauthorized, NotRun, false},
+	Forbidden:            {http.StatusForbidden, NotRun, false},
+	UnknownService:       {http.StatusNotFound, NotRun, false},
+	UnknownModel:         {http.StatusNotFound, NotRun, false},
+	MethodNotAllowed:     {http.StatusMethodNotAllowed, NotRun, false},
+	BodyTooLarge:         {http.StatusRequestEntityTooLarge, NotRun, false},
+	PromptTooLarge:       {http.StatusRequestEntityTooLarge, NotRun, false},
+	KeyRequired:          {http.StatusBadRequest, NotRun, false},
+	KeyInProgress:        {http.StatusConflict, Unknown, false},
+	KeyMismatch:          {http.StatusUnprocessableEntity, NotRun, false},
+	RateLimited:          {http.StatusTooManyRequests, NotRun, false},
+	Overloaded:           {http.StatusServiceUnavailable, NotRun, true},
+	DeadlineUnmeetable:   {http.StatusServiceUnavailable, NotRun, true},
+	DeadlineExceeded:     {http.StatusGatewayTimeout, Unknown, false},
+	NoEndpoint:           {http.StatusServiceUnavailable, NotRun, false},
+	Draining:             {http.StatusServiceUnavailable, NotRun, true},
+	Recalled:             {http.StatusServiceUnavailable, NotRun, true},
+	DependencyRecalled:   {http.StatusServiceUnavailable, NotRun, false},
+	NotLoaded:            {http.StatusServiceUnavailable, NotRun, true},
+	Isolated:             {http.StatusServiceUnavailable, NotRun, true},
+	NotReady:             {http.StatusServiceUnavailable, NotRun, true},
+	PromptBlamed:         {http.StatusUnprocessableEntity, NotRun, false},
+	StoreUnavailable:     {http.StatusServiceUnavailable, NotRun, false},
+	OutcomeUnknown:       {http.StatusBadGateway, Unknown, false},
+	EndpointFailed:       {http.StatusBadGateway, Unknown, true},
+	StreamBroken:         {http.StatusBadGateway, Ran, false},
+	Canceled:             {statusClientClosedRequest, Unknown, false},
+	FleetInvalid:         {http.StatusUnprocessableEntity, NotRun, false},
+	EpochConflict:        {http.StatusPreconditionFailed, NotRun, false},
+	PreconditionRequired: {http.StatusPreconditionRequired, NotRun, false},
+	AcceptanceUnknown:    {http.StatusGatewayTimeout, Unknown, false},
+	Internal:             {http.StatusInternalServerError, Unknown, false},
+}
+
+// Kinds returns every kind of the closed list, in no particular order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(rules))
+	for k := range rules {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// RuleOf returns the table row of k. A kind outside the list gets the row of Internal.
+func RuleOf(k Kind) Rule {
+	if r, ok := rules[k]; ok {
+		return r
+	}
+	return rules[Internal]
+}
+
+// Error is a failure with a kind and a run state.
+type Error struct {
+	Kind    Kind
+	Run     Run
+	Message string
+	cause   error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return string(e.Kind) + ": " + e.Message + ": " + e.cause.Error()
+	}
+	return string(e.Kind) + ": " + e.Message
+}
+
+// Unwrap returns the wrapped cause, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// New returns an error of kind k with the run state of the table.
+func New(k Kind, message string) *Error {
+	return &Error{Kind: k, Run: RuleOf(k).Run, Message: message}
+}
+
+// Wrap returns an error of kind k caused by err.
+func Wrap(err error, k Kind, message string) *Error {
+	e := New(k, message)
+	e.cause = err
+	return e
+}
+
+// WithRun returns a copy of e with run state r.
+func (e *Error) WithRun(r Run) *Error {
+	c := *e
+	c.Run = r
+	return &c
+}
+
+// From returns err as an *Error; an error without a kind becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "unexpected failure")
+}
+
+// Is reports whether err has kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
+
+// Body is the JSON body of an error answer.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the inner object of Body.
+type BodyError struct {
+	Kind    Kind     `json:"kind"`
+	Message string   `json:"message"`
+	Run     Run      `json:"run"`
+	Details []string `json:"details,omitempty"`
+}
+
+// Answer returns the HTTP status and body for err. Internal causes are not shown to the caller.
+func Answer(err error) (int, Body) {
+	e := From(err)
+	return RuleOf(e.Kind).Status, Body{Error: BodyError{Kind: e.Kind, Message: e.Message, Run: e.Run}}
+}
--- /dev/null
+++ b/ring/ring.go
@@ -0,0 +1,106 @@
+// Package ring provides the bounded ring buffer that connects the goroutines of a daemon.
+package ring
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a Ring.
+var (
+	// ErrFull means that the ring holds its capacity of elements.
+	ErrFull = errors.New("ring: full")
+	// ErrClosed means that the ring was closed and, on the receiving side, is empty.
+	ErrClosed = errors.New("ring: closed")
+)
+
+// Ring is a bounded FIFO queue. Push never blocks; Pop waits. It is safe for concurrent use.
+type Ring[T any] struct {
+	mu       sync.Mutex
+	items    []T
+	head     int
+	length   int
+	closed   bool
+	nonEmpty chan struct{} // holds one token while items may be waiting
+}
+
+// New returns a ring for capacity elements.
+func New[T any](capacity int) *Ring[T] {
+	return &Ring[T]{items: make([]T, max(capacity, 1)), nonEmpty: make(chan struct{}, 1)}
+}
+
+// Push appends v. Errors: ErrFull, ErrClosed.
+func (r *Ring[T]) Push(v T) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return ErrClosed
+	}
+	if r.length == len(r.items) {
+		return ErrFull
+	}
+	r.items[(r.head+r.length)%len(r.items)] = v
+	r.length++
+	r.signal()
+	return nil
+}
+
+// Pop removes the oldest element, waiting for one. Errors: ErrClosed, or the context's error.
+func (r *Ring[T]) Pop(ctx context.Context) (T, error) {
+	for {
+		v, ok, err := r.tryPop()
+		if ok || err != nil {
+			return v, err
+		}
+		select {
+		case <-ctx.Done():
+			return v, ctx.Err()
+		case <-r.nonEmpty:
+		}
+	}
+}
+
+func (r *Ring[T]) tryPop() (v T, ok bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.length == 0 {
+		if r.closed {
+			r.signal() // wakes the next waiting Pop
+			return v, false, ErrClosed
+		}
+		return v, false, nil
+	}
+	var zero T
+	v = r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.length--
+	if r.length > 0 {
+		r.signal()
+	}
+	return v, true, nil
+}
+
+// Len returns the number of elements held.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.length
+}
+
+// Close makes Push fail and lets Pop drain the remaining elements.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.signal()
+}
+
+func (r *Ring[T]) signal() {
+	select {
+	case r.nonEmpty <- struct{}{}:
+	default:
+	}
+}
