--- /dev/null
+++ b/errkind/errkind_test.go
@@ -0,0 +1,40 @@
+package errkind_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/errkind"
+)
+
+// A kind without a row would be answered as an internal error and hide its meaning from the caller.
+func TestEveryKindHasAnErrorStatusAndARunState(t *testing.T) {
+	require.NotEmpty(t, errkind.Kinds())
+	for _, k := range errkind.Kinds() {
+		rule := errkind.RuleOf(k)
+		require.GreaterOrEqual(t, rule.Status, http.StatusBadRequest, k)
+		require.Contains(t, []errkind.Run{errkind.NotRun, errkind.Ran, errkind.Unknown}, rule.Run, k)
+	}
+}
+
+// An error from outside the list must not claim that nothing ran.
+func TestUnclassifiedErrorsAnswerUnknown(t *testing.T) {
+	status, body := errkind.Answer(errors.New("connection reset"))
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, errkind.Unknown, body.Error.Run)
+	require.NotContains(t, body.Error.Message, "connection reset", "internal causes stay out of the answer")
+	require.Equal(t, errkind.RuleOf(errkind.Internal), errkind.RuleOf("no_such_kind"))
+}
+
+// Wrapping by other packages must keep the kind and the run state of the error.
+func TestAnswerFindsTheKindThroughWrapping(t *testing.T) {
+	err := errors.Wrap(errkind.New(errkind.DeadlineExceeded, "too late").WithRun(errkind.Ran), "dispatch")
+	status, body := errkind.Answer(err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Equal(t, errkind.Ran, body.Error.Run)
+	require.True(t, errkind.Is(err, errkind.DeadlineExceeded))
+	require.False(t, errkind.Is(err, errkind.Internal))
+}
