--- a/epoch/view.go
+++ b/epoch/view.go
@@ -12,3 +12,5 @@
 	// Changed returns a channel that is closed at the next change of the snapshot.
 	Changed() <-chan struct{}
 }
+
+var _ View = (*Store)(nil)
--- /dev/null
+++ b/fleet/diff.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Diff returns the differences between two texts as lines in path order: "+ path: value" for an addition, "- path:
+// value" for a removal and "~ path: old -> new" for a change. Comments and formatting do not count. A nil text is empty.
+func Diff(old, new *Text) []string {
+	before, after := flatten(old), flatten(new)
+	var lines []string
+	for path, value := range before {
+		next, kept := after[path]
+		switch {
+		case !kept:
+			lines = append(lines, fmt.Sprintf("- %s: %s", path, value))
+		case next != value:
+			lines = append(lines, fmt.Sprintf("~ %s: %s -> %s", path, value, next))
+		}
+	}
+	for path, value := range after {
+		if _, known := before[path]; !known {
+			lines = append(lines, fmt.Sprintf("+ %s: %s", path, value))
+		}
+	}
+	slices.SortFunc(lines, func(a, b string) int { return slices.Compare([]byte(a[2:]), []byte(b[2:])) })
+	return lines
+}
+
+// flatten returns the values of a text by path. Lists of names are sets; lists of call rules keep their order.
+func flatten(t *Text) map[string]string {
+	leaves := make(map[string]string)
+	if t == nil {
+		return leaves
+	}
+	raw, err := yaml.Marshal(t)
+	if err != nil {
+		return leaves
+	}
+	var tree any
+	if err := yaml.Unmarshal(raw, &tree); err != nil {
+		return leaves
+	}
+	flattenInto(leaves, "", tree)
+	return leaves
+}
+
+func flattenInto(leaves map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for key, child := range v {
+			flattenInto(leaves, join(path, key), child)
+		}
+	case []any:
+		for i, child := range v {
+			if s, ok := child.(string); ok {
+				leaves[join(path, s)] = "listed"
+				continue
+			}
+			flattenInto(leaves, fmt.Sprintf("%s[%d]", path, i), child)
+		}
+	case nil:
+	default:
+		if text := fmt.Sprint(v); text != "" && text != "0" && text != "false" {
+			leaves[path] = text
+		}
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"regexp"
 	"strconv"
 	"strings"
@@ -25,18 +26,41 @@
 	return fmt.Sprintf("line %d: %s", f.Line, f.Message)
 }
 
-// Parse decodes a text strictly. A text with faults is nil.
+// Parse decodes a text strictly and validates it. It returns either a text or all faults that were found; a text that
+// does not decode has only the faults of decoding.
 func Parse(data []byte) (*Text, []Fault) {
+	if len(data) > MaxTextBytes {
+		return nil, []Fault{{Message: fmt.Sprintf("text is over the limit of %d bytes", MaxTextBytes)}}
+	}
 	text := new(Text)
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
-	if err := dec.Decode(text); err != nil {
+	if err := dec.Decode(text); err != nil && err != io.EOF {
 		return nil, faultsOf(err)
 	}
-	text.Settings.applyDefaults()
+	if err := dec.Decode(new(yaml.Node)); err != io.EOF {
+		return nil, []Fault{{Message: "the text must be a single YAML document"}}
+	}
+	root := new(yaml.Node)
+	if err := yaml.Unmarshal(data, root); err != nil {
+		return nil, faultsOf(err)
+	}
+	if faults := validate(text, root); len(faults) > 0 {
+		return nil, faults
+	}
+	text.applyDefaults()
 	return text, nil
 }
 
+func (t *Text) applyDefaults() {
+	t.Settings.applyDefaults()
+	for _, s := range t.Services {
+		if s.Class == "" {
+			s.Class = ClassInteractive
+		}
+	}
+}
+
 var yamlLine = regexp.MustCompile(`line (\d+): (.*)`)
 
 // faultsOf splits a YAML error into one fault per line that it names.
--- a/member/view.go
+++ b/member/view.go
@@ -42,3 +42,5 @@
 	// ObserveLeaving records that an agent refused work because it is leaving.
 	ObserveLeaving(endpoint string)
 }
+
+var _ View = (*Table)(nil)
