--- a/member/table.go
+++ b/member/table.go
@@ -46,6 +46,7 @@
 	leaving bool      // of the current incarnation, or said by the list
 	retired []string
 	epoch   int64  // highest epoch that the node is known to hold, in any incarnation
+	told    int64  // highest epoch that the node itself told this node
 	spread  uint64 // order of change, for newest-first gossip
 }
 
@@ -157,7 +158,7 @@
 	if restarted {
 		s.retire()
 	}
-	t.store(s, r, born, restarted)
+	t.store(s, r, born, direct, restarted)
 	if r.Leaving {
 		t.leaveLocked(r.Name, s)
 	}
@@ -185,7 +186,7 @@
 	s.failed = time.Time{}
 }
 
-func (t *Table) store(s *state, r *wire.NodeRecord, born time.Time, restarted bool) {
+func (t *Table) store(s *state, r *wire.NodeRecord, born time.Time, direct, restarted bool) {
 	previous := s.record
 	next := proto.Clone(r).(*wire.NodeRecord)
 	next.AgeMs = 0
@@ -200,6 +201,9 @@
 		s.heard = born
 	}
 	s.epoch = max(s.epoch, r.Epoch)
+	if direct {
+		s.told = max(s.told, r.Epoch)
+	}
 	if r.Endpoint != "" {
 		t.byEnd[r.Endpoint] = r.Name
 	}
@@ -374,12 +378,26 @@
 	Heard         time.Time
 }
 
+// ToldEpoch returns the names of the nodes that told this node themselves that they hold epoch or a later one.
+func (t *Table) ToldEpoch(epoch int64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, s := range t.nodes {
+		if s.told >= epoch {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // PossiblyServing returns the nodes that the list names, and those that it does not name and that were heard within
 // bound, in name order.
 func (t *Table) PossiblyServing(bound time.Duration) []Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	bound = max(bound, t.silentAfter()) // in a large fleet the news that a node was heard takes longer than the bound
 	var holders []Holder
 	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
 		s := t.nodes[name]
@@ -429,6 +447,16 @@
 	return records
 }
 
+// LeavingRecord returns the record of a node if it is known to be leaving, to tell the node itself.
+func (t *Table) LeavingRecord(name string) []*wire.NodeRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.nodes[name]; s != nil && s.leaving && s.record != nil {
+		return t.recordsLocked([]string{name})
+	}
+	return nil
+}
+
 // Urgent returns a channel that signals news to push at once.
 func (t *Table) Urgent() <-chan struct{} { return t.wakePush }
 
