--- /dev/null
+++ b/epoch/force.go
@@ -0,0 +1,199 @@
+package epoch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/member"
+)
+
+// NodeStatus is one node's line of the status.
+type NodeStatus struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Role          string `json:"role"`
+	Epoch         int64  `json:"epoch"`
+	Confirmed     bool   `json:"confirmed"` // holds the current epoch
+	HeardMs       int64  `json:"heard_ms"`  // age of the newest evidence; -1: never heard
+}
+
+// Status is the answer to GET /v1/fleet/status.
+type Status struct {
+	Epoch       int64        `json:"epoch"`
+	Hash        string       `json:"hash"`
+	InForce     bool         `json:"in_force"`
+	Fresh       bool         `json:"fresh"`
+	Unconfirmed []string     `json:"unconfirmed"`
+	InDoubt     []string     `json:"in_doubt"`
+	Nodes       []NodeStatus `json:"nodes"`
+	Warnings    []string     `json:"warnings,omitempty"`
+}
+
+// forceTracker decides when an epoch is in force. A node without the epoch may judge its evidence by any text since the
+// last one that was in force, so the second rule must hold under each of them.
+type forceTracker struct {
+	mu      sync.Mutex
+	inForce int64             // highest epoch that was in force
+	texts   []*fleet.Snapshot // from the one last in force to the current one, without gaps; empty: unknown
+	since   time.Time         // when a majority of failure domains held the current epoch
+}
+
+func newForceTracker() *forceTracker { return &forceTracker{} }
+
+// update computes whether current is in force.
+func (f *forceTracker) update(current *fleet.Snapshot, base func(int64) *fleet.Snapshot, nodes func(time.Duration) []member.Holder) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if current.Epoch <= f.inForce {
+		return true
+	}
+	f.extend(current, base)
+	bound := f.bound()
+	holders := nodes(bound)
+	if allHold(holders, current.Epoch) || f.majorityHolds(holders, current.Epoch, bound) {
+		f.inForce, f.texts, f.since = current.Epoch, []*fleet.Snapshot{current}, time.Time{}
+		return true
+	}
+	return false
+}
+
+// extend brings texts up to the current epoch. An epoch in between that this node never held makes the chain unknown:
+// texts then holds only the current one, and the second rule does not apply.
+func (f *forceTracker) extend(current *fleet.Snapshot, base func(int64) *fleet.Snapshot) {
+	if len(f.texts) > 0 && f.texts[len(f.texts)-1].Epoch == current.Epoch {
+		return
+	}
+	f.since = time.Time{}
+	if len(f.texts) == 0 {
+		f.texts = []*fleet.Snapshot{current}
+		return
+	}
+	for e := f.texts[len(f.texts)-1].Epoch + 1; e < current.Epoch; e++ {
+		s := base(e)
+		if s == nil {
+			f.texts = []*fleet.Snapshot{current}
+			return
+		}
+		f.texts = append(f.texts, s)
+	}
+	f.texts = append(f.texts, current)
+}
+
+// bound returns the largest freshness bound of the texts that a node may hold.
+func (f *forceTracker) bound() time.Duration {
+	var bound time.Duration
+	for _, s := range f.texts {
+		bound = max(bound, s.Text.Settings.FreshnessBound)
+	}
+	return bound
+}
+
+func allHold(holders []member.Holder, epoch int64) bool {
+	for _, h := range holders {
+		if h.Epoch < epoch {
+			return false
+		}
+	}
+	return len(holders) > 0
+}
+
+// majorityHolds implements the second rule: all possibly serving nodes of a majority of failure domains hold the epoch,
+// and the freshness bound has passed since.
+func (f *forceTracker) majorityHolds(holders []member.Holder, epoch int64, bound time.Duration) bool {
+	if !f.chainKnown(epoch) || !f.majorities(holders, epoch) {
+		f.since = time.Time{}
+		return false
+	}
+	now := time.Now()
+	if f.since.IsZero() {
+		f.since = now
+	}
+	return now.Sub(f.since) > bound
+}
+
+// chainKnown reports whether texts starts at an epoch that was in force, or at the first epoch of all.
+func (f *forceTracker) chainKnown(epoch int64) bool {
+	first := f.texts[0].Epoch
+	return first == 1 || first == f.inForce && first < epoch
+}
+
+// majorities reports whether the rule holds under the failure domains of every text that a node may hold.
+func (f *forceTracker) majorities(holders []member.Holder, epoch int64) bool {
+	behind, present := make(map[string]bool), make(map[string]bool)
+	for _, h := range holders {
+		present[h.FailureDomain] = true
+		if h.Epoch < epoch {
+			behind[h.FailureDomain] = true
+		}
+	}
+	for _, s := range f.texts {
+		if servesIsolated(s.Text) {
+			return false
+		}
+		domains, complete := s.Text.Settings.FailureDomains, 0
+		for _, d := range domains {
+			if present[d] && !behind[d] {
+				complete++
+			}
+		}
+		if len(domains) == 0 || complete <= len(domains)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+func servesIsolated(t *fleet.Text) bool {
+	for _, s := range t.Services {
+		if s.WhenIsolated == fleet.IsolatedServe {
+			return true
+		}
+	}
+	return false
+}
+
+// InForce reports whether an epoch is in force as far as this entry knows. It stays so once it was.
+func (a *Acceptor) InForce(epoch int64) bool {
+	current := a.options.Store.Snapshot()
+	if current == nil || epoch <= 0 {
+		return false
+	}
+	done := a.force.update(current, a.options.Store.Base, a.options.Fleet.Nodes)
+	if done {
+		return epoch <= current.Epoch
+	}
+	return epoch <= a.force.highest()
+}
+
+func (f *forceTracker) highest() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inForce
+}
+
+// Status returns the epoch at each node. It makes this entry collect confirmations for a while.
+func (a *Acceptor) Status() Status {
+	current := a.options.Store.Snapshot()
+	if current == nil {
+		return Status{Unconfirmed: []string{}, InDoubt: a.InDoubt(), Nodes: []NodeStatus{}}
+	}
+	st := Status{Epoch: current.Epoch, Hash: current.Hash, InForce: a.InForce(current.Epoch), Fresh: a.options.Store.Fresh(),
+		Unconfirmed: []string{}, InDoubt: a.InDoubt(), Nodes: []NodeStatus{}, Warnings: fleet.Warnings(current)}
+	if !st.InForce {
+		a.wantCollect()
+	}
+	now := time.Now()
+	for _, h := range a.options.Fleet.Nodes(current.Text.Settings.FreshnessBound) {
+		n := NodeStatus{Name: h.Name, FailureDomain: h.FailureDomain, Role: string(h.Role), Epoch: h.Epoch,
+			Confirmed: h.Epoch >= current.Epoch, HeardMs: -1}
+		if !h.Heard.IsZero() {
+			n.HeardMs = now.Sub(h.Heard).Milliseconds()
+		}
+		if !n.Confirmed {
+			st.Unconfirmed = append(st.Unconfirmed, h.Name)
+		}
+		st.Nodes = append(st.Nodes, n)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,368 @@
+// Package ctl implements the commands of bilberryctl.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/operator"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // the server or a file could not be read, or the request was refused for another reason
+	ExitInvalid  = 2 // the text has faults
+	ExitConflict = 3 // another change came first
+	ExitDoubt    = 4 // the outcome is not known; repeat with the printed --submission
+	ExitPending  = 5 // accepted, but not in force within the time of --wait
+	ExitDiffers  = 6 // diff found differences
+)
+
+// CLI declares the flags and commands.
+type CLI struct {
+	Server  string           `name:"server" default:"http://127.0.0.1:8080" help:"Base URL of an entry."`
+	Token   string           `name:"token" help:"Operator token."`
+	JSON    bool             `name:"json" help:"Print JSON."`
+	Timeout time.Duration    `name:"timeout" default:"30s" help:"Time limit of one request."`
+	Version kong.VersionFlag `name:"version" help:"Print the version."`
+
+	Validate ValidateCmd `cmd:"" help:"Check a configuration text without a server."`
+	Diff     DiffCmd     `cmd:"" help:"Show what a text would change."`
+	Apply    ApplyCmd    `cmd:"" help:"Submit a text against the current one."`
+	Status   StatusCmd   `cmd:"" help:"Show the epoch at each node."`
+	Audit    AuditCmd    `cmd:"" help:"Show the audit trail."`
+}
+
+// ExitError carries an exit code.
+type ExitError struct {
+	Code    int
+	Message string
+}
+
+// Error implements the error interface.
+func (e *ExitError) Error() string { return e.Message }
+
+// Context is what the commands share.
+type Context struct {
+	CLI    *CLI
+	Out    io.Writer
+	Client *http.Client
+}
+
+// ValidateCmd is `validate FILE`.
+type ValidateCmd struct {
+	File string `arg:"" type:"existingfile" help:"Configuration text."`
+}
+
+// Run checks the file and prints every fault with its line.
+func (c *ValidateCmd) Run(x *Context) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	snapshot, faults := fleet.NewSnapshot(1, raw)
+	if len(faults) == 0 {
+		faults = fleet.CheckTransition(nil, snapshot.Text, raw)
+	}
+	var warnings []string
+	if snapshot != nil {
+		warnings = fleet.Warnings(snapshot)
+	}
+	if x.CLI.JSON {
+		err = x.json(map[string]any{"valid": len(faults) == 0, "faults": faults, "warnings": warnings})
+	} else {
+		x.printFaults(c.File, faults, warnings)
+	}
+	if err == nil && len(faults) > 0 {
+		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
+	}
+	return err
+}
+
+func (x *Context) printFaults(file string, faults []fleet.Fault, warnings []string) {
+	for _, f := range faults {
+		fmt.Fprintf(x.Out, "%s:%d: %s\n", file, f.Line, f.Message)
+	}
+	for _, w := range warnings {
+		fmt.Fprintf(x.Out, "warning: %s\n", w)
+	}
+	if len(faults) == 0 {
+		fmt.Fprintf(x.Out, "%s: valid\n", file)
+	}
+}
+
+// DiffCmd is `diff FILE`.
+type DiffCmd struct {
+	File string `arg:"" type:"existingfile" help:"Configuration text."`
+}
+
+// Run compares the file with the current text.
+func (c *DiffCmd) Run(x *Context) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	next, faults := fleet.Parse(raw)
+	if len(faults) > 0 {
+		x.printFaults(c.File, faults, nil)
+		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
+	}
+	current, _, err := x.fetch()
+	if err != nil {
+		return err
+	}
+	old, faults := fleet.Parse(current)
+	if len(faults) > 0 && len(current) > 0 {
+		return errors.Errorf("current text: %s", faults[0])
+	}
+	lines := fleet.Diff(old, next)
+	if x.CLI.JSON {
+		if err := x.json(lines); err != nil {
+			return err
+		}
+	} else if len(lines) > 0 {
+		fmt.Fprintln(x.Out, strings.Join(lines, "\n"))
+	}
+	if len(lines) > 0 {
+		return &ExitError{Code: ExitDiffers, Message: fmt.Sprintf("%d differences", len(lines))}
+	}
+	return nil
+}
+
+// ApplyCmd is `apply FILE`.
+type ApplyCmd struct {
+	File       string        `arg:"" type:"existingfile" help:"Configuration text."`
+	Submission string        `help:"Submission id of an earlier attempt whose outcome is not known."`
+	Operator   string        `help:"Name for the audit trail." env:"USER"`
+	IfMatch    int64         `name:"if-match" default:"-1" help:"Epoch that the text was made for; -1 takes the current one."`
+	Wait       time.Duration `help:"Time to wait until the text is in force."`
+}
+
+// Run submits the file and, with --wait, waits until it is in force.
+func (c *ApplyCmd) Run(x *Context) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	tag := `"` + strconv.FormatInt(c.IfMatch, 10) + `"`
+	if c.IfMatch < 0 {
+		if _, tag, err = x.fetch(); err != nil {
+			return err
+		}
+	}
+	if c.Submission == "" {
+		c.Submission = rand.Text()
+	}
+	header := http.Header{"If-Match": {tag}, operator.SubmissionHeader: {c.Submission}, operator.OperatorHeader: {c.Operator}}
+	body, _, err := x.call(http.MethodPut, "/v1/fleet", header, raw)
+	if err != nil {
+		return c.explain(err)
+	}
+	var accepted epoch.Accepted
+	if err := json.Unmarshal(body, &accepted); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if c.Wait > 0 && !accepted.InForce {
+		accepted.InForce = x.waitInForce(accepted.Epoch, c.Wait)
+	}
+	return c.report(x, accepted)
+}
+
+// explain adds how to repeat a submission whose outcome is not known.
+func (c *ApplyCmd) explain(err error) error {
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		if exit.Code == ExitDoubt {
+			exit.Message += "\nrepeat with --submission " + c.Submission
+		}
+		return err
+	}
+	return &ExitError{Code: ExitDoubt, Message: err.Error() + "\nrepeat with --submission " + c.Submission}
+}
+
+func (c *ApplyCmd) report(x *Context, accepted epoch.Accepted) error {
+	if x.CLI.JSON {
+		if err := x.json(accepted); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(x.Out, "epoch %d accepted, in force: %t\n", accepted.Epoch, accepted.InForce)
+		for _, w := range accepted.Warnings {
+			fmt.Fprintf(x.Out, "warning: %s\n", w)
+		}
+	}
+	if c.Wait > 0 && !accepted.InForce {
+		return &ExitError{Code: ExitPending, Message: "not in force yet; see bilberryctl status"}
+	}
+	return nil
+}
+
+// statusInterval is the pause between status requests while waiting.
+const statusInterval = 200 * time.Millisecond
+
+func (x *Context) waitInForce(want int64, limit time.Duration) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		st, err := x.status()
+		if err == nil && st.Epoch >= want && st.InForce {
+			return true
+		}
+		time.Sleep(statusInterval)
+	}
+	return false
+}
+
+// StatusCmd is `status`.
+type StatusCmd struct{}
+
+// Run prints the epoch at each node.
+func (c *StatusCmd) Run(x *Context) error {
+	st, err := x.status()
+	if err != nil {
+		return err
+	}
+	if x.CLI.JSON {
+		return x.json(st)
+	}
+	fmt.Fprintf(x.Out, "epoch %d, in force: %t, evidence fresh: %t\n", st.Epoch, st.InForce, st.Fresh)
+	if len(st.Unconfirmed) > 0 {
+		fmt.Fprintf(x.Out, "unconfirmed: %s\n", strings.Join(st.Unconfirmed, ", "))
+	}
+	for _, id := range st.InDoubt {
+		fmt.Fprintf(x.Out, "in doubt: submission %s\n", id)
+	}
+	for _, w := range st.Warnings {
+		fmt.Fprintf(x.Out, "warning: %s\n", w)
+	}
+	tab := tabwriter.NewWriter(x.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "NODE\tROLE\tFAILURE DOMAIN\tEPOCH\tHEARD")
+	for _, n := range st.Nodes {
+		heard := "never"
+		if n.HeardMs >= 0 {
+			heard = (time.Duration(n.HeardMs) * time.Millisecond).String()
+		}
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t%s\n", n.Name, n.Role, n.FailureDomain, n.Epoch, heard)
+	}
+	return tab.Flush()
+}
+
+// AuditCmd is `audit`.
+type AuditCmd struct {
+	Limit int `default:"100" help:"Newest records to show."`
+}
+
+// Run prints the audit trail, oldest first.
+func (c *AuditCmd) Run(x *Context) error {
+	body, _, err := x.call(http.MethodGet, "/v1/audit?limit="+strconv.Itoa(c.Limit), nil, nil)
+	if err != nil {
+		return err
+	}
+	var records []epoch.AuditRecord
+	if err := json.Unmarshal(body, &records); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if x.CLI.JSON {
+		return x.json(records)
+	}
+	for _, r := range records {
+		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %q at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
+			r.Epoch, r.Base, r.Operator, r.Node, r.Submission)
+		for _, d := range r.Details {
+			fmt.Fprintf(x.Out, "    %s\n", d)
+		}
+	}
+	return nil
+}
+
+func (x *Context) json(v any) error {
+	enc := json.NewEncoder(x.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (x *Context) status() (epoch.Status, error) {
+	var st epoch.Status
+	body, _, err := x.call(http.MethodGet, "/v1/fleet/status", nil, nil)
+	if err != nil {
+		return st, err
+	}
+	return st, errors.Wrap(json.Unmarshal(body, &st), "answer")
+}
+
+// fetch returns the current text and its ETag. Before the first text the text is empty.
+func (x *Context) fetch() (raw []byte, tag string, err error) {
+	body, header, err := x.call(http.MethodGet, "/v1/fleet", nil, nil)
+	if err != nil && header.Get("ETag") == `"0"` {
+		return nil, `"0"`, nil
+	}
+	return body, header.Get("ETag"), err
+}
+
+// call sends one request. An error answer becomes an ExitError.
+func (x *Context) call(method, path string, header http.Header, body []byte) ([]byte, http.Header, error) {
+	base, err := url.Parse(x.CLI.Server)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "--server")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), x.CLI.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(base.String(), "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+x.CLI.Token)
+	resp, err := x.Client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, resp.Header, failure(resp.Status, answer)
+	}
+	return answer, resp.Header, nil
+}
+
+func failure(status string, answer []byte) error {
+	var body errkind.Body
+	if err := json.Unmarshal(answer, &body); err != nil || body.Error.Kind == "" {
+		return &ExitError{Code: ExitFailure, Message: status}
+	}
+	e := &ExitError{Code: ExitFailure, Message: string(body.Error.Kind) + ": " + body.Error.Message}
+	for _, d := range body.Error.Details {
+		e.Message += "\n  " + d
+	}
+	switch body.Error.Kind {
+	case errkind.FleetInvalid:
+		e.Code = ExitInvalid
+	case errkind.EpochConflict:
+		e.Code = ExitConflict
+	case errkind.AcceptanceUnknown:
+		e.Code = ExitDoubt
+	}
+	return e
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -490,7 +490,7 @@
 			return true
 		}
 	}
-	return others == 0
+	return others == 0 && !slices.ContainsFunc(p.options.Seeds, func(addr string) bool { return addr != p.options.Addr })
 }
 
 func (p *Peer) confirmers() []member.Node {
