--- /dev/null
+++ b/internal/agent/options.go
@@ -0,0 +1,73 @@
+// Package agent composes the sidecar process beside one endpoint. The agent is the authority on what its endpoint may
+// run now: it admits, queues, runs and cancels attempts, owns the engine's KV memory, and is the only sender of orders.
+package agent
+
+import (
+	"context"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/internal/settings"
+	"github.com/bilberrylink/bilberrylink/member"
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// Options of an agent. Exactly one of Engine and Service is set, as EndpointKind says.
+type Options struct {
+	Node         settings.Node
+	TLS          settings.TLS
+	Endpoint     string // name of the endpoint, as in the configuration text
+	EndpointKind string // fleet.KindModel or fleet.KindPlain
+	Engine       endpoint.Engine
+	Service      endpoint.Service
+	Services     platform.Services
+	Seeds        []string // addresses of entries
+	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log          *logrus.Logger
+	Registry     *prometheus.Registry // nil: an own one
+	Crashes      CrashSink            // nil: crashes are only logged and answered to the entries
+	Peer         NewPeer              // nil: the exchange loop of package peer
+
+	off switches
+}
+
+// switches turn mechanisms off, for tests that show that the assertion behind a mechanism reports a violation.
+type switches struct {
+	tombstones  bool
+	deadlines   bool
+	recallCheck bool
+	drain       bool
+	release     bool
+}
+
+// Peer is what the agent needs of the exchange between nodes.
+type Peer interface {
+	// Run exchanges with the entries until ctx ends.
+	Run(ctx context.Context) error
+	// Epochs returns the view of the configuration.
+	Epochs() epoch.View
+	// Members returns the view of the membership.
+	Members() member.View
+	// EpochCatchUp returns when the view holds the epoch or a later one. Errors: the context's error.
+	EpochCatchUp(ctx context.Context, epoch int64) error
+}
+
+// PeerParams are the parameters of a NewPeer.
+type PeerParams struct {
+	Options     Options
+	Incarnation string
+	Self        func(*wire.NodeRecord) // fills load, loaded versions, leaving and fault
+}
+
+// NewPeer constructs the agent's part of the exchange.
+type NewPeer func(PeerParams) (Peer, error)
+
+// CrashSink receives the prompt fingerprints that were running when the endpoint crashed.
+type CrashSink interface {
+	Crashed(ctx context.Context, endpoint string, fingerprints []string) error
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,273 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+const (
+	ticketBackoffMin = 200 * time.Millisecond
+	ticketBackoffMax = 10 * time.Second
+	orderTimeout     = 5 * time.Second
+	roleServe        = "serve"
+)
+
+// orderState is what the order duty knows. The fault is guarded by Agent.mu, the rest belongs to the duty.
+type orderState struct {
+	fault   string
+	backoff time.Duration
+	next    time.Time // no ticket is asked for earlier
+}
+
+// requestOrder wakes the order duty.
+func (a *Agent) requestOrder() {
+	select {
+	case a.reorder <- struct{}{}:
+	default:
+	}
+}
+
+// watchEpochs reacts to each change of the configuration: attempts of recalled versions end, and the engine is ordered.
+func (a *Agent) watchEpochs(ctx context.Context) error {
+	for {
+		changed := a.peer.Epochs().Changed()
+		if s := a.peer.Epochs().Snapshot(); s != nil {
+			a.applyRecalls(s)
+			a.requestOrder()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// applyRecalls ends the attempts of recalled versions that have not begun to answer, and the others if the text says so.
+func (a *Agent) applyRecalls(s *fleet.Snapshot) {
+	if a.opts.off.recallCheck {
+		return
+	}
+	cut := s.Text.Settings.RecallStreams == fleet.RecallCut
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, att := range a.attempts {
+		err := recallError(s, att)
+		if err == nil || att.isDone() || (att.answering.Load() && !cut) {
+			continue
+		}
+		att.cancel(err)
+	}
+	for id, v := range a.segments {
+		if _, recalled := s.Recalled(v); recalled {
+			delete(a.segments, id)
+			go func() { a.cancelOnEngine(a.ledger.Release(id)...) }() // the ledger calls back without a.mu
+		}
+	}
+}
+
+// runOrders keeps what the engine holds equal to what the configuration text derives for this endpoint.
+func (a *Agent) runOrders(ctx context.Context) error {
+	ticker := time.NewTicker(orderInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.reorder:
+		case <-ticker.C:
+		}
+		a.order(ctx)
+	}
+}
+
+// order sends the engine its current order if what is loaded differs.
+func (a *Agent) order(ctx context.Context) {
+	s := a.peer.Epochs().Snapshot()
+	if s == nil || !a.peer.Epochs().Fresh() {
+		return
+	}
+	report, err := a.readReport(ctx, reportTimeout)
+	if err != nil {
+		return // the reporter handles it
+	}
+	wanted := a.wanted(s, report.Loaded)
+	kept := intersect(report.Loaded, wanted)
+	missing := without(wanted, kept)
+	if len(kept) < len(report.Loaded) {
+		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: kept, Role: roleServe}) // unloading needs no ticket
+	}
+	if len(missing) > 0 {
+		a.loadMissing(ctx, s, wanted, missing)
+		return
+	}
+	a.setOrderFault("")
+}
+
+// loadMissing sends the complete order with one ticket per missing version, when the weight store grants them.
+func (a *Agent) loadMissing(ctx context.Context, s *fleet.Snapshot, wanted, missing []endpoint.Version) {
+	if time.Now().Before(a.orderState.next) {
+		return
+	}
+	tickets, err := a.tickets(ctx, s, missing)
+	if err != nil {
+		a.backOff(err)
+		return
+	}
+	if a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: wanted, Role: roleServe, Tickets: tickets}) {
+		a.orderState.backoff = 0
+	}
+}
+
+func (a *Agent) tickets(ctx context.Context, s *fleet.Snapshot, versions []endpoint.Version) (map[string]string, error) {
+	tickets := make(map[string]string, len(versions))
+	for _, v := range versions {
+		name := weightName(s, v)
+		ticket, err := a.opts.Services.Weights.Fetch(ctx, name)
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		tickets[name] = ticket
+	}
+	return tickets, nil
+}
+
+// backOff delays the next tickets by a jittered, doubling time, so that the fleet does not ask in step.
+func (a *Agent) backOff(err error) {
+	a.orderState.backoff = min(max(2*a.orderState.backoff, ticketBackoffMin), ticketBackoffMax)
+	a.orderState.next = time.Now().Add(a.orderState.backoff/2 + rand.N(a.orderState.backoff))
+	a.metrics.orders.WithLabelValues("no_ticket").Inc()
+	if !errors.Is(err, platform.ErrRateLimited) && !errors.Is(err, platform.ErrUnavailable) {
+		a.setOrderFault("weights: " + err.Error())
+	}
+}
+
+func (a *Agent) send(ctx context.Context, o endpoint.Order) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- a.opts.Engine.Order(ctx, o) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		a.log.WithError(err).WithField("fence", o.Fence).Warn("engine refused an order")
+		a.metrics.orders.WithLabelValues("failed").Inc()
+		a.setOrderFault("order: " + err.Error())
+		return false
+	}
+	a.metrics.orders.WithLabelValues("ok").Inc()
+	return true
+}
+
+func (a *Agent) setOrderFault(fault string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.orderState.fault = fault
+}
+
+// orderDiffers reports whether the engine holds something else than it should.
+func (a *Agent) orderDiffers(report endpoint.Report) bool {
+	s := a.peer.Epochs().Snapshot()
+	if s == nil {
+		return false
+	}
+	wanted := a.wanted(s, report.Loaded)
+	return len(intersect(report.Loaded, wanted)) != len(report.Loaded) || len(intersect(wanted, report.Loaded)) != len(wanted)
+}
+
+// wanted returns the versions that the engine should hold now. While it is not this endpoint's turn in a rollout, the
+// loaded versions of the model stay, unless they are recalled.
+func (a *Agent) wanted(s *fleet.Snapshot, loaded []endpoint.Version) []endpoint.Version {
+	var wanted []endpoint.Version
+	for _, v := range s.Duties(a.opts.Endpoint) {
+		old := replacedBy(s, loaded, v)
+		if len(old) == 0 || holds(loaded, v) || a.turn(s, v) {
+			wanted = append(wanted, v)
+			continue
+		}
+		for _, o := range old {
+			if !holds(wanted, o) {
+				wanted = append(wanted, o)
+			}
+		}
+	}
+	return wanted
+}
+
+// replacedBy returns the loaded, not recalled versions of v's model and adapter that differ from v.
+func replacedBy(s *fleet.Snapshot, loaded []endpoint.Version, v endpoint.Version) []endpoint.Version {
+	var old []endpoint.Version
+	for _, l := range loaded {
+		_, recalled := s.Recalled(l)
+		if l.Model == v.Model && l.Adapter == v.Adapter && l.Version != v.Version && !recalled {
+			old = append(old, l)
+		}
+	}
+	return old
+}
+
+// turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it. A fault on one of them
+// stops the rollout. Endpoints that are not live do not hold it up.
+func (a *Agent) turn(s *fleet.Snapshot, v endpoint.Version) bool {
+	names, err := fleet.ExpandNames(s.Text.Models[v.Model].Endpoints)
+	if err != nil {
+		return false // the text was validated
+	}
+	rank := slices.Index(names, a.opts.Endpoint)
+	step := max(s.Text.Settings.RolloutBatchSize, 1)
+	for _, name := range names[:rank/step*step] {
+		node, ok := a.peer.Members().Endpoint(name)
+		if !ok || !node.Live {
+			continue
+		}
+		if node.Fault != "" || !holds(node.Loaded, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// weightName returns the weight store's name of a version: name@version of the adapter, or of the model.
+func weightName(s *fleet.Snapshot, v endpoint.Version) string {
+	if v.Adapter == "" {
+		return v.Model + "@" + v.Version
+	}
+	parts := []string{v.Adapter}
+	if adapter := s.Text.Adapters[v.Adapter]; adapter != nil {
+		parts = append(parts, adapter.Version)
+	}
+	return strings.Join(parts, "@")
+}
+
+func intersect(versions, with []endpoint.Version) []endpoint.Version {
+	kept := make([]endpoint.Version, 0, len(versions))
+	for _, v := range versions {
+		if holds(with, v) {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
+
+func without(versions, some []endpoint.Version) []endpoint.Version {
+	var rest []endpoint.Version
+	for _, v := range versions {
+		if !holds(some, v) {
+			rest = append(rest, v)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/kvledger/kvledger.go
@@ -0,0 +1,453 @@
+// Package kvledger keeps the reservations of an engine's KV memory, in tokens.
+//
+// A reservation is a lease. Long requests wait in FCFS order and leave a headroom free; short ones may use the headroom,
+// and while a long request waits they may use nothing else, so neither can starve the other. Reservations may be bound
+// to IDs of streams and segments on the engine; Reconcile compares these with the engine's report.
+package kvledger
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/invariant"
+)
+
+// Errors of a Ledger.
+var (
+	// ErrTooLarge means that the engine can never hold the request.
+	ErrTooLarge = errors.New("kvledger: larger than the engine's memory for one request")
+	// ErrBusy means that the wait ended, or that too many requests wait.
+	ErrBusy = errors.New("kvledger: no memory within the wait")
+	// ErrNoCapacity means that the engine's capacity is not known yet.
+	ErrNoCapacity = errors.New("kvledger: capacity unknown")
+	// ErrUnknown means that there is no reservation of that name.
+	ErrUnknown = errors.New("kvledger: unknown reservation")
+)
+
+// Defaults of Options.
+const (
+	DefaultShortTokens = 8000
+	DefaultHeadroom    = 0.1 // part of the capacity
+	DefaultMaxWaiters  = 256
+	DefaultGrace       = 5 * time.Second // engines report with a lag of up to a few seconds
+)
+
+// Options of a Ledger. Zero values take the defaults.
+type Options struct {
+	ShortTokens int           // largest request that counts as short
+	Headroom    float64       // part of the capacity that only short requests use
+	MaxWaiters  int           // requests that may wait
+	Grace       time.Duration // covers the lag of the engine's report
+	Changed     func()        // called without locks after memory was freed or a waiter was granted
+
+	ignoreCapacity bool // tests only
+	ignoreLeases   bool // tests only
+}
+
+func (o *Options) applyDefaults() {
+	if o.ShortTokens == 0 {
+		o.ShortTokens = DefaultShortTokens
+	}
+	if o.Headroom == 0 {
+		o.Headroom = DefaultHeadroom
+	}
+	if o.MaxWaiters == 0 {
+		o.MaxWaiters = DefaultMaxWaiters
+	}
+	if o.Grace == 0 {
+		o.Grace = DefaultGrace
+	}
+	if o.Changed == nil {
+		o.Changed = func() {}
+	}
+}
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	opts     Options
+	capacity int
+	reserved int
+	short    int // part of reserved held by short requests
+	held     map[string]*reservation
+	waiters  []*reservation // FCFS, long and short
+	engine   map[string]*reservation
+}
+
+type reservation struct {
+	id      string
+	tokens  int
+	short   bool
+	expires time.Time
+	lease   time.Duration
+	granted chan struct{} // closed by the grant
+	bound   map[string]*binding
+}
+
+// binding is one stream or segment on the engine under a reservation.
+type binding struct {
+	seen time.Time // newest proof that the engine runs it; zero before the first
+}
+
+// New returns a ledger without capacity; SetCapacity gives it one.
+func New(opts Options) *Ledger {
+	opts.applyDefaults()
+	return &Ledger{opts: opts, held: make(map[string]*reservation), engine: make(map[string]*reservation)}
+}
+
+// SetCapacity sets the engine's memory in tokens.
+func (l *Ledger) SetCapacity(tokens int) {
+	l.mu.Lock()
+	grew := tokens > l.capacity
+	l.capacity = tokens
+	l.mu.Unlock()
+	if grew {
+		l.grantWaiters()
+	}
+}
+
+// Capacity returns the engine's memory in tokens, 0 while unknown.
+func (l *Ledger) Capacity() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.capacity
+}
+
+// Reserved returns the reserved tokens.
+func (l *Ledger) Reserved() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reserved
+}
+
+// Len returns the number of granted reservations.
+func (l *Ledger) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held)
+}
+
+func (l *Ledger) headroom() int { return int(float64(l.capacity) * l.opts.Headroom) }
+
+// Request grants a reservation at once or makes it wait in FCFS order; a later Request of the same id reports the
+// grant. Release ends the wait. The lease starts at the grant. Errors: ErrTooLarge, ErrBusy, ErrNoCapacity.
+func (l *Ledger) Request(id string, tokens int, lease time.Duration) (granted bool, err error) {
+	r, err := l.request(id, tokens, lease)
+	if err != nil {
+		return false, err
+	}
+	return isClosed(r.granted), nil
+}
+
+// Possible reports whether the engine can ever hold a request. Errors: ErrTooLarge, ErrNoCapacity.
+func (l *Ledger) Possible(tokens int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.possible(tokens)
+}
+
+// IsShort reports whether a request counts as short.
+func (l *Ledger) IsShort(tokens int) bool { return tokens <= l.opts.ShortTokens }
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Ledger) request(id string, tokens int, lease time.Duration) (*reservation, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.find(id); r != nil {
+		return r, nil
+	}
+	r := &reservation{id: id, tokens: tokens, short: l.IsShort(tokens), lease: lease,
+		granted: make(chan struct{}), bound: make(map[string]*binding)}
+	if err := l.possible(tokens); err != nil {
+		return nil, err
+	}
+	if !l.waitsBefore(r) && l.fits(r) {
+		l.grant(r)
+		return r, nil
+	}
+	if len(l.waiters) >= l.opts.MaxWaiters {
+		return nil, ErrBusy
+	}
+	l.waiters = append(l.waiters, r)
+	return r, nil
+}
+
+func (l *Ledger) find(id string) *reservation {
+	if r := l.held[id]; r != nil {
+		return r
+	}
+	for _, w := range l.waiters {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) possible(tokens int) error {
+	if l.opts.ignoreCapacity {
+		return nil
+	}
+	if l.capacity == 0 {
+		return ErrNoCapacity
+	}
+	limit := l.capacity
+	if !l.IsShort(tokens) {
+		limit -= l.headroom()
+	}
+	if tokens > limit {
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// waitsBefore reports whether a waiter of r's length is ahead of r.
+func (l *Ledger) waitsBefore(r *reservation) bool {
+	for _, w := range l.waiters {
+		if w == r {
+			return false
+		}
+		if w.short == r.short {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) fits(r *reservation) bool {
+	if l.opts.ignoreCapacity {
+		return true
+	}
+	if l.reserved+r.tokens > l.capacity {
+		return false
+	}
+	if !r.short {
+		return l.reserved-l.short+r.tokens <= l.capacity-l.headroom()
+	}
+	return !l.longWaits() || l.short+r.tokens <= l.headroom()
+}
+
+func (l *Ledger) longWaits() bool {
+	return slices.ContainsFunc(l.waiters, func(w *reservation) bool { return !w.short })
+}
+
+func (l *Ledger) grant(r *reservation) {
+	l.held[r.id] = r
+	l.reserved += r.tokens
+	if r.short {
+		l.short += r.tokens
+	}
+	r.expires = time.Now().Add(r.lease)
+	close(r.granted)
+	invariant.Check(l.reserved <= l.capacity, "kv_reserved_over_capacity", "reserved %d of %d tokens", l.reserved, l.capacity)
+}
+
+func (l *Ledger) grantWaiters() {
+	l.mu.Lock()
+	kept := make([]*reservation, 0, len(l.waiters))
+	all := slices.Clone(l.waiters)
+	for _, w := range all {
+		if l.waitsBefore(w) || !l.fits(w) {
+			kept = append(kept, w)
+			continue
+		}
+		l.waiters = slices.DeleteFunc(l.waiters, func(o *reservation) bool { return o == w })
+		l.grant(w)
+	}
+	l.waiters = kept
+	l.mu.Unlock()
+	l.opts.Changed()
+}
+
+// Reserve is Request with a bounded wait. A reservation that was not granted leaves nothing behind.
+// Errors: those of Request, and the context's error.
+func (l *Ledger) Reserve(ctx context.Context, id string, tokens int, lease, wait time.Duration) error {
+	r, err := l.request(id, tokens, lease)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.granted:
+	case <-timer.C:
+		err = ErrBusy
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		l.Release(id)
+	}
+	return err
+}
+
+// Renew makes the lease of a reservation last at least for lease from now. Errors: ErrUnknown.
+func (l *Ledger) Renew(id string, lease time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.held[id]
+	if r == nil {
+		return ErrUnknown
+	}
+	if until := time.Now().Add(lease); until.After(r.expires) {
+		r.expires = until
+	}
+	return nil
+}
+
+// Bind says that a stream or segment on the engine uses the memory of a reservation. Errors: ErrUnknown.
+func (l *Ledger) Bind(id, engineID string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.held[id]
+	if r == nil {
+		return ErrUnknown
+	}
+	r.bound[engineID] = new(binding)
+	l.engine[engineID] = r
+	return nil
+}
+
+// Seen says that the engine is known to run a bound ID, for instance by its first token.
+func (l *Ledger) Seen(engineID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.engine[engineID]; r != nil {
+		r.bound[engineID].seen = time.Now()
+	}
+}
+
+// Release frees reservations, or ends their wait, and returns the IDs bound to them, which the caller cancels on the
+// engine. Unknown reservations are ignored.
+func (l *Ledger) Release(ids ...string) (engineIDs []string) {
+	l.mu.Lock()
+	for _, id := range ids {
+		engineIDs = append(engineIDs, l.release(id)...)
+	}
+	l.mu.Unlock()
+	l.grantWaiters()
+	return engineIDs
+}
+
+func (l *Ledger) release(id string) (engineIDs []string) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(w *reservation) bool { return w.id == id })
+	r := l.held[id]
+	if r == nil {
+		return nil
+	}
+	delete(l.held, id)
+	l.reserved -= r.tokens
+	if r.short {
+		l.short -= r.tokens
+	}
+	for engineID := range r.bound {
+		delete(l.engine, engineID)
+		engineIDs = append(engineIDs, engineID)
+	}
+	slices.Sort(engineIDs)
+	invariant.Check(l.reserved >= 0 && l.short >= 0, "kv_reserved_negative", "reserved %d, short %d", l.reserved, l.short)
+	return engineIDs
+}
+
+// Expire frees the reservations whose lease has ended and returns them with the bound IDs to cancel on the engine.
+func (l *Ledger) Expire() (expired, engineIDs []string) {
+	l.mu.Lock()
+	now := time.Now()
+	for id, r := range l.held {
+		if now.Before(r.expires) || l.opts.ignoreLeases {
+			continue
+		}
+		expired = append(expired, id)
+		engineIDs = append(engineIDs, l.release(id)...)
+	}
+	l.checkLeases(now)
+	l.mu.Unlock()
+	if len(expired) > 0 {
+		l.grantWaiters()
+	}
+	return expired, engineIDs
+}
+
+func (l *Ledger) checkLeases(now time.Time) {
+	for id, r := range l.held {
+		invariant.Check(now.Sub(r.expires) <= l.opts.Grace, "kv_lease_outlived", "reservation %s outlives its lease", id)
+	}
+}
+
+// CheckIdle asserts that nothing is reserved. The agent calls it when it runs nothing and holds no lease for others.
+func (l *Ledger) CheckIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	invariant.Check(l.reserved == 0 && len(l.engine) == 0, "kv_reserved_when_idle", "reserved %d tokens in %d reservations", l.reserved, len(l.held))
+}
+
+// Reset drops all reservations: the engine has restarted and holds nothing. Waiters keep waiting.
+func (l *Ledger) Reset() (dropped []string) {
+	l.mu.Lock()
+	for id := range l.held {
+		dropped = append(dropped, id)
+	}
+	for _, id := range dropped {
+		l.release(id)
+	}
+	l.mu.Unlock()
+	l.grantWaiters()
+	return dropped
+}
+
+// Reconcile compares the ledger with the engine's report. It returns the IDs that the engine runs and the ledger does
+// not know, which the caller cancels on the engine, and the reservations that it freed because the engine has stopped
+// running all of their bound IDs for longer than the grace. An ID counts as stopped only after it was seen running,
+// since an engine does not report streams that wait for memory.
+func (l *Ledger) Reconcile(report endpoint.Report) (unknown, freed []string) {
+	l.SetCapacity(report.KVCapacity)
+	l.mu.Lock()
+	now := time.Now()
+	for _, engineID := range report.Running {
+		if r := l.engine[engineID]; r != nil {
+			r.bound[engineID].seen = now
+			continue
+		}
+		unknown = append(unknown, engineID)
+	}
+	for id, r := range l.held {
+		if l.gone(r, now) {
+			freed = append(freed, id)
+			l.release(id)
+		}
+	}
+	l.mu.Unlock()
+	if len(freed) > 0 {
+		l.grantWaiters()
+	}
+	return unknown, freed
+}
+
+func (l *Ledger) gone(r *reservation, now time.Time) bool {
+	for _, b := range r.bound {
+		if b.seen.IsZero() || now.Sub(b.seen) < l.opts.Grace {
+			return false
+		}
+	}
+	return len(r.bound) > 0
+}
+
+// Knows reports whether an engine ID belongs to a reservation.
+func (l *Ledger) Knows(engineID string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engine[engineID] != nil
+}
--- /dev/null
+++ b/limit/fairqueue/fairqueue.go
@@ -0,0 +1,272 @@
+// Package fairqueue provides a bounded weighted fair queue over workspaces, per class of service.
+//
+// Classes are served in strict order of urgency. Within a class, items are served by start-time fair queueing: the
+// start tag of an item is the later of the class's virtual time and the finish tag of its workspace's previous item.
+// A full queue sheds the least urgent class first, and within a class the item with the latest tag, which belongs to
+// the workspace that is furthest over its share.
+package fairqueue
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/invariant"
+)
+
+// ErrFull means that the queue holds its capacity and nothing less important can be shed.
+var ErrFull = errors.New("fairqueue: full")
+
+const (
+	classes     = 3
+	minimumCost = 1 // keeps the tags of free items distinct
+)
+
+// Item is one queued element. Its fields must not change after Push.
+type Item[T any] struct {
+	Workspace string
+	Class     fleet.Class
+	Weight    float64 // share of the workspace; 0 means 1
+	Cost      float64 // work in any unit that is the same for all items of a queue, such as tokens
+	Alone     bool    // runs only while nothing else runs
+	Value     T
+
+	start, finish float64
+	state         state
+}
+
+type state int
+
+const (
+	idle state = iota
+	queued
+	taken   // returned by Next
+	removed // cancelled or shed; final
+)
+
+// Options of a Queue.
+type Options struct {
+	Capacity int // items over all classes
+
+	allowRemoved bool // tests only: lets an item that was removed run
+}
+
+// Queue is safe for concurrent use.
+type Queue[T any] struct {
+	mu      sync.Mutex
+	opts    Options
+	lanes   [classes]lane[T]
+	length  int
+	running int
+	alone   bool // an item that runs alone is running
+}
+
+// lane holds the items of one class, ordered by start tag.
+type lane[T any] struct {
+	items   []*Item[T]
+	virtual float64
+	last    map[string]float64 // finish tag of the newest item by workspace
+	cost    float64
+}
+
+// New returns an empty queue.
+func New[T any](opts Options) *Queue[T] {
+	q := &Queue[T]{opts: opts}
+	for i := range q.lanes {
+		q.lanes[i].last = make(map[string]float64)
+	}
+	return q
+}
+
+// Rank returns the position of a class, 0 for the most urgent. An unknown class ranks as interactive.
+func Rank(c fleet.Class) int {
+	switch c {
+	case fleet.ClassUrgent:
+		return 0
+	case fleet.ClassBulk:
+		return 2
+	}
+	return 1
+}
+
+// Push queues it and returns the item that was shed to make room, or nil. The shed item never runs. Errors: ErrFull.
+func (q *Queue[T]) Push(it *Item[T]) (shed *Item[T], err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := &q.lanes[Rank(it.Class)]
+	it.start = max(l.virtual, l.last[it.Workspace])
+	it.finish = it.start + max(it.Cost, minimumCost)/weightOf(it.Weight)
+	if q.length >= q.opts.Capacity {
+		if shed = q.victim(it); shed == nil {
+			return nil, ErrFull
+		}
+		q.drop(shed)
+	}
+	l.insert(it)
+	q.length++
+	return shed, nil
+}
+
+func weightOf(w float64) float64 {
+	if w <= 0 {
+		return 1
+	}
+	return w
+}
+
+// victim returns the item to shed for it: the latest of the least urgent class that is not more urgent than it.
+func (q *Queue[T]) victim(it *Item[T]) *Item[T] {
+	own := Rank(it.Class)
+	for r := classes - 1; r >= own; r-- {
+		items := q.lanes[r].items
+		if len(items) == 0 {
+			continue
+		}
+		latest := items[len(items)-1]
+		if r > own || latest.start > it.start {
+			return latest
+		}
+		return nil
+	}
+	return nil
+}
+
+func (l *lane[T]) insert(it *Item[T]) {
+	i, _ := slices.BinarySearchFunc(l.items, it.start, func(e *Item[T], start float64) int {
+		if e.start <= start {
+			return -1 // equal tags keep their order of arrival
+		}
+		return 1
+	})
+	l.items = slices.Insert(l.items, i, it)
+	l.last[it.Workspace] = it.finish
+	l.cost += it.Cost
+	it.state = queued
+}
+
+func (q *Queue[T]) drop(it *Item[T]) {
+	l := &q.lanes[Rank(it.Class)]
+	if l.last[it.Workspace] == it.finish {
+		l.last[it.Workspace] = it.start // work that did not run is not charged
+	}
+	q.unlink(l, it)
+	it.state = removed
+}
+
+func (q *Queue[T]) unlink(l *lane[T], it *Item[T]) {
+	i := slices.Index(l.items, it)
+	l.items = slices.Delete(l.items, i, i+1)
+	l.cost -= it.Cost
+	q.length--
+	if len(l.items) == 0 {
+		l.cost = 0
+	}
+}
+
+// Remove takes a queued item out for good: Next never returns it. It reports false if the item is not queued.
+func (q *Queue[T]) Remove(it *Item[T]) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if it.state != queued {
+		return false
+	}
+	if q.opts.allowRemoved {
+		return true
+	}
+	q.drop(it)
+	return true
+}
+
+// Fit says whether an item can start now.
+type Fit int
+
+// Values of Fit.
+const (
+	Fits Fit = iota
+	Skip     // cannot start; later items of the class may
+	Stop     // cannot start, and neither may later or less urgent items
+)
+
+// Next returns the first item in fair order for which fit returns Fits, or nil. fit gets the number of running items and
+// must not call the queue. The caller calls Done after the item's run.
+// An item that must run alone holds back all others until nothing runs.
+func (q *Queue[T]) Next(fit func(it *Item[T], running int) Fit) *Item[T] {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.alone {
+		return nil
+	}
+	for r := range q.lanes {
+		for _, it := range q.lanes[r].items {
+			if it.Alone && q.running > 0 {
+				return nil
+			}
+			switch fit(it, q.running) {
+			case Fits:
+				q.take(&q.lanes[r], it)
+				return it
+			case Stop:
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+func (q *Queue[T]) take(l *lane[T], it *Item[T]) {
+	invariant.Check(it.state == queued, "queue_removed_item_runs", "item of %s runs after its removal", it.Workspace)
+	q.unlink(l, it)
+	l.virtual = max(l.virtual, it.start)
+	it.state = taken
+	q.running++
+	q.alone = it.Alone
+	if len(l.items) == 0 {
+		l.forget()
+	}
+}
+
+// forget drops the tags of workspaces that virtual time has passed, which bounds the map.
+func (l *lane[T]) forget() {
+	for w, finish := range l.last {
+		if finish <= l.virtual {
+			delete(l.last, w)
+		}
+	}
+}
+
+// Done reports that an item returned by Next has ended.
+func (q *Queue[T]) Done(it *Item[T]) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running--
+	if it.Alone {
+		q.alone = false
+	}
+}
+
+// Len returns the number of queued items.
+func (q *Queue[T]) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.length
+}
+
+// Running returns the number of items that were returned by Next and are not done.
+func (q *Queue[T]) Running() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.running
+}
+
+// Ahead returns the queued cost of class c and of more urgent classes.
+func (q *Queue[T]) Ahead(c fleet.Class) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var sum float64
+	for r := 0; r <= Rank(c); r++ {
+		sum += q.lanes[r].cost
+	}
+	return sum
+}
--- /dev/null
+++ b/once/once.go
@@ -0,0 +1,326 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/invariant"
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/ring"
+)
+
+// Defaults of Options.
+const (
+	DefaultInlineBytes = 32 << 10 // a larger answer goes to the object store
+	DefaultPending     = 1024
+	DefaultResolveTime = 2 * time.Second
+	retryMin           = 50 * time.Millisecond
+	retryMax           = 5 * time.Second
+	tableCallTimeout   = 2 * time.Second
+)
+
+// Options of a Store. Table and Objects are required; zero values of the others take the defaults.
+type Options struct {
+	Table       platform.Table
+	Objects     platform.ObjectStore
+	TTL         func() time.Duration // life of a row after its last write
+	InlineBytes int                  // largest answer kept in the row
+	Pending     int                  // bound of the background queue
+	ResolveTime time.Duration        // how long a lost answer is read back before the caller gets ErrInDoubt
+	Log         *logrus.Logger
+	Registerer  prometheus.Registerer
+
+	ignoreCondition bool // tests only: writes without the version condition
+}
+
+func (o *Options) applyDefaults() {
+	if o.TTL == nil {
+		o.TTL = func() time.Duration { return fleet.DefaultIdempotencyTTL }
+	}
+	if o.InlineBytes == 0 {
+		o.InlineBytes = DefaultInlineBytes
+	}
+	if o.Pending == 0 {
+		o.Pending = DefaultPending
+	}
+	if o.ResolveTime == 0 {
+		o.ResolveTime = DefaultResolveTime
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Registerer == nil {
+		o.Registerer = prometheus.NewRegistry()
+	}
+}
+
+// Attempt identifies one attempt to execute a call.
+type Attempt struct {
+	Workspace   string
+	Key         string
+	RequestHash string
+	ID          string
+	Endpoint    string
+	Expect      int64     // version of the row for which the attempt was made; 0: absent
+	Deadline    time.Time // the attempt never starts after it
+}
+
+func (a Attempt) row() string { return RowKey(a.Workspace, a.Key) }
+
+// Claim is the right to call the endpoint once, held after Begin returned Started.
+type Claim struct {
+	attempt Attempt
+	nonce   string
+	version int64
+}
+
+// Version returns the version of the `started` row.
+func (c *Claim) Version() int64 { return c.version }
+
+// Store is safe for concurrent use. Run must be running for the background queue to make progress.
+type Store struct {
+	opts    Options
+	pending *ring.Ring[task]
+	open    sync.Map // row key to *Claim, for the assertion that a key starts once
+	writes  prometheus.Counter
+	reads   prometheus.Counter
+	dropped prometheus.Counter
+	backlog prometheus.Gauge
+}
+
+// New returns a Store.
+func New(opts Options) *Store {
+	opts.applyDefaults()
+	s := &Store{
+		opts:    opts,
+		pending: ring.New[task](opts.Pending),
+		writes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "bilberry_once_table_writes_total", Help: "Table writes for at-most-once records."}),
+		reads:   prometheus.NewCounter(prometheus.CounterOpts{Name: "bilberry_once_table_reads_total", Help: "Table reads for at-most-once records."}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{Name: "bilberry_once_dropped_total", Help: "Background writes dropped because the queue was full; their keys answer unknown."}),
+		backlog: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bilberry_once_backlog", Help: "Background writes that wait for the table."}),
+	}
+	opts.Registerer.MustRegister(s.writes, s.reads, s.dropped, s.backlog)
+	return s
+}
+
+// Begin writes `started`. With state Started the caller owns the returned claim and calls the endpoint; with any other
+// state or an error this attempt is not executed. Errors: ErrLate, ErrStore, ErrInDoubt.
+func (s *Store) Begin(ctx context.Context, a Attempt) (Result, *Claim, error) {
+	if !time.Now().Before(a.Deadline) {
+		return Result{}, nil, ErrLate
+	}
+	rec := s.record(a, PhaseStarted)
+	row, err := s.put(ctx, a.row(), a.Expect, rec)
+	if err != nil {
+		return s.beginFailed(ctx, a, rec, err)
+	}
+	return s.started(a, rec.Nonce, row)
+}
+
+func (s *Store) record(a Attempt, phase Phase) record {
+	return record{Phase: phase, Attempt: a.ID, Nonce: newNonce(), RequestHash: a.RequestHash, Endpoint: a.Endpoint, Deadline: a.Deadline}
+}
+
+func newNonce() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+func (s *Store) started(a Attempt, nonce string, row platform.Row) (Result, *Claim, error) {
+	c := &Claim{attempt: a, nonce: nonce, version: row.Version}
+	previous, loaded := s.open.Swap(a.row(), c)
+	twice := loaded && previous.(*Claim).attempt.Deadline.After(time.Now())
+	invariant.Check(!twice, "once_started_twice", "key %s started again while an attempt is open", a.row())
+	return Result{State: Started, Version: row.Version, Attempt: a.ID}, c, nil
+}
+
+func (s *Store) beginFailed(ctx context.Context, a Attempt, rec record, err error) (Result, *Claim, error) {
+	if current, ok := conditionFailed(err); ok {
+		result, err := s.resolve(ctx, current, a.RequestHash)
+		return result, nil, err
+	}
+	if nothingWritten(err) {
+		return Result{}, nil, errors.Wrap(ErrStore, err.Error())
+	}
+	row, won, err := s.settle(ctx, a, rec)
+	if err != nil {
+		s.enqueue(task{refuse: &Claim{attempt: a, nonce: rec.Nonce, version: a.Expect}})
+		return Result{}, nil, errors.Wrap(ErrInDoubt, err.Error())
+	}
+	if won {
+		return s.started(a, rec.Nonce, row)
+	}
+	result, err := s.resolve(ctx, row, a.RequestHash)
+	return result, nil, err
+}
+
+func conditionFailed(err error) (platform.Row, bool) {
+	var condition *platform.ConditionError
+	if errors.As(err, &condition) {
+		return condition.Current, true
+	}
+	return platform.Row{}, false
+}
+
+func nothingWritten(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
+}
+
+// settle resolves a lost answer of the write of rec. It reports whether the write won, with the current row. A write
+// that may still be on its way is repeated on the same condition, since only one of the two can win.
+func (s *Store) settle(ctx context.Context, a Attempt, rec record) (row platform.Row, won bool, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.opts.ResolveTime)
+	defer cancel()
+	if untilDeadline := time.Until(a.Deadline); rec.Phase == PhaseStarted && untilDeadline < s.opts.ResolveTime {
+		ctx, cancel = context.WithTimeout(ctx, untilDeadline)
+		defer cancel()
+	}
+	for wait := retryMin; ; wait = min(2*wait, retryMax) {
+		row, err = s.get(ctx, a.row())
+		if err == nil && row.Version == a.Expect {
+			row, err = s.put(ctx, a.row(), a.Expect, rec)
+			if current, failed := conditionFailed(err); failed {
+				row, err = current, nil
+			}
+		}
+		if err == nil {
+			current, decodeErr := decode(row)
+			return row, decodeErr == nil && current.Nonce == rec.Nonce, decodeErr
+		}
+		if !sleep(ctx, wait) {
+			return platform.Row{}, false, err
+		}
+	}
+}
+
+// sleep waits for a jittered d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (s *Store) put(ctx context.Context, key string, expect int64, rec record) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
+	defer cancel()
+	if s.opts.ignoreCondition {
+		expect = platform.AnyVersion
+	}
+	s.writes.Inc()
+	rows, err := s.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: encode(rec), TTL: s.opts.TTL()})
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return rows[0], nil
+}
+
+// get returns a row, or the zero row with version 0 if it is absent.
+func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
+	defer cancel()
+	s.reads.Inc()
+	row, err := s.opts.Table.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Row{Key: key}, nil
+	}
+	return row, err
+}
+
+// resolve says what a row means for a request.
+func (s *Store) resolve(ctx context.Context, row platform.Row, requestHash string) (Result, error) {
+	if row.Version == 0 {
+		return Result{State: Absent}, nil
+	}
+	rec, err := decode(row)
+	if err != nil {
+		return Result{}, errors.Wrap(ErrStore, err.Error())
+	}
+	result := Result{Version: row.Version, Attempt: rec.Attempt}
+	if rec.RequestHash != requestHash {
+		result.State = Mismatch
+		return result, nil
+	}
+	switch rec.Phase {
+	case PhaseRefused:
+		result.State = Refused
+	case PhaseDone:
+		result.State = Replay
+		result.Answer, err = s.answer(ctx, rec)
+	default:
+		result.State = startedState(rec)
+	}
+	return result, err
+}
+
+func startedState(rec record) State {
+	if time.Now().Before(rec.Deadline) {
+		return InProgress
+	}
+	return Unknown
+}
+
+func (s *Store) answer(ctx context.Context, rec record) (*Answer, error) {
+	if rec.Object == "" {
+		return rec.Answer, nil
+	}
+	data, err := s.opts.Objects.Get(ctx, rec.Object)
+	if err != nil {
+		return nil, errors.Wrap(ErrAnswerLost, err.Error())
+	}
+	answer := new(Answer)
+	if err := json.Unmarshal(data, answer); err != nil {
+		return nil, errors.Wrap(ErrAnswerLost, err.Error())
+	}
+	return answer, nil
+}
+
+// Lookup reads the row of a key. Errors: ErrStore, ErrAnswerLost.
+func (s *Store) Lookup(ctx context.Context, workspace, key, requestHash string) (Result, error) {
+	row, err := s.get(ctx, RowKey(workspace, key))
+	if err != nil {
+		return Result{}, errors.Wrap(ErrStore, err.Error())
+	}
+	return s.resolve(ctx, row, requestHash)
+}
+
+// Refuse makes a later start of the attempt impossible. With notRun the attempt was not executed and never will be;
+// the result says what the key's row holds now. Errors: ErrStore, ErrInDoubt (the attempt may still start or have
+// started), ErrAnswerLost.
+func (s *Store) Refuse(ctx context.Context, a Attempt) (result Result, notRun bool, err error) {
+	rec := s.record(a, PhaseRefused)
+	row, err := s.put(ctx, a.row(), a.Expect, rec)
+	if err == nil {
+		return Result{State: Refused, Version: row.Version, Attempt: a.ID}, true, nil
+	}
+	row, failed := conditionFailed(err)
+	if !failed {
+		if nothingWritten(err) {
+			return Result{}, false, errors.Wrap(ErrStore, err.Error())
+		}
+		if row, _, err = s.settle(ctx, a, rec); err != nil {
+			return Result{}, false, errors.Wrap(ErrInDoubt, err.Error())
+		}
+	}
+	result, err = s.resolve(ctx, row, a.RequestHash)
+	return result, neverRuns(a, row), err
+}
+
+// neverRuns reports whether a row proves that the attempt was not executed and cannot start any more.
+func neverRuns(a Attempt, row platform.Row) bool {
+	if row.Version <= a.Expect {
+		return row.Version != a.Expect // the row on which the condition was made has expired: the condition fails for good
+	}
+	rec, err := decode(row)
+	return err == nil && (rec.Attempt != a.ID || rec.Phase == PhaseRefused)
+}
