--- /dev/null
+++ b/internal/standin/counters.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxTimes bounds the times kept per counter; the count goes on. It covers an hour at three events a second.
+const maxTimes = 10_000
+
+// CallCount counts the executions of one plain-service call.
+type CallCount struct {
+	Key        string      `json:"key"` // Idempotency-Key; empty for calls without one
+	Endpoint   string      `json:"endpoint"`
+	Method     string      `json:"method"`
+	Path       string      `json:"path"`
+	Executions int         `json:"executions"`
+	Times      []time.Time `json:"times"`
+}
+
+// AnswerCount counts the model answers of one version on one endpoint.
+type AnswerCount struct {
+	Batch    string      `json:"batch"`
+	Model    string      `json:"model"`
+	Version  string      `json:"version"`
+	Adapter  string      `json:"adapter,omitempty"`
+	Endpoint string      `json:"endpoint"`
+	Started  int         `json:"started"`  // answers whose first token was produced
+	Finished int         `json:"finished"` // answers whose last token was produced
+	Starts   []time.Time `json:"starts"`
+	Finishes []time.Time `json:"finishes"`
+}
+
+// Counts is a copy of the counters.
+type Counts struct {
+	Calls   []CallCount   `json:"calls"`
+	Answers []AnswerCount `json:"answers"`
+}
+
+type callKey struct{ key, endpoint, method, path string }
+
+type answerKey struct{ batch, model, version, adapter, endpoint string }
+
+// Counters record what was actually executed. They are safe for concurrent use.
+type Counters struct {
+	mu      sync.Mutex
+	calls   map[callKey]*CallCount
+	answers map[answerKey]*AnswerCount
+}
+
+func newCounters() *Counters {
+	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount)}
+}
+
+func (c *Counters) call(k callKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := c.calls[k]
+	if count == nil {
+		count = &CallCount{Key: k.key, Endpoint: k.endpoint, Method: k.method, Path: k.path}
+		c.calls[k] = count
+	}
+	count.Executions++
+	count.Times = appendTime(count.Times)
+}
+
+func (c *Counters) started(k answerKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.answer(k)
+	a.Started++
+	a.Starts = appendTime(a.Starts)
+}
+
+func (c *Counters) finished(k answerKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.answer(k)
+	a.Finished++
+	a.Finishes = appendTime(a.Finishes)
+}
+
+func (c *Counters) answer(k answerKey) *AnswerCount {
+	a := c.answers[k]
+	if a == nil {
+		a = &AnswerCount{Batch: k.batch, Model: k.model, Version: k.version, Adapter: k.adapter, Endpoint: k.endpoint}
+		c.answers[k] = a
+	}
+	return a
+}
+
+func appendTime(times []time.Time) []time.Time {
+	if len(times) == maxTimes {
+		times = slices.Delete(times, 0, 1)
+	}
+	return append(times, time.Now())
+}
+
+// Executions returns how often calls with an idempotency key ran, over all endpoints.
+func (c *Counters) Executions(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for k, count := range c.calls {
+		if k.key == key {
+			n += count.Executions
+		}
+	}
+	return n
+}
+
+// Snapshot returns a copy of the counters in a fixed order.
+func (c *Counters) Snapshot() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := Counts{Calls: []CallCount{}, Answers: []AnswerCount{}}
+	for _, count := range slices.Collect(maps.Values(c.calls)) {
+		copied := *count
+		copied.Times = slices.Clone(count.Times)
+		counts.Calls = append(counts.Calls, copied)
+	}
+	for _, a := range slices.Collect(maps.Values(c.answers)) {
+		copied := *a
+		copied.Starts = slices.Clone(a.Starts)
+		copied.Finishes = slices.Clone(a.Finishes)
+		counts.Answers = append(counts.Answers, copied)
+	}
+	slices.SortFunc(counts.Calls, func(a, b CallCount) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Method, b.Method))
+	})
+	slices.SortFunc(counts.Answers, func(a, b AnswerCount) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return counts
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,334 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/endpoint/endpointhttp"
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
+)
+
+// Paths of the controls, and of the endpoints below the listener's base URL.
+const (
+	PathFaults   = "/faults"    // GET, PUT
+	PathCounters = "/counters"  // GET
+	PathVM       = "/vms"       // PUT: add or replace platform.VMs; DELETE ?name=
+	PathEngine   = "/engines/"  // followed by the endpoint's name
+	PathService  = "/services/" // followed by the endpoint's name
+)
+
+// Handler serves the platform, the endpoints and the controls over HTTP.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter().SkipClean(true)
+	p.controlRoutes(r)
+	p.platformRoutes(r)
+	p.engineRoutes(r)
+	p.serviceRoutes(r)
+	return r
+}
+
+func (p *Platform) controlRoutes(r *mux.Router) {
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc(PathFaults, p.getFaults).Methods(http.MethodGet)
+	r.HandleFunc(PathFaults, p.putFaults).Methods(http.MethodPut)
+	r.HandleFunc(PathCounters, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.counters.Snapshot())
+	}).Methods(http.MethodGet)
+	r.HandleFunc(PathVM, p.putVMs).Methods(http.MethodPut)
+	r.HandleFunc(PathVM, func(w http.ResponseWriter, req *http.Request) {
+		p.RemoveVM(req.URL.Query().Get("name"))
+		w.WriteHeader(http.StatusNoContent)
+	}).Methods(http.MethodDelete)
+}
+
+func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.faults.Describe())
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	data, err := readBody(w, r)
+	if err != nil {
+		return
+	}
+	if err = p.faults.Merge(data); err != nil {
+		writeJSON(w, http.StatusUnprocessableEntity, map[string]string{"error": err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, p.faults.State())
+}
+
+func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
+	var list platformhttp.VMs
+	if !readJSON(w, r, &list) {
+		return
+	}
+	for _, vm := range list.VMs {
+		p.SetVM(vm)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) platformRoutes(r *mux.Router) {
+	r.HandleFunc(platformhttp.PathRow, p.getRow).Methods(http.MethodGet)
+	r.HandleFunc(platformhttp.PathCommit, p.postCommit).Methods(http.MethodPost)
+	r.HandleFunc(platformhttp.PathScan, p.getScan).Methods(http.MethodGet)
+	r.HandleFunc(platformhttp.PathObject, p.getObject).Methods(http.MethodGet)
+	r.HandleFunc(platformhttp.PathObject, p.putObject).Methods(http.MethodPut)
+	r.HandleFunc(platformhttp.PathWeights, p.postWeights).Methods(http.MethodPost)
+	r.HandleFunc(platformhttp.PathVMs, p.getVMs).Methods(http.MethodGet)
+}
+
+func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
+	row, err := p.table.Get(r.Context(), r.URL.Query().Get("key"))
+	platformAnswer(w, row, err)
+}
+
+// postCommit breaks the connection when the answer is lost, so that the client sees what a real loss looks like.
+func (p *Platform) postCommit(w http.ResponseWriter, r *http.Request) {
+	var commit platformhttp.Commit
+	if !readJSON(w, r, &commit) {
+		return
+	}
+	rows, err := p.table.Commit(r.Context(), commit.Writes...)
+	if errors.Is(err, platform.ErrInDoubt) {
+		panic(http.ErrAbortHandler)
+	}
+	platformAnswer(w, platformhttp.Rows{Rows: rows}, err)
+}
+
+func (p *Platform) getScan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		http.Error(w, "limit must be a number", http.StatusBadRequest)
+		return
+	}
+	rows, err := p.table.Scan(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+	platformAnswer(w, platformhttp.Rows{Rows: rows}, err)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := p.objects.Get(r.Context(), r.URL.Query().Get("name"))
+	if err != nil {
+		platformAnswer(w, nil, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(data) // the client sees a short body
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := readBody(w, r)
+	if err != nil {
+		return
+	}
+	platformAnswer(w, struct{}{}, p.objects.Put(r.Context(), r.URL.Query().Get("name"), data))
+}
+
+func (p *Platform) postWeights(w http.ResponseWriter, r *http.Request) {
+	ticket, err := p.weights.Fetch(r.Context(), r.URL.Query().Get("name"))
+	platformAnswer(w, platformhttp.Ticket{Ticket: ticket}, err)
+}
+
+func (p *Platform) getVMs(w http.ResponseWriter, r *http.Request) {
+	vms, err := p.vms.List(r.Context())
+	platformAnswer(w, platformhttp.VMs{VMs: vms}, err)
+}
+
+func platformAnswer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		status, f := platformhttp.FailureOf(err)
+		writeJSON(w, status, f)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func (p *Platform) engineRoutes(r *mux.Router) {
+	sub := r.PathPrefix(PathEngine + "{endpoint}").Subrouter()
+	handle := func(path, method string, fn func(*Engine, http.ResponseWriter, *http.Request)) {
+		sub.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			e := p.Engine(mux.Vars(r)["endpoint"])
+			if e == nil {
+				endpointAnswer(w, nil, endpoint.ErrDown)
+				return
+			}
+			fn(e, w, r)
+		}).Methods(method)
+	}
+	handle(endpointhttp.PathGenerate, http.MethodPost, postGenerate)
+	handle(endpointhttp.PathResume, http.MethodGet, getResume)
+	handle(endpointhttp.PathCancel, http.MethodPost, func(e *Engine, w http.ResponseWriter, r *http.Request) {
+		endpointAnswer(w, struct{}{}, e.Cancel(r.Context(), r.URL.Query().Get("id")))
+	})
+	handle(endpointhttp.PathPrefill, http.MethodPost, postPrefill)
+	handle(endpointhttp.PathOrder, http.MethodPost, postOrder)
+	handle(endpointhttp.PathReport, http.MethodGet, func(e *Engine, w http.ResponseWriter, r *http.Request) {
+		report, err := e.Report(r.Context())
+		endpointAnswer(w, report, err)
+	})
+	handle(endpointhttp.PathCacheEvents, http.MethodGet, getCacheEvents)
+}
+
+func postGenerate(e *Engine, w http.ResponseWriter, r *http.Request) {
+	var g endpoint.Generate
+	if !readJSON(w, r, &g) {
+		return
+	}
+	s, err := e.Generate(r.Context(), g)
+	sendStream(w, s, err)
+}
+
+func getResume(e *Engine, w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil {
+		http.Error(w, "from must be a number", http.StatusBadRequest)
+		return
+	}
+	s, err := e.Resume(r.Context(), r.URL.Query().Get("stream"), from)
+	sendStream(w, s, err)
+}
+
+// sendStream writes the tokens as server-sent events until the stream ends or the client goes away.
+func sendStream(w http.ResponseWriter, s endpoint.TokenStream, err error) {
+	if err != nil {
+		endpointAnswer(w, nil, err)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush() // a client that is gone shows in the next Recv
+	for err == nil {
+		var token endpoint.Token
+		token, err = s.Recv()
+		switch {
+		case err == nil:
+			err = sendEvent(w, endpointhttp.EventToken, token)
+		case errors.Is(err, io.EOF):
+			_ = sendEvent(w, endpointhttp.EventEnd, s.Usage())
+		default:
+			_, f := endpointhttp.FailureOf(err)
+			_ = sendEvent(w, endpointhttp.EventError, f)
+		}
+		_ = flusher.Flush()
+	}
+}
+
+func sendEvent(w io.Writer, name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "event")
+	}
+	_, err = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", name, data)
+	return errors.Wrap(err, "event")
+}
+
+func postPrefill(e *Engine, w http.ResponseWriter, r *http.Request) {
+	var s endpoint.Segment
+	if !readJSON(w, r, &s) {
+		return
+	}
+	h, err := e.Prefill(r.Context(), s)
+	endpointAnswer(w, h, err)
+}
+
+func postOrder(e *Engine, w http.ResponseWriter, r *http.Request) {
+	var o endpoint.Order
+	if !readJSON(w, r, &o) {
+		return
+	}
+	endpointAnswer(w, struct{}{}, e.Order(r.Context(), o))
+}
+
+func getCacheEvents(e *Engine, w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a number", http.StatusBadRequest)
+		return
+	}
+	events, err := e.CacheEvents(r.Context(), after)
+	endpointAnswer(w, events, err)
+}
+
+func (p *Platform) serviceRoutes(r *mux.Router) {
+	sub := r.PathPrefix(PathService + "{endpoint}").Subrouter()
+	sub.HandleFunc(endpointhttp.PathHealth, func(w http.ResponseWriter, r *http.Request) {
+		s := p.Service(mux.Vars(r)["endpoint"])
+		if s == nil {
+			endpointAnswer(w, nil, endpoint.ErrDown)
+			return
+		}
+		endpointAnswer(w, struct{}{}, s.Healthy(r.Context()))
+	}).Methods(http.MethodGet)
+	sub.PathPrefix(endpointhttp.PathCall + "/").HandlerFunc(p.serveCall)
+}
+
+func (p *Platform) serveCall(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["endpoint"]
+	s := p.Service(name)
+	if s == nil {
+		endpointAnswer(w, nil, endpoint.ErrDown)
+		return
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), PathService+name+endpointhttp.PathCall)
+	resp, err := s.Do(r.Context(), endpoint.Call{Method: r.Method, Path: path, Header: r.Header, Body: body})
+	if err != nil {
+		endpointAnswer(w, nil, err)
+		return
+	}
+	for key, values := range resp.Header {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body) // the client sees a short body
+}
+
+func endpointAnswer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		status, f := endpointhttp.FailureOf(err)
+		w.Header().Set(endpointhttp.HeaderFailure, f.Code)
+		writeJSON(w, status, f)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformhttp.MaxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return data, err
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	data, err := readBody(w, r)
+	if err != nil {
+		return false
+	}
+	if err = json.Unmarshal(data, into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client sees a short body
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,318 @@
+// Package standin emulates the operators' platform, model engines and plain services in memory, behind the interfaces
+// of packages platform and endpoint and behind HTTP, with injected faults and counters of what was executed. All times
+// come from package time, so the emulators also run on the virtual clock of testing/synctest.
+package standin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+// Options configures the emulators. Zero values take the defaults.
+type Options struct {
+	TableWritesPerSecond float64       // rows; default 400
+	TableReadsPerSecond  float64       // calls; default 2,000
+	TableDelay           time.Duration // per call; default 2 ms
+	WeightsPerSecond     float64       // tickets; default 10
+	VMListLag            time.Duration // default 2 s
+	TimeScale            float64       // divides the emulators' own durations and multiplies their rates; default 1
+	Engine               EngineOptions // defaults of AddEngine
+	Service              ServiceOptions
+}
+
+// Defaults of Options.
+const (
+	DefaultTableWritesPerSecond = 400
+	DefaultTableReadsPerSecond  = 2000
+	DefaultTableDelay           = 2 * time.Millisecond
+	DefaultWeightsPerSecond     = 10
+	DefaultVMListLag            = 2 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	o.TableWritesPerSecond = orDefault(o.TableWritesPerSecond, DefaultTableWritesPerSecond)
+	o.TableReadsPerSecond = orDefault(o.TableReadsPerSecond, DefaultTableReadsPerSecond)
+	o.TableDelay = orDefault(o.TableDelay, DefaultTableDelay)
+	o.WeightsPerSecond = orDefault(o.WeightsPerSecond, DefaultWeightsPerSecond)
+	o.VMListLag = orDefault(o.VMListLag, DefaultVMListLag)
+	o.TimeScale = orDefault(o.TimeScale, 1)
+	o.Engine = o.Engine.withDefaults()
+	o.Service = o.Service.withDefaults()
+	return o
+}
+
+func orDefault[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+func (o Options) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / o.TimeScale)
+}
+
+// Platform is the set of emulators of one fleet.
+type Platform struct {
+	opts     Options
+	faults   *Faults
+	counters *Counters
+	table    *table
+	objects  *objectStore
+	weights  *weightStore
+	vms      *vmList
+
+	mu       sync.Mutex
+	engines  map[string]*Engine
+	services map[string]*Service
+	orders   int // number of the last order, deposit or booking
+}
+
+// New returns a platform without endpoints. Close stops its engines.
+func New(o Options) *Platform {
+	o = o.withDefaults()
+	f := newFaults(FaultState{VMListLagMS: o.scaled(o.VMListLag).Milliseconds(), LoadLagMS: o.scaled(o.Engine.LoadLag).Milliseconds(),
+		IgnoreFencing: o.Engine.IgnoreFencing})
+	p := &Platform{
+		opts: o, faults: f, counters: newCounters(), table: newTable(o, f),
+		objects:  &objectStore{faults: f, objects: make(map[string][]byte)},
+		weights:  &weightStore{faults: f, limit: limiter(o.WeightsPerSecond * o.TimeScale), tickets: make(map[string]string)},
+		vms:      &vmList{faults: f, vms: make(map[string]platform.VM)},
+		engines:  make(map[string]*Engine),
+		services: make(map[string]*Service),
+	}
+	f.check = p.checkFaults
+	f.OnChange(p.vms.leavingChanged)
+	f.OnChange(p.endpointsChanged)
+	return p
+}
+
+// Faults returns the injected faults.
+func (p *Platform) Faults() *Faults { return p.faults }
+
+// Counters returns the counters of executed work.
+func (p *Platform) Counters() *Counters { return p.counters }
+
+// Services returns the platform's services without a network between.
+func (p *Platform) Services() platform.Services {
+	return platform.Services{Table: p.table, Objects: p.objects, Weights: p.weights, VMs: p.vms}
+}
+
+// SetVM adds or replaces a VM of the list; readers see it after the list's lag.
+func (p *Platform) SetVM(vm platform.VM) { p.vms.Set(vm) }
+
+// RemoveVM drops a VM from the list; readers see it after the list's lag.
+func (p *Platform) RemoveVM(name string) { p.vms.Remove(name) }
+
+// AddEngine adds an engine and starts it.
+func (p *Platform) AddEngine(name string, o EngineOptions) *Engine {
+	e := newEngine(p, name, p.opts.Engine.override(o))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[name] = e
+	return e
+}
+
+// AddService adds a plain service endpoint.
+func (p *Platform) AddService(name string, o ServiceOptions) *Service {
+	s := newService(p, name, p.opts.Service.override(o))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services[name] = s
+	return s
+}
+
+// Engine returns the engine of that name, or nil.
+func (p *Platform) Engine(name string) *Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engines[name]
+}
+
+// Service returns the plain service endpoint of that name, or nil.
+func (p *Platform) Service(name string) *Service {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.services[name]
+}
+
+// Endpoints returns the names of all endpoints in order.
+func (p *Platform) Endpoints() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := slices.Collect(maps.Keys(p.engines))
+	names = slices.AppendSeq(names, maps.Keys(p.services))
+	slices.Sort(names)
+	return names
+}
+
+// Close stops the engines.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	engines := slices.Collect(maps.Values(p.engines))
+	p.mu.Unlock()
+	for _, e := range engines {
+		e.Close()
+	}
+}
+
+func (p *Platform) checkFaults(s FaultState) error {
+	names := slices.Clone(s.EngineDown)
+	names = append(names, s.SlowLookupEndpoints...)
+	if s.EngineCrash != "" {
+		names = append(names, s.EngineCrash)
+	}
+	for _, name := range names {
+		if p.Engine(name) == nil && p.Service(name) == nil {
+			return errors.Errorf("unknown endpoint %q", name)
+		}
+	}
+	for _, ms := range []int64{s.TableDelayMS, s.VMListLagMS, s.LoadLagMS, s.SlowLookupsMS} {
+		if ms < 0 {
+			return errors.New("durations must not be negative")
+		}
+	}
+	if s.TableLoseAnswers < AllAnswers {
+		return errors.New("table_lose_answers must be a count, -1 or a boolean")
+	}
+	return nil
+}
+
+func (p *Platform) endpointsChanged(before, after FaultState) {
+	if after.EngineCrash != "" {
+		p.crash(after.EngineCrash)
+	}
+	for _, name := range after.EngineDown {
+		if !slices.Contains(before.EngineDown, name) {
+			p.crash(name)
+		}
+	}
+}
+
+func (p *Platform) crash(name string) {
+	if e := p.Engine(name); e != nil {
+		e.Crash()
+	}
+	if s := p.Service(name); s != nil {
+		s.Crash()
+	}
+}
+
+// nextNumber numbers orders, deposits and bookings over all plain services.
+func (p *Platform) nextNumber() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders++
+	return p.orders
+}
+
+// ServicesFrom returns the platform's services as a node in a failure domain reaches them. While the domain is cut off,
+// calls wait until the partition heals or their context ends.
+func (p *Platform) ServicesFrom(domain string) platform.Services {
+	g := gate{faults: p.faults, domain: domain}
+	return platform.Services{Table: gatedTable{g, p.table}, Objects: gatedObjects{g, p.objects},
+		Weights: gatedWeights{g, p.weights}, VMs: gatedVMs{g, p.vms}}
+}
+
+type gate struct {
+	faults *Faults
+	domain string
+}
+
+func (g gate) pass(ctx context.Context) error {
+	for {
+		changed := g.faults.Changed()
+		if g.faults.State().Reachable(g.domain, PlatformDomain) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		case <-changed:
+		}
+	}
+}
+
+type gatedTable struct {
+	gate
+	next platform.Table
+}
+
+// Get implements platform.Table.
+func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.pass(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	return t.next.Get(ctx, key)
+}
+
+// Commit implements platform.Table. A caller that gave up waiting cannot know whether the write left its node.
+func (t gatedTable) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+	if err := t.pass(ctx); err != nil {
+		return nil, errors.Wrap(platform.ErrInDoubt, err.Error())
+	}
+	return t.next.Commit(ctx, writes...)
+}
+
+// Scan implements platform.Table.
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.pass(ctx); err != nil {
+		return nil, err
+	}
+	return t.next.Scan(ctx, prefix, after, limit)
+}
+
+type gatedObjects struct {
+	gate
+	next platform.ObjectStore
+}
+
+// Put implements platform.ObjectStore.
+func (s gatedObjects) Put(ctx context.Context, name string, data []byte) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	return s.next.Put(ctx, name, data)
+}
+
+// Get implements platform.ObjectStore.
+func (s gatedObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, err
+	}
+	return s.next.Get(ctx, name)
+}
+
+type gatedWeights struct {
+	gate
+	next platform.WeightStore
+}
+
+// Fetch implements platform.WeightStore.
+func (s gatedWeights) Fetch(ctx context.Context, name string) (string, error) {
+	if err := s.pass(ctx); err != nil {
+		return "", err
+	}
+	return s.next.Fetch(ctx, name)
+}
+
+type gatedVMs struct {
+	gate
+	next platform.VMList
+}
+
+// List implements platform.VMList.
+func (l gatedVMs) List(ctx context.Context) ([]platform.VM, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, err
+	}
+	return l.next.List(ctx)
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,315 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+var testVersion = endpoint.Version{Model: "ledger", Version: "1", Batch: "b1"}
+
+// onVirtualTime runs fn with a platform on a virtual clock.
+func onVirtualTime(t *testing.T, o Options, fn func(t *testing.T, p *Platform)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := New(o)
+		defer p.Close()
+		fn(t, p)
+	})
+}
+
+func loadedEngine(p *Platform, name string, o EngineOptions) *Engine {
+	e := p.AddEngine(name, o)
+	e.Load(testVersion)
+	return e
+}
+
+// prompt returns a text of n tokens that differs by seed.
+func prompt(seed string, n int) string {
+	return seed + strings.Repeat("x", n*4-len(seed))
+}
+
+func collect(t *testing.T, s endpoint.TokenStream) (string, error) {
+	t.Helper()
+	var text strings.Builder
+	for {
+		token, err := s.Recv()
+		if err == io.EOF {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(token.Text)
+	}
+}
+
+func generate(t *testing.T, e endpoint.Engine, g endpoint.Generate) endpoint.TokenStream {
+	t.Helper()
+	g.Version = testVersion
+	s, err := e.Generate(t.Context(), g)
+	require.NoError(t, err)
+	return s
+}
+
+// Two writers that read the same version must not both win; otherwise a paid call could run twice.
+func TestTableOneWriterWinsPerVersion(t *testing.T) {
+	p := New(Options{TableWritesPerSecond: 1e6, TableReadsPerSecond: 1e6, TableDelay: time.Microsecond})
+	ctx := t.Context()
+	const writers = 32
+	var mu sync.Mutex
+	won := 0
+	var group sync.WaitGroup
+	for i := range writers {
+		group.Go(func() {
+			_, err := p.table.Commit(ctx, platform.Write{Key: "a"}, platform.Write{Key: fmt.Sprint("b", i)})
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				won++
+				return
+			}
+			var condition *platform.ConditionError
+			if !errors.As(err, &condition) || condition.Current.Version != 1 {
+				t.Errorf("unexpected error %v", err)
+			}
+		})
+	}
+	group.Wait()
+	require.Equal(t, 1, won)
+	rows, err := p.table.Scan(ctx, "b", "", 100)
+	require.NoError(t, err)
+	require.Len(t, rows, 1, "a transaction that failed left a row behind")
+}
+
+func TestTableRowsExpireAndScanInOrder(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		ctx := t.Context()
+		_, err := p.table.Commit(ctx, platform.Write{Key: "k/1", TTL: time.Minute}, platform.Write{Key: "k/2"}, platform.Write{Key: "k/3"})
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		_, err = p.table.Get(ctx, "k/1")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		rows, err := p.table.Scan(ctx, "k/", "k/2", 10)
+		require.NoError(t, err)
+		require.Len(t, rows, 1)
+		require.Equal(t, "k/3", rows[0].Key)
+	})
+}
+
+func TestTableLimitsWrites(t *testing.T) {
+	onVirtualTime(t, Options{TableWritesPerSecond: 100}, func(t *testing.T, p *Platform) {
+		written := 0
+		for range 2000 { // two seconds at the virtual clock
+			_, err := p.table.Commit(t.Context(), platform.Write{Key: "k", Expect: platform.AnyVersion})
+			if err == nil {
+				written++
+			} else {
+				require.ErrorIs(t, err, platform.ErrRateLimited)
+				time.Sleep(time.Millisecond)
+			}
+		}
+		require.InDelta(t, 100*2.2, written, 50)
+	})
+}
+
+func TestPrefixCacheShortensPrefillAndReportsEvents(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		e := loadedEngine(p, "model-1", EngineOptions{})
+		text := prompt("archive", 10_000)
+		begin := time.Now()
+		_, err := collect(t, generate(t, e, endpoint.Generate{StreamID: "a", Prompt: text, MaxTokens: 1}))
+		require.NoError(t, err)
+		cold := time.Since(begin)
+		begin = time.Now()
+		s := generate(t, e, endpoint.Generate{StreamID: "b", Prompt: text, MaxTokens: 1})
+		_, err = collect(t, s)
+		require.NoError(t, err)
+		require.Less(t, time.Since(begin), cold/10)
+		require.Equal(t, 9984, s.Usage().CachedTokens)
+		events, err := e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Empty(t, events, "events came without a lag")
+		time.Sleep(DefaultCacheEventLag)
+		events, err = e.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Len(t, events, 39)
+	})
+}
+
+func TestResumeAndContinuationGiveTheSameAnswer(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		first, second := loadedEngine(p, "model-1", EngineOptions{}), loadedEngine(p, "model-2", EngineOptions{})
+		text := prompt("letter", 600)
+		want := Answer(testVersion, text, 40)
+		whole, err := collect(t, generate(t, first, endpoint.Generate{StreamID: "a", Prompt: text, MaxTokens: 40}))
+		require.NoError(t, err)
+		require.Equal(t, want, whole)
+		resumed, err := first.Resume(t.Context(), "a", 10)
+		require.NoError(t, err)
+		tail, err := collect(t, resumed)
+		require.NoError(t, err)
+		require.True(t, strings.HasSuffix(want, tail))
+		var generated []string
+		for i := range 10 {
+			generated = append(generated, AnswerToken(testVersion, text, i))
+		}
+		s := generate(t, second, endpoint.Generate{StreamID: "a2", Prompt: text, Generated: generated, MaxTokens: 40})
+		rest, err := collect(t, s)
+		require.NoError(t, err)
+		require.Equal(t, want, strings.Join(generated, "")+rest)
+		require.Equal(t, 40, s.Usage().CompletionTokens)
+	})
+}
+
+// A leak would show as memory that stays in use on an engine without work.
+func TestMemoryReturnsToZero(t *testing.T) {
+	for _, end := range []string{"finish", "cancel", "crash"} {
+		t.Run(end, func(t *testing.T) {
+			onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+				e := loadedEngine(p, "model-1", EngineOptions{})
+				s := generate(t, e, endpoint.Generate{StreamID: "a", Prompt: prompt("a", 3000), MaxTokens: 50})
+				h, err := e.Prefill(t.Context(), endpoint.Segment{ID: "seg", Version: testVersion, Prompt: prompt("s", 2000)})
+				require.NoError(t, err)
+				require.Equal(t, 2000, h.Tokens)
+				require.GreaterOrEqual(t, e.KVUsed(), 2000)
+				switch end {
+				case "finish":
+					_, err = collect(t, s)
+					require.NoError(t, err)
+					require.Equal(t, 2000, e.KVUsed(), "the exported segment must stay")
+					require.NoError(t, e.Cancel(t.Context(), "seg"))
+				case "cancel":
+					require.NoError(t, e.Cancel(t.Context(), "a"))
+					require.NoError(t, e.Cancel(t.Context(), "seg"))
+					require.NoError(t, e.Cancel(t.Context(), "seg"), "a second cancel must not free twice")
+				case "crash":
+					before, err := e.Report(t.Context())
+					require.NoError(t, err)
+					e.Crash()
+					_, err = collect(t, s)
+					require.ErrorIs(t, err, endpoint.ErrDown)
+					_, err = e.Report(t.Context())
+					require.ErrorIs(t, err, endpoint.ErrDown)
+					time.Sleep(DefaultRestartTime)
+					after, err := e.Report(t.Context())
+					require.NoError(t, err)
+					require.NotEqual(t, before.Incarnation, after.Incarnation)
+					require.Empty(t, after.Loaded)
+				}
+				require.Zero(t, e.KVUsed())
+			})
+		})
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		e := loadedEngine(p, "model-1", EngineOptions{KVCapacity: 1000})
+		_, err := e.Generate(t.Context(), endpoint.Generate{StreamID: "a", Version: testVersion, Prompt: prompt("a", 990), MaxTokens: 20})
+		require.ErrorIs(t, err, endpoint.ErrNoMemory)
+		_, err = collect(t, generate(t, e, endpoint.Generate{StreamID: "b", Prompt: prompt("b", 900), MaxTokens: 20}))
+		require.NoError(t, err)
+		generate(t, e, endpoint.Generate{StreamID: "c", Prompt: prompt("c", 900), MaxTokens: 20})
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		require.LessOrEqual(t, e.used+e.cache.tokens(), 1000, "the cache did not make room")
+	})
+}
+
+// A long bulk prompt must not delay an urgent short one by more than the step in progress.
+func TestUrgentPromptOvertakesBulk(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		e := loadedEngine(p, "model-1", EngineOptions{})
+		generate(t, e, endpoint.Generate{StreamID: "bulk", Prompt: prompt("b", 100_000), Priority: endpoint.PriorityBulk})
+		time.Sleep(time.Second)
+		begin := time.Now()
+		s := generate(t, e, endpoint.Generate{StreamID: "urgent", Prompt: prompt("u", 400), Priority: endpoint.PriorityUrgent})
+		_, err := s.Recv()
+		require.NoError(t, err)
+		require.Less(t, time.Since(begin), 70*time.Millisecond, "two full steps take 61 ms")
+	})
+}
+
+// The answer to a split prompt equals that of the whole prompt, and decoding stops when a member's KV is gone.
+func TestSplitPrefill(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		small := EngineOptions{KVCapacity: 12_000}
+		a, b, c := loadedEngine(p, "model-1", small), loadedEngine(p, "model-2", small), loadedEngine(p, "model-3", small)
+		text := prompt("archive", 15_000)
+		parts := []string{text[:20_000], text[20_000:40_000], text[40_000:]}
+		ctx := t.Context()
+		h1, err := a.Prefill(ctx, endpoint.Segment{ID: "s1", Version: testVersion, Prompt: parts[0]})
+		require.NoError(t, err)
+		h2, err := b.Prefill(ctx, endpoint.Segment{ID: "s2", Version: testVersion, Prompt: parts[1], Imported: []endpoint.KVHandle{h1}})
+		require.NoError(t, err)
+		g := endpoint.Generate{StreamID: "g", Prompt: parts[2], Imported: []endpoint.KVHandle{h1, h2}, MaxTokens: 30}
+		s := generate(t, c, g)
+		require.Equal(t, 5000+30+DefaultImportWindow, c.KVUsed(), "imported KV must pass through a bounded window")
+		got, err := collect(t, s)
+		require.NoError(t, err)
+		require.Equal(t, Answer(testVersion, text, 30), got)
+		require.Equal(t, 15_000, s.Usage().PromptTokens)
+
+		g.StreamID = "g2"
+		s = generate(t, c, g)
+		_, err = s.Recv()
+		require.NoError(t, err)
+		require.NoError(t, a.Cancel(ctx, "s1"))
+		_, err = collect(t, s)
+		require.ErrorIs(t, err, endpoint.ErrUnknownStream)
+		require.Zero(t, c.KVUsed())
+		_, err = c.Generate(ctx, endpoint.Generate{StreamID: "g3", Version: testVersion, Prompt: parts[2], Imported: g.Imported})
+		require.ErrorIs(t, err, endpoint.ErrUnknownStream)
+	})
+}
+
+func TestOrderNeedsTicketsAndFence(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		ctx := t.Context()
+		e := p.AddEngine("model-1", EngineOptions{})
+		order := endpoint.Order{Fence: 5, Versions: []endpoint.Version{testVersion}}
+		require.ErrorIs(t, e.Order(ctx, order), endpoint.ErrNotLoaded)
+		ticket, err := p.weights.Fetch(ctx, testVersion.WeightName())
+		require.NoError(t, err)
+		order.Tickets = map[string]string{testVersion.WeightName(): ticket}
+		require.NoError(t, e.Order(ctx, order))
+		_, err = e.Generate(ctx, endpoint.Generate{StreamID: "a", Version: testVersion})
+		require.ErrorIs(t, err, endpoint.ErrNotLoaded, "weights take time to load")
+		time.Sleep(DefaultLoadTime)
+		generate(t, e, endpoint.Generate{StreamID: "a", Prompt: "hello"})
+		require.ErrorIs(t, e.Order(ctx, endpoint.Order{Fence: 4}), endpoint.ErrFenced)
+		require.NoError(t, p.faults.Merge([]byte(`{"ignore_fencing":true}`)))
+		require.NoError(t, e.Order(ctx, endpoint.Order{Fence: 4}))
+		_, err = e.Generate(ctx, endpoint.Generate{StreamID: "b", Version: testVersion})
+		require.ErrorIs(t, err, endpoint.ErrNotLoaded, "the order unloaded it")
+	})
+}
+
+func TestServiceCountsEveryExecution(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		s := p.AddService("order-01", ServiceOptions{})
+		call := endpoint.Call{Method: "POST", Path: "/orders", Header: map[string][]string{"Idempotency-Key": {"k1"}}}
+		_, err := s.Do(t.Context(), call)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err = s.Do(ctx, call)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, 2, p.counters.Executions("k1"), "a call whose caller left was executed all the same")
+		counts := p.counters.Snapshot()
+		require.Len(t, counts.Calls, 1)
+		require.Len(t, counts.Calls[0].Times, 2)
+	})
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,320 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// limiter allows perSecond events with a burst of a tenth of a second.
+func limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond/10), 1))
+}
+
+type table struct {
+	faults *Faults
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	delay  time.Duration
+
+	mu   sync.Mutex
+	rows map[string]platform.Row
+}
+
+func newTable(o Options, f *Faults) *table {
+	return &table{faults: f, reads: limiter(o.TableReadsPerSecond * o.TimeScale),
+		writes: limiter(o.TableWritesPerSecond * o.TimeScale), delay: o.scaled(o.TableDelay),
+		rows: make(map[string]platform.Row)}
+}
+
+// enter applies the delay, the outage and the rate limit of a call.
+func (t *table) enter(ctx context.Context, limit *rate.Limiter, n int) error {
+	if t.faults.State().TableDown {
+		return platform.ErrUnavailable
+	}
+	if !limit.AllowN(time.Now(), min(n, limit.Burst())) {
+		return platform.ErrRateLimited
+	}
+	return sleep(ctx, t.delay+milliseconds(t.faults.State().TableDelayMS))
+}
+
+// Get implements platform.Table.
+func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.enter(ctx, t.reads, 1); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.live(key, time.Now())
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// live returns an unexpired row; an expired one is removed.
+func (t *table) live(key string, now time.Time) (platform.Row, bool) {
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, false
+	}
+	if !row.Expires.IsZero() && !now.Before(row.Expires) {
+		delete(t.rows, key)
+		return platform.Row{}, false
+	}
+	row.Value = bytes.Clone(row.Value)
+	return row, true
+}
+
+// Commit implements platform.Table. A context that ends during the delay is reported as in doubt although nothing was
+// written, because a real client could not tell.
+func (t *table) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+	if err := t.enter(ctx, t.writes, len(writes)); err != nil {
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(platform.ErrInDoubt, err.Error())
+		}
+		return nil, err
+	}
+	rows, err := t.apply(writes)
+	if err == nil && t.faults.loseAnswer() {
+		return nil, platform.ErrInDoubt
+	}
+	return rows, err
+}
+
+func (t *table) apply(writes []platform.Write) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, w := range writes {
+		row, _ := t.live(w.Key, now)
+		if w.Expect != platform.AnyVersion && w.Expect != row.Version {
+			row.Key = w.Key
+			return nil, &platform.ConditionError{Current: row}
+		}
+	}
+	rows := make([]platform.Row, 0, len(writes))
+	for _, w := range writes {
+		rows = append(rows, t.write(w, now))
+	}
+	return rows, nil
+}
+
+func (t *table) write(w platform.Write, now time.Time) platform.Row {
+	row := platform.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: bytes.Clone(w.Value)}
+	if w.Delete {
+		delete(t.rows, w.Key)
+		return platform.Row{Key: w.Key}
+	}
+	if w.TTL > 0 {
+		row.Expires = now.Add(w.TTL)
+	}
+	t.rows[w.Key] = row
+	row.Value = bytes.Clone(w.Value)
+	return row
+}
+
+// Scan implements platform.Table.
+func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.enter(ctx, t.reads, 1); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	rows := []platform.Row{}
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if len(rows) == limit {
+			break
+		}
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if row, ok := t.live(key, now); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+type objectStore struct {
+	faults *Faults
+
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// Put implements platform.ObjectStore.
+func (s *objectStore) Put(ctx context.Context, name string, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if s.faults.State().ObjectsDown {
+		return platform.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.objects[name]; ok && !bytes.Equal(old, data) {
+		return errors.Errorf("object %s exists with other data", name)
+	}
+	s.objects[name] = bytes.Clone(data)
+	return nil
+}
+
+// Get implements platform.ObjectStore.
+func (s *objectStore) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if s.faults.State().ObjectsDown {
+		return nil, platform.ErrUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return bytes.Clone(data), nil
+}
+
+type weightStore struct {
+	faults *Faults
+	limit  *rate.Limiter
+
+	mu      sync.Mutex
+	issued  int
+	tickets map[string]string // ticket to weight name, until redeemed
+}
+
+// Fetch implements platform.WeightStore.
+func (s *weightStore) Fetch(ctx context.Context, name string) (string, error) {
+	if err := ctx.Err(); err != nil {
+		return "", err
+	}
+	if s.faults.State().WeightsDown {
+		return "", platform.ErrUnavailable
+	}
+	if name == "" {
+		return "", platform.ErrNotFound
+	}
+	if !s.limit.Allow() {
+		return "", platform.ErrRateLimited
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.issued++
+	ticket := fmt.Sprintf("ticket-%d", s.issued)
+	s.tickets[ticket] = name
+	return ticket, nil
+}
+
+// redeem consumes a ticket that was issued for name. Each ticket loads one set of weights once.
+func (s *weightStore) redeem(name, ticket string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ticket == "" || s.tickets[ticket] != name {
+		return false
+	}
+	delete(s.tickets, ticket)
+	return true
+}
+
+type vmChange struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+type vmList struct {
+	faults *Faults
+
+	mu      sync.Mutex
+	vms     map[string]platform.VM
+	history []vmChange // oldest first; the list is empty before the first one
+}
+
+// vmHistory bounds the changes that are kept for the lag of the list.
+const vmHistory = 1024
+
+// Set adds or replaces a VM.
+func (l *vmList) Set(vm platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms[vm.Name] = vm
+	l.record(l.faults.State().VMLeaving)
+}
+
+// Remove drops a VM.
+func (l *vmList) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.vms, name)
+	l.record(l.faults.State().VMLeaving)
+}
+
+func (l *vmList) leavingChanged(before, after FaultState) {
+	if slices.Equal(before.VMLeaving, after.VMLeaving) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.record(after.VMLeaving)
+}
+
+func (l *vmList) record(leaving []string) {
+	vms := make([]platform.VM, 0, len(l.vms))
+	for _, name := range slices.Sorted(maps.Keys(l.vms)) {
+		vm := l.vms[name]
+		if slices.Contains(leaving, name) {
+			vm.State = platform.VMLeaving
+		}
+		vms = append(vms, vm)
+	}
+	l.history = append(l.history, vmChange{at: time.Now(), vms: vms})
+	if len(l.history) > vmHistory {
+		l.history = slices.Delete(l.history, 0, len(l.history)-vmHistory)
+	}
+}
+
+// List implements platform.VMList.
+func (l *vmList) List(ctx context.Context) ([]platform.VM, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	asOf := time.Now().Add(-milliseconds(l.faults.State().VMListLagMS))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var vms []platform.VM
+	for _, change := range l.history {
+		if change.at.After(asOf) {
+			break
+		}
+		vms = change.vms
+	}
+	return slices.Clone(vms), nil
+}
