Compose the agent with the exchange loop

The agent's test text assigned one endpoint to a model and a service, which validation now refuses; the plain service gets an endpoint of its own.

--- a/internal/agent/compose.go
+++ b/internal/agent/compose.go
@@ -6,14 +6,57 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/fx"
+
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
+	"github.com/bilberrylink/bilberrylink/member"
+	"github.com/bilberrylink/bilberrylink/peer"
+	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // stopTimeout bounds a graceful stop. It exceeds the longest deadline of the example texts.
 const stopTimeout = 15 * time.Minute
 
+// exchangePeer adapts peer.Peer, whose views are concrete types.
+type exchangePeer struct{ *peer.Peer }
+
+// Epochs implements Peer.
+func (p exchangePeer) Epochs() epoch.View { return p.Peer.Epochs() }
+
+// Members implements Peer.
+func (p exchangePeer) Members() member.View { return p.Peer.Members() }
+
+// EpochCatchUp implements Peer.
+func (p exchangePeer) EpochCatchUp(ctx context.Context, wanted int64) error {
+	return p.CatchUp(ctx, wanted)
+}
+
 // defaultPeer constructs the exchange loop when Options.Peer is nil.
-func defaultPeer(PeerParams) (Peer, error) {
-	return nil, errors.New("agent: Options.Peer is required")
+func defaultPeer(params PeerParams) (Peer, error) {
+	o := params.Options
+	config, err := transport.Client(o.TLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "TLS of the exchange")
+	}
+	p, err := peer.New(peer.Options{
+		Name:          o.Node.Name,
+		Addr:          o.Node.Addr(),
+		FailureDomain: o.Node.FailureDomain,
+		Role:          platform.RoleAgent,
+		Endpoint:      o.Endpoint,
+		EndpointKind:  o.EndpointKind,
+		Incarnation:   params.Incarnation,
+		Seeds:         o.Seeds,
+		Services:      o.Services,
+		Client:        transport.PeerClients(transport.HTTPClient(config, o.Dial), o.TLS.Enabled()),
+		Self:          params.Self,
+		Log:           o.Log,
+		Registerer:    o.Registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return exchangePeer{p}, nil
 }
 
 // Module returns a complete agent: constructors, background duties and the internal listener.
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -30,13 +30,15 @@
   orders:
     kind: plain
     class: urgent
-    endpoints: [e1]
+    endpoints: [p1]
     calls:
       - {method: GET, path: /stock/*, idempotent: true}
       - {method: POST, path: /ping, without_key: single_attempt}
       - {method: POST, path: /orders}
 models:
   m: {version: VERSION, batch: b1, endpoints: ["e0", "e1"]}
+batches:
+  b1: {supplier: example}
 recalled: [RECALLED]
 `
 
@@ -388,6 +390,7 @@
 	if kind == fleet.KindModel {
 		opts.Engine = f.engine
 	} else {
+		opts.Endpoint = "p1"
 		opts.Service = f.service
 	}
 	if change != nil {
--- /dev/null
+++ b/internal/transport/peers.go
@@ -0,0 +1,22 @@
+package transport
+
+import (
+	"net/http"
+
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// Scheme returns the URL scheme of calls between the system's own processes.
+func Scheme(tls bool) string {
+	if tls {
+		return "https"
+	}
+	return "http"
+}
+
+// PeerClients returns a constructor of exchange clients by address. All clients share one HTTP client.
+func PeerClients(client *http.Client, tls bool) func(addr string) wire.Peer {
+	return func(addr string) wire.Peer {
+		return wire.NewPeerProtobufClient(Scheme(tls)+"://"+addr, client)
+	}
+}
--- /dev/null
+++ b/peer/catchup.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// catchUpPause separates the tries of CatchUp while no entry has the wanted epoch.
+const catchUpPause = 100 * time.Millisecond
+
+// CatchUp exchanges until the node holds an epoch or a later one. Errors: the context's error.
+func (p *Peer) CatchUp(ctx context.Context, wanted int64) error {
+	for p.store.Epoch() < wanted {
+		p.exchangeOnce(ctx)
+		if p.store.Epoch() >= wanted {
+			return nil
+		}
+		if err := pause(ctx, catchUpPause); err != nil {
+			return err
+		}
+	}
+	return nil
+}
