--- /dev/null
+++ b/internal/standin/faultnet/faultnet_test.go
@@ -0,0 +1,116 @@
+package faultnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/internal/standin"
+)
+
+// patience is how long a test waits to see that nothing arrives.
+const patience = 100 * time.Millisecond
+
+// echo serves connections that return what they receive.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func network(t *testing.T) (*standin.Platform, *Network, string) {
+	t.Helper()
+	p := standin.New(standin.Options{})
+	t.Cleanup(p.Close)
+	n := New(p.Faults())
+	addr := echo(t)
+	n.Register(addr, "south", "agent-1", "model-1")
+	return p, n, addr
+}
+
+func roundTrip(t *testing.T, c net.Conn) error {
+	t.Helper()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+	_, err := c.Write([]byte("ping"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, 4))
+	return err
+}
+
+// A silent connection must neither deliver nor fail, whereas a new one works.
+func TestOpenConnectionGoesSilentAndNewOneWorks(t *testing.T) {
+	p, n, addr := network(t)
+	dial := n.Dialer("north", "entry-1")
+	old, err := dial(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = old.Close() }()
+	require.NoError(t, roundTrip(t, old))
+	require.NoError(t, p.Faults().Merge([]byte(`{"connection_silent":["model-1"]}`)))
+	require.ErrorIs(t, roundTrip(t, old), os.ErrDeadlineExceeded)
+	fresh, err := dial(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = fresh.Close() }()
+	require.NoError(t, roundTrip(t, fresh))
+	require.NoError(t, p.Faults().Merge([]byte(`{"reset":true}`)))
+	require.ErrorIs(t, roundTrip(t, old), os.ErrDeadlineExceeded, "the state of the connection is lost for good")
+}
+
+// A reader that waits on a silent connection must be released by Close, else its goroutine leaks.
+func TestCloseReleasesReaderOfSilentConnection(t *testing.T) {
+	_, n, addr := network(t)
+	c, err := n.Dialer("north", "entry-1")(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	released := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		released <- err
+	}()
+	n.Silence("entry-1")
+	require.NoError(t, c.Close())
+	select {
+	case err = <-released:
+		require.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the reader still waits")
+	}
+}
+
+func TestPartitionHoldsDataAndDials(t *testing.T) {
+	p, n, addr := network(t)
+	dial := n.Dialer("north", "entry-1")
+	c, err := dial(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	require.NoError(t, p.Faults().Merge([]byte(`{"partition":[["north"],["south"]]}`)))
+	require.NoError(t, c.SetWriteDeadline(time.Now().Add(patience)))
+	_, err = c.Write([]byte("ping"))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, err = dial(ctx, "tcp", addr)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	near, err := n.Dialer("south", "entry-2")(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	defer func() { _ = near.Close() }()
+	require.NoError(t, roundTrip(t, near))
+
+	require.NoError(t, c.SetWriteDeadline(time.Time{}))
+	require.NoError(t, p.Faults().Merge([]byte(`{"partition":[]}`)))
+	require.NoError(t, roundTrip(t, c), "a healed partition delivers again")
+}
