--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bilberrylink/bilberrylink/epoch"
@@ -70,3 +71,16 @@
 	}
 	return "ok"
 }
+
+// Bytes returns the bytes of exchange messages sent and received so far, before transport framing.
+func (p *Peer) Bytes() (sent, received float64) {
+	return counterValue(p.metrics.sent), counterValue(p.metrics.received)
+}
+
+func counterValue(c prometheus.Counter) float64 {
+	var m dto.Metric
+	if err := c.Write(&m); err != nil {
+		return 0
+	}
+	return m.GetCounter().GetValue()
+}
