--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -168,3 +168,11 @@
 	// Healthy reports whether the service takes calls.
 	Healthy(ctx context.Context) error
 }
+
+// WeightName returns the name under which the weight store issues the ticket for v.
+func (v Version) WeightName() string {
+	if v.Adapter == "" {
+		return v.Model + "@" + v.Version
+	}
+	return v.Model + "@" + v.Version + "+" + v.Adapter
+}
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 	catchUpTimeout = 1500 * time.Millisecond
 	// defaultAnswerTokens is reserved for an answer without a limit.
 	defaultAnswerTokens = 256
+	// reportPatience is the age of the engine's last report after which no new work is started on it.
+	reportPatience = 3 * time.Second
 	// maxDeadline bounds the remaining time that an entry may state, so that records and tombstones outlive attempts.
 	maxDeadline = tombstoneTTL / 2
 )
@@ -114,12 +117,13 @@
 	a.mu.Lock()
 	down := a.down
 	loaded := a.report.Loaded
+	silent := a.isModel() && time.Since(a.reported) > reportPatience
 	a.mu.Unlock()
-	if down {
+	if down || silent {
 		return errkind.New(errkind.EndpointFailed, "endpoint does not answer")
 	}
 	if att.hasVersion() && !holds(loaded, att.version()) {
-		return errkind.New(errkind.NotLoaded, "engine has not loaded "+weightName(s, att.version()))
+		return errkind.New(errkind.NotLoaded, "engine has not loaded "+att.version().WeightName())
 	}
 	return nil
 }
@@ -132,7 +136,7 @@
 			if item, recalled := s.Recalled(att.version()); recalled {
 				return errkind.New(errkind.Recalled, item+" is recalled")
 			}
-			return errkind.New(errkind.NotLoaded, "endpoint does not hold "+weightName(s, att.version()))
+			return errkind.New(errkind.NotLoaded, "endpoint does not hold "+att.version().WeightName())
 		}
 		return nil
 	}
@@ -176,14 +180,7 @@
 	invariant.Check(recallError(s, att) == nil, "recalled_answer_started", "attempt %s starts an answer of a recalled version at epoch %d", att.id, s.Epoch)
 }
 
-func holds(versions []endpoint.Version, v endpoint.Version) bool {
-	for _, have := range versions {
-		if have.Model == v.Model && have.Version == v.Version && have.Adapter == v.Adapter {
-			return true
-		}
-	}
-	return false
-}
+func holds(versions []endpoint.Version, v endpoint.Version) bool { return slices.Contains(versions, v) }
 
 func (a *Agent) fitsMemory(att *attempt) error {
 	if att.reservation == "" || att.reservation != att.id {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -56,7 +56,7 @@
 		defer f.close()
 		att := f.submit(t.Context(), callRequest("a", "POST", "/orders", "k1"))
 		require.NotNil(t, wait(att).GetEnd())
-		require.Equal(t, int64(2), f.table.rows["once/w/k1"].Version)
+		require.Equal(t, int64(2), f.table.version("once/w/k1"))
 		again := f.submit(t.Context(), callRequest("b", "POST", "/orders", "k1"))
 		require.NotNil(t, wait(again).GetEnd())
 		require.Equal(t, 1, f.service.count())
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -95,7 +95,11 @@
 		if att.prefill == 0 {
 			att.prefill = endpoint.CountTokens(m.GetPrompt())
 		}
-		att.tokens = att.prefill + max(int(m.GetMaxTokens()), len(m.GetGenerated()), defaultAnswerTokens)
+		answer := int(m.GetMaxTokens())
+		if answer == 0 {
+			answer = defaultAnswerTokens
+		}
+		att.tokens = att.prefill + max(answer, len(m.GetGenerated()))
 		att.reservation = m.GetReservation()
 		if att.reservation == "" {
 			att.reservation = att.id
--- a/internal/agent/estimate.go
+++ b/internal/agent/estimate.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -13,46 +14,65 @@
 	maxCalls = 64
 )
 
-// estimates holds moving averages of observed times.
+// estimates holds moving averages of what was observed on the endpoint.
 type estimates struct {
 	mu       sync.Mutex
-	perToken time.Duration // time between tokens
-	call     time.Duration // time of a plain call
+	perToken float64 // seconds between tokens
+	answer   float64 // tokens of an answer
+	call     float64 // seconds of a plain call
 }
 
-func (e *estimates) observeToken(d time.Duration) { e.observe(&e.perToken, d) }
+func (e *estimates) observeToken(d time.Duration) { e.observe(&e.perToken, d.Seconds()) }
 
-func (e *estimates) observeCall(d time.Duration) { e.observe(&e.call, d) }
+func (e *estimates) observeAnswer(tokens int) { e.observe(&e.answer, float64(tokens)) }
 
-func (e *estimates) observe(average *time.Duration, d time.Duration) {
+func (e *estimates) observeCall(d time.Duration) { e.observe(&e.call, d.Seconds()) }
+
+func (e *estimates) observe(average *float64, value float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if *average == 0 {
-		*average = d
+		*average = value
 		return
 	}
-	*average += time.Duration(smoothing * float64(d-*average))
+	*average += smoothing * (value - *average)
+}
+
+// decode returns the expected time of an answer of at most limit tokens, 0 meaning no limit.
+func (e *estimates) decode(limit int) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens := e.answer
+	if limit > 0 {
+		tokens = min(tokens, float64(limit))
+	}
+	return tokens * e.perToken
 }
 
-func (e *estimates) get() (perToken, call time.Duration) {
+func (e *estimates) perCall() float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.perToken, e.call
+	return e.call
 }
 
-// estimate returns the time that an attempt needs: the prefill ahead of it in its class and more urgent ones, its own
-// prefill, and its answer. An answer's length is unknown, so only one token is counted: a shorter answer than the limit
-// must not be refused.
+// estimate returns the time until an attempt ends: the work ahead of it in its class and more urgent ones, its own
+// prefill, and an answer of average length. On an idle endpoint only the prefill counts, and for calls only the rounds
+// ahead, so that an average from a slow phase cannot refuse all later work and thereby never be corrected.
 func (a *Agent) estimate(att *attempt) time.Duration {
-	perToken, call := a.estimates.get()
 	if !att.hasVersion() {
-		rounds := float64(a.queue.Ahead(att.class))/maxCalls + 1
-		return time.Duration(rounds * float64(call))
+		rounds := math.Floor(a.queue.Ahead(att.class) / maxCalls)
+		return seconds(rounds * a.estimates.perCall())
 	}
 	tokens := a.queue.Ahead(att.class) + float64(a.outstandingAhead(att.class)) + float64(att.prefill)
-	return time.Duration(tokens/a.prefillRate()*float64(time.Second)) + perToken
+	need := tokens / a.prefillRate()
+	if att.segment == nil && a.queue.Running()+a.queue.Len() > 0 {
+		need += a.estimates.decode(int(att.request.GetModel().GetMaxTokens()))
+	}
+	return seconds(need)
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func (a *Agent) prefillRate() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -149,6 +149,19 @@
 	change(e)
 }
 
+// state returns a copy for reading.
+func (e *fakeEngine) state() (s struct {
+	generated, cancelled []string
+	orders               []endpoint.Order
+	loaded               []endpoint.Version
+}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.generated, s.cancelled = slices.Clone(e.generated), slices.Clone(e.cancelled)
+	s.orders, s.loaded = slices.Clone(e.orders), slices.Clone(e.report.Loaded)
+	return s
+}
+
 func (e *fakeEngine) crashNow(incarnation string) {
 	e.set(func(e *fakeEngine) {
 		close(e.crash)
@@ -270,6 +283,12 @@
 
 func (s *fakeService) Healthy(context.Context) error { return nil }
 
+func (s *fakeService) set(delay time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay, s.err = delay, err
+}
+
 func (s *fakeService) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -321,6 +340,12 @@
 	return nil, nil
 }
 
+func (t *fakeTable) version(key string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[key].Version
+}
+
 func (t *fakeTable) setDown(down bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -344,6 +369,12 @@
 	return "ticket-" + name, nil
 }
 
+func (w *fakeWeights) seen() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.fetched)
+}
+
 type fakeSink struct {
 	mu      sync.Mutex
 	crashes [][]string
@@ -357,6 +388,12 @@
 	return nil
 }
 
+func (s *fakeSink) seen() [][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashes)
+}
+
 // fixture is an agent with fakes on all sides.
 type fixture struct {
 	*Agent
@@ -405,7 +442,12 @@
 func (f *fixture) close() {
 	f.stop()
 	f.duties.Wait()
-	time.Sleep(2 * time.Hour)
+	f.engine.mu.Lock()
+	hang := f.engine.hang
+	f.engine.mu.Unlock()
+	if hang {
+		time.Sleep(2 * time.Hour)
+	}
 }
 
 func violations(t *testing.T) func() []string {
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -134,11 +134,13 @@
 	if t.Index > *next {
 		return errkind.New(errkind.StreamBroken, "engine skipped a token")
 	}
+	if att.answering.Load() {
+		a.estimates.observeToken(time.Since(*last))
+	}
 	if err := a.firstToken(att); err != nil {
 		return err
 	}
 	*next++
-	a.estimates.observeToken(time.Since(*last))
 	*last = time.Now()
 	return att.buffer.Append(&wire.Frame{Payload: &wire.Frame_Token{Token: &wire.Token{Index: int64(t.Index), Text: t.Text}}})
 }
@@ -209,6 +211,7 @@
 	if err := a.firstToken(att); err != nil { // an answer without tokens
 		return err
 	}
+	a.estimates.observeAnswer(u.CompletionTokens)
 	a.succeed(att, &wire.End{PromptTokens: int64(u.PromptTokens), CachedTokens: int64(u.CachedTokens), CompletionTokens: int64(u.CompletionTokens)})
 	return nil
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,13 +18,17 @@
 	ticketBackoffMax = 10 * time.Second
 	orderTimeout     = 5 * time.Second
 	roleServe        = "serve"
+	// loadPatience is how long an accepted load may take before it is ordered again with a new ticket.
+	loadPatience = 2 * time.Minute
 )
 
 // orderState is what the order duty knows. The fault is guarded by Agent.mu, the rest belongs to the duty.
 type orderState struct {
 	fault   string
 	backoff time.Duration
-	next    time.Time // no ticket is asked for earlier
+	next    time.Time                      // no ticket is asked for earlier
+	loading map[endpoint.Version]time.Time // when the engine accepted the order to load
+	engine  string                         // incarnation that accepted them
 }
 
 // requestOrder wakes the order duty.
@@ -102,43 +105,80 @@
 	}
 	wanted := a.wanted(s, report.Loaded)
 	kept := intersect(report.Loaded, wanted)
-	missing := without(wanted, kept)
+	a.forgetLoading(report, wanted)
+	loading := a.loadingVersions(wanted)
 	if len(kept) < len(report.Loaded) {
-		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: kept, Role: roleServe}) // unloading needs no ticket
+		// Unloading needs no ticket and does not wait for the weight store. What is loading stays ordered.
+		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(kept, loading), Role: roleServe})
 	}
-	if len(missing) > 0 {
-		a.loadMissing(ctx, s, wanted, missing)
-		return
+	missing := without(wanted, slices.Concat(kept, loading))
+	switch {
+	case len(missing) > 0:
+		a.loadMissing(ctx, s.Epoch, slices.Concat(kept, loading), missing)
+	case len(loading) == 0:
+		a.setOrderFault("")
+	}
+}
+
+// forgetLoading drops what has been loaded, is no longer wanted, takes too long, or was lost by a restart of the engine.
+func (a *Agent) forgetLoading(report endpoint.Report, wanted []endpoint.Version) {
+	o := &a.orderState
+	if o.engine != report.Incarnation || o.loading == nil {
+		o.engine = report.Incarnation
+		o.loading = make(map[endpoint.Version]time.Time)
+	}
+	for v, since := range o.loading {
+		if holds(report.Loaded, v) || !holds(wanted, v) || time.Since(since) > loadPatience {
+			delete(o.loading, v)
+		}
+	}
+}
+
+func (a *Agent) loadingVersions(wanted []endpoint.Version) []endpoint.Version {
+	var loading []endpoint.Version
+	for _, v := range wanted {
+		if _, ok := a.orderState.loading[v]; ok {
+			loading = append(loading, v)
+		}
 	}
-	a.setOrderFault("")
+	return loading
 }
 
-// loadMissing sends the complete order with one ticket per missing version, when the weight store grants them.
-func (a *Agent) loadMissing(ctx context.Context, s *fleet.Snapshot, wanted, missing []endpoint.Version) {
+// loadMissing orders the missing versions for which the weight store grants a ticket, on top of held.
+func (a *Agent) loadMissing(ctx context.Context, fence int64, held, missing []endpoint.Version) {
 	if time.Now().Before(a.orderState.next) {
 		return
 	}
-	tickets, err := a.tickets(ctx, s, missing)
+	granted, tickets, err := a.tickets(ctx, missing)
 	if err != nil {
 		a.backOff(err)
+	}
+	if len(granted) == 0 {
 		return
 	}
-	if a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: wanted, Role: roleServe, Tickets: tickets}) {
+	if !a.send(ctx, endpoint.Order{Fence: fence, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
+		return
+	}
+	for _, v := range granted {
+		a.orderState.loading[v] = time.Now()
+	}
+	if err == nil {
 		a.orderState.backoff = 0
 	}
 }
 
-func (a *Agent) tickets(ctx context.Context, s *fleet.Snapshot, versions []endpoint.Version) (map[string]string, error) {
-	tickets := make(map[string]string, len(versions))
+// tickets fetches tickets until the first error and returns the versions that have one.
+func (a *Agent) tickets(ctx context.Context, versions []endpoint.Version) (granted []endpoint.Version, tickets map[string]string, err error) {
+	tickets = make(map[string]string, len(versions))
 	for _, v := range versions {
-		name := weightName(s, v)
-		ticket, err := a.opts.Services.Weights.Fetch(ctx, name)
+		ticket, err := a.opts.Services.Weights.Fetch(ctx, v.WeightName())
 		if err != nil {
-			return nil, errors.Wrap(err, name)
+			return granted, tickets, errors.Wrap(err, v.WeightName())
 		}
-		tickets[name] = ticket
+		tickets[v.WeightName()] = ticket
+		granted = append(granted, v)
 	}
-	return tickets, nil
+	return granted, tickets, nil
 }
 
 // backOff delays the next tickets by a jittered, doubling time, so that the fleet does not ask in step.
@@ -212,7 +252,7 @@
 	var old []endpoint.Version
 	for _, l := range loaded {
 		_, recalled := s.Recalled(l)
-		if l.Model == v.Model && l.Adapter == v.Adapter && l.Version != v.Version && !recalled {
+		if l.Model == v.Model && l.Adapter == v.Adapter && l != v && !recalled {
 			old = append(old, l)
 		}
 	}
@@ -240,18 +280,6 @@
 	return true
 }
 
-// weightName returns the weight store's name of a version: name@version of the adapter, or of the model.
-func weightName(s *fleet.Snapshot, v endpoint.Version) string {
-	if v.Adapter == "" {
-		return v.Model + "@" + v.Version
-	}
-	parts := []string{v.Adapter}
-	if adapter := s.Text.Adapters[v.Adapter]; adapter != nil {
-		parts = append(parts, adapter.Version)
-	}
-	return strings.Join(parts, "@")
-}
-
 func intersect(versions, with []endpoint.Version) []endpoint.Version {
 	kept := make([]endpoint.Version, 0, len(versions))
 	for _, v := range versions {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -15,14 +15,14 @@
 
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/stream"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
 const (
 	// bodyOverhead is allowed on top of the text's max_body_bytes for the request's other fields and the generated tokens.
-	bodyOverhead      = 4 << 20
-	readHeaderTimeout = 5 * time.Second
+	bodyOverhead = 4 << 20
 	// writeTimeout bounds one frame's write. A connection that takes no data for this long is given up; the stream
 	// stays for resume.
 	writeTimeout = 5 * time.Second
@@ -43,22 +43,19 @@
 }
 
 func (a *Agent) listen(failed func(error)) error {
-	config := net.ListenConfig{Control: setUserTimeout}
-	listener, err := config.Listen(a.ctx, "tcp", a.opts.Node.Listen)
+	config, err := transport.Server(a.opts.TLS)
+	if err != nil {
+		return err
+	}
+	options := net.ListenConfig{Control: setUserTimeout}
+	listener, err := options.Listen(a.ctx, "tcp", a.opts.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	a.listener = listener
-	a.server = &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	serve := func() error { return a.server.Serve(listener) }
-	if a.opts.TLS.Enabled() {
-		if a.server.TLSConfig, err = serverTLS(a.opts.TLS); err != nil {
-			return err
-		}
-		serve = func() error { return a.server.ServeTLS(listener, "", "") }
-	}
+	a.server = transport.HTTPServer(a.Handler(), config)
 	go func() {
-		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+		if err := transport.Serve(a.server, listener); err != nil {
 			failed(err)
 		}
 	}()
@@ -163,22 +160,19 @@
 	return a.attempts[id]
 }
 
-// refuseResume answers for an attempt that this agent does not know. An earlier incarnation may have run it. If its run
+// refuseResume answers 404 for an attempt that this agent does not know. An earlier incarnation may have run it. If its run
 // arrives later, it is refused.
 func (a *Agent) refuseResume(w http.ResponseWriter, req *wire.ResumeRequest) {
 	a.mu.Lock()
 	a.past.add(req.GetAttemptId(), time.Now())
 	a.mu.Unlock()
-	buffer := stream.NewBuffer(req.GetRequestId(), req.GetAttemptId())
-	_ = buffer.Fail(a.failure(errkind.New(errkind.StreamBroken, "the attempt is not known here").WithRun(errkind.Unknown)))
-	a.writeStream(w, buffer, context.Background(), 0)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusNotFound)
+	_ = json.NewEncoder(w).Encode(errkind.Body{Error: errkind.BodyError{Kind: errkind.StreamBroken,
+		Message: "the attempt is not known here", Run: errkind.Unknown}}) // the caller has gone
 }
 
 func (a *Agent) serveStream(w http.ResponseWriter, r *http.Request, att *attempt, next uint64) {
-	a.writeStream(w, att.buffer, r.Context(), next)
-}
-
-func (a *Agent) writeStream(w http.ResponseWriter, buffer *stream.Buffer, ctx context.Context, next uint64) {
 	w.Header().Set("Content-Type", contentType)
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
@@ -187,7 +181,7 @@
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout + stream.HeartbeatInterval))
 	}
 	flush()
-	if err := buffer.Serve(ctx, stream.NewWriter(w, flush), next, a.load); err != nil {
+	if err := att.buffer.Serve(r.Context(), stream.NewWriter(w, flush), next, a.load); err != nil {
 		a.log.WithError(err).Debug("stream connection ended early")
 	}
 	_ = control.SetWriteDeadline(time.Time{})
--- a/kvledger/kvledger.go
+++ b/kvledger/kvledger.go
@@ -284,6 +284,9 @@
 	select {
 	case <-r.granted:
 	case <-timer.C:
+		if isClosed(r.granted) {
+			return nil
+		}
 		err = ErrBusy
 	case <-ctx.Done():
 		err = ctx.Err()
--- /dev/null
+++ b/kvledger/kvledger_test.go
@@ -0,0 +1,147 @@
+package kvledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/invariant"
+)
+
+// TestMain fixes the seed of the randomised tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1") // an unsigned number always parses
+	}
+	m.Run()
+}
+
+func newLedger(opts Options) *Ledger {
+	opts.ShortTokens = 10
+	l := New(opts)
+	l.SetCapacity(100)
+	return l
+}
+
+func request(t require.TestingT, l *Ledger, id string, tokens int) bool {
+	granted, err := l.Request(id, tokens, time.Minute)
+	require.NoError(t, err)
+	return granted
+}
+
+// Guards against long requests that starve behind a flow of short ones, and short ones that wait for long ones.
+func TestLongAndShortDoNotStarveEachOther(t *testing.T) {
+	l := newLedger(Options{})
+	require.True(t, request(t, l, "long1", 90))
+	require.True(t, request(t, l, "short1", 10), "the headroom is for short requests")
+	require.False(t, request(t, l, "long2", 60))
+	require.False(t, request(t, l, "long3", 20))
+	l.Release("long1")
+	require.True(t, request(t, l, "long2", 60))
+	require.True(t, request(t, l, "long3", 20), "FCFS order of waiters")
+	require.False(t, request(t, l, "long4", 20))
+	require.False(t, request(t, l, "short2", 10), "while a long request waits, short ones get only the headroom")
+	_, err := l.Request("long5", 91, time.Minute)
+	require.ErrorIs(t, err, ErrTooLarge)
+}
+
+// Guards against memory that stays reserved for a holder that went silent, and against overtaking in the wait.
+func TestLeaseExpiryGrantsTheFirstWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(Options{})
+		require.NoError(t, l.Reserve(t.Context(), "dead", 80, 3*time.Second, 0))
+		require.NoError(t, l.Bind("dead", "seg"))
+		result := make(chan error, 1)
+		go func() { result <- l.Reserve(t.Context(), "next", 80, time.Minute, 10*time.Second) }()
+		synctest.Wait()
+		require.ErrorIs(t, l.Reserve(t.Context(), "third", 80, time.Minute, time.Second), ErrBusy)
+		time.Sleep(2 * time.Second)
+		expired, engineIDs := l.Expire()
+		require.Equal(t, []string{"dead"}, expired)
+		require.Equal(t, []string{"seg"}, engineIDs)
+		require.NoError(t, <-result)
+		require.ErrorIs(t, l.Renew("dead", time.Second), ErrUnknown)
+		require.Equal(t, 80, l.Reserved())
+		require.Equal(t, []string{"next"}, l.Reset())
+		l.CheckIdle()
+	})
+}
+
+// Guards against leaks on either side: streams that only the engine knows, and reservations that only the ledger holds.
+func TestReconcileWithLaggingReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(Options{})
+		require.True(t, request(t, l, "r", 50))
+		require.NoError(t, l.Bind("r", "s"))
+		empty := endpoint.Report{KVCapacity: 100}
+		reconcile := func(running ...string) (unknown, freed []string) {
+			empty.Running = running
+			return l.Reconcile(empty)
+		}
+		time.Sleep(time.Minute - time.Second)
+		_, freed := reconcile()
+		require.Empty(t, freed, "a stream that the engine has not started is not gone")
+		unknown, _ := reconcile("s", "other")
+		require.Equal(t, []string{"other"}, unknown)
+		time.Sleep(DefaultGrace - time.Millisecond)
+		_, freed = reconcile()
+		require.Empty(t, freed, "the report may lag")
+		time.Sleep(time.Millisecond)
+		_, freed = reconcile()
+		require.Equal(t, []string{"r"}, freed)
+		require.Zero(t, l.Reserved())
+	})
+}
+
+// Guards against any order of operations that reserves more than the capacity or does not return to zero.
+func TestRandomOperations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		defer invariant.SetHandler(func(name, detail string) { t.Errorf("%s: %s", name, detail) })()
+		l := newLedger(Options{MaxWaiters: 5})
+		var ids []string
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				id := fmt.Sprint("r", i)
+				if _, err := l.Request(id, rapid.IntRange(1, 90).Draw(t, "tokens"), time.Minute); err == nil {
+					ids = append(ids, id)
+				}
+			case 2:
+				if len(ids) > 0 {
+					l.Release(rapid.SampledFrom(ids).Draw(t, "release"))
+				}
+			case 3:
+				l.Reconcile(endpoint.Report{KVCapacity: 100})
+			}
+			require.LessOrEqual(t, l.Reserved(), 100)
+		}
+		l.Release(ids...)
+		l.CheckIdle()
+		require.Zero(t, l.Len())
+	})
+}
+
+// Shows that the assertions report an overbooked engine and a lease that is never freed.
+func TestViolationsAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var names []string
+		defer invariant.SetHandler(func(name, _ string) { names = append(names, name) })()
+		l := newLedger(Options{ignoreCapacity: true, ignoreLeases: true})
+		request(t, l, "a", 90)
+		request(t, l, "b", 90)
+		require.Equal(t, []string{"kv_reserved_over_capacity"}, names)
+		l.Release("b")
+		time.Sleep(2 * time.Minute)
+		l.Expire()
+		require.Contains(t, names, "kv_lease_outlived")
+		l.CheckIdle()
+		require.Contains(t, names, "kv_reserved_when_idle")
+	})
+}
--- a/limit/fairqueue/fairqueue.go
+++ b/limit/fairqueue/fairqueue.go
@@ -173,6 +173,7 @@
 		return false
 	}
 	if q.opts.allowRemoved {
+		it.state = removed
 		return true
 	}
 	q.drop(it)
--- /dev/null
+++ b/limit/fairqueue/fairqueue_test.go
@@ -0,0 +1,123 @@
+package fairqueue
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/invariant"
+)
+
+// TestMain fixes the seed of the randomised tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1") // an unsigned number always parses
+	}
+	m.Run()
+}
+
+func always(*Item[int], int) Fit { return Fits }
+
+func push(t require.TestingT, q *Queue[int], workspace string, class fleet.Class, cost float64) (it, shed *Item[int]) {
+	it = &Item[int]{Workspace: workspace, Class: class, Cost: cost}
+	shed, err := q.Push(it)
+	require.NoError(t, err)
+	return it, shed
+}
+
+// Guards against a workspace that loses its share to one that sends ten times as much.
+func TestShareUnderTenfoldLoad(t *testing.T) {
+	q := New[int](Options{Capacity: 200})
+	served := map[string]int{}
+	for range 300 {
+		for range 10 {
+			_, _ = q.Push(&Item[int]{Workspace: "flood", Class: fleet.ClassInteractive, Cost: 100}) // may be full
+		}
+		push(t, q, "quiet", fleet.ClassInteractive, 100)
+		for range 2 {
+			it := q.Next(always)
+			served[it.Workspace]++
+			q.Done(it)
+		}
+	}
+	require.GreaterOrEqual(t, served["quiet"], 270) // 90% of its own share of 300
+}
+
+// Guards against shedding urgent work before bulk, and against a flooding workspace pushing out others.
+func TestBulkIsShedFirst(t *testing.T) {
+	q := New[int](Options{Capacity: 3})
+	push(t, q, "a", fleet.ClassBulk, 10)
+	late, _ := push(t, q, "a", fleet.ClassBulk, 10)
+	push(t, q, "b", fleet.ClassInteractive, 10)
+	_, shed := push(t, q, "c", fleet.ClassUrgent, 10)
+	require.Same(t, late, shed)
+	_, err := q.Push(&Item[int]{Workspace: "a", Class: fleet.ClassBulk, Cost: 10})
+	require.ErrorIs(t, err, ErrFull)
+	require.Equal(t, fleet.ClassUrgent, q.Next(always).Class)
+}
+
+// Guards against a suspect that runs beside other work.
+func TestAloneRunsWithNothingElse(t *testing.T) {
+	q := New[int](Options{Capacity: 9})
+	first, _ := push(t, q, "a", fleet.ClassInteractive, 1)
+	require.Same(t, first, q.Next(always))
+	suspect := &Item[int]{Workspace: "b", Class: fleet.ClassInteractive, Alone: true}
+	_, err := q.Push(suspect)
+	require.NoError(t, err)
+	push(t, q, "c", fleet.ClassInteractive, 1)
+	require.Nil(t, q.Next(always), "the suspect waits and holds back later work")
+	q.Done(first)
+	require.Same(t, suspect, q.Next(always))
+	require.Nil(t, q.Next(always))
+	q.Done(suspect)
+	require.NotNil(t, q.Next(always))
+}
+
+// Guards against an item that runs after its removal was confirmed.
+func TestRemovedItemNeverRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		defer invariant.SetHandler(func(name, detail string) { t.Errorf("%s: %s", name, detail) })()
+		q := New[int](Options{Capacity: 8})
+		var items []*Item[int]
+		gone := map[*Item[int]]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				class := rapid.SampledFrom([]fleet.Class{fleet.ClassUrgent, fleet.ClassInteractive, fleet.ClassBulk}).Draw(t, "class")
+				it := &Item[int]{Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), Class: class}
+				shed, err := q.Push(it)
+				gone[shed] = true
+				if err == nil {
+					items = append(items, it)
+				}
+			case 1:
+				if len(items) > 0 {
+					it := rapid.SampledFrom(items).Draw(t, "item")
+					if q.Remove(it) {
+						gone[it] = true
+					}
+				}
+			case 2:
+				if it := q.Next(always); it != nil {
+					require.False(t, gone[it])
+					q.Done(it)
+				}
+			}
+		}
+	})
+}
+
+// Shows that the assertion reports a removed item that runs.
+func TestRemovedItemRunsIsReported(t *testing.T) {
+	var names []string
+	defer invariant.SetHandler(func(name, _ string) { names = append(names, name) })()
+	q := New[int](Options{Capacity: 2, allowRemoved: true})
+	it, _ := push(t, q, "a", fleet.ClassBulk, 1)
+	require.True(t, q.Remove(it))
+	require.NotNil(t, q.Next(always))
+	require.Equal(t, []string{"queue_removed_item_runs"}, names)
+}
--- a/once/background.go
+++ b/once/background.go
@@ -43,7 +43,7 @@
 func (s *Store) close(c *Claim) { s.open.CompareAndDelete(c.attempt.row(), c) }
 
 // Pending returns the number of background writes that wait for the table.
-func (s *Store) Pending() int { return s.pending.Len() }
+func (s *Store) Pending() int { return int(s.waiting.Load()) }
 
 // Run performs the background writes until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
@@ -53,14 +53,17 @@
 		if err != nil {
 			return err
 		}
-		s.backlog.Set(float64(s.pending.Len()))
-		if err = s.perform(ctx, t); err == nil {
+		s.backlog.Set(float64(s.Pending()))
+		err = s.perform(ctx, t)
+		if err == nil {
+			s.waiting.Add(-1)
 			wait = retryMin
 			continue
 		}
 		s.opts.Log.WithError(err).WithField("tries", t.tries).Debug("at-most-once record not written, retrying")
 		t.tries++
 		s.enqueue(t)
+		s.waiting.Add(-1)
 		if !sleep(ctx, wait) {
 			return ctx.Err()
 		}
@@ -76,11 +79,13 @@
 	if time.Now().After(t.until) {
 		return
 	}
+	s.waiting.Add(1)
 	if err := s.pending.Push(t); err != nil {
+		s.waiting.Add(-1)
 		s.dropped.Inc()
 		s.opts.Log.WithError(err).Warn("background queue of at-most-once records is full, the key will answer unknown")
 	}
-	s.backlog.Set(float64(s.pending.Len()))
+	s.backlog.Set(float64(s.Pending()))
 }
 
 func (s *Store) perform(ctx context.Context, t task) error {
--- a/once/once.go
+++ b/once/once.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,7 +91,8 @@
 type Store struct {
 	opts    Options
 	pending *ring.Ring[task]
-	open    sync.Map // row key to *Claim, for the assertion that a key starts once
+	waiting atomic.Int64 // tasks queued or being performed
+	open    sync.Map     // row key to *Claim, for the assertion that a key starts once
 	writes  prometheus.Counter
 	reads   prometheus.Counter
 	dropped prometheus.Counter
@@ -237,7 +239,7 @@
 	return row, err
 }
 
-// resolve says what a row means for a request.
+// resolve says what a row means for a request. An empty request hash, of the caller or of the row, matches any.
 func (s *Store) resolve(ctx context.Context, row platform.Row, requestHash string) (Result, error) {
 	if row.Version == 0 {
 		return Result{State: Absent}, nil
@@ -246,8 +248,8 @@
 	if err != nil {
 		return Result{}, errors.Wrap(ErrStore, err.Error())
 	}
-	result := Result{Version: row.Version, Attempt: rec.Attempt}
-	if rec.RequestHash != requestHash {
+	result := Result{Version: row.Version, Attempt: rec.Attempt, RequestHash: rec.RequestHash}
+	if rec.RequestHash != requestHash && rec.RequestHash != "" && requestHash != "" {
 		result.State = Mismatch
 		return result, nil
 	}
--- /dev/null
+++ b/once/once_test.go
@@ -0,0 +1,279 @@
+package once
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/invariant"
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+// store is a table and object store in memory. Each commit takes the next element of script.
+type store struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	objects   map[string][]byte
+	script    []string // ok, down, lost (takes effect, no answer), dropped (no effect, no answer)
+	down      bool
+	downAfter bool // the table goes down with the last element of script
+	gets      int
+	commits   int
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	row, ok := s.rows[key]
+	switch {
+	case s.down:
+		return platform.Row{}, platform.ErrUnavailable
+	case !ok:
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (s *store) Commit(_ context.Context, writes ...platform.Write) ([]platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	step := "ok"
+	if s.down {
+		step = "down"
+	} else if len(s.script) > 0 {
+		step, s.script = s.script[0], s.script[1:]
+		s.down = s.downAfter && len(s.script) == 0
+		s.downAfter = s.downAfter && !s.down
+	}
+	switch step {
+	case "down":
+		return nil, platform.ErrUnavailable
+	case "dropped":
+		return nil, platform.ErrInDoubt
+	}
+	w := writes[0]
+	current := s.rows[w.Key]
+	if w.Expect != platform.AnyVersion && w.Expect != current.Version {
+		return nil, &platform.ConditionError{Current: current}
+	}
+	row := platform.Row{Key: w.Key, Version: current.Version + 1, Value: w.Value}
+	s.rows[w.Key] = row
+	if step == "lost" {
+		return nil, platform.ErrInDoubt
+	}
+	return []platform.Row{row}, nil
+}
+
+func (s *store) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+type objects struct{ *store }
+
+func (o objects) Put(_ context.Context, name string, data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.objects[name] = data
+	return nil
+}
+
+func (o objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.objects[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return data, nil
+}
+
+// run calls test with a Store whose background queue runs, and fails on a violated assertion.
+func run(t *testing.T, test func(t *testing.T, s *Store, table *store)) {
+	synctest.Test(t, func(t *testing.T) {
+		defer invariant.SetHandler(func(name, detail string) { t.Errorf("%s: %s", name, detail) })()
+		table := &store{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := New(Options{Table: table, Objects: objects{table}, Log: log, InlineBytes: 8})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { _ = s.Run(ctx); close(done) }()
+		test(t, s, table)
+		cancel()
+		<-done
+	})
+}
+
+func attempt(id string, expect int64) Attempt {
+	return Attempt{Workspace: "w", Key: "a/b", RequestHash: "h", ID: id, Expect: expect, Deadline: time.Now().Add(10 * time.Second)}
+}
+
+// Guards against more than two writes or any read on the normal path, and against a repeat that executes again.
+func TestTwoWritesNoRead(t *testing.T) {
+	run(t, func(t *testing.T, s *Store, table *store) {
+		_, claim, err := s.Begin(t.Context(), attempt("a1", 0))
+		require.NoError(t, err)
+		require.NoError(t, s.Finish(t.Context(), claim, Answer{Status: 200, Body: []byte("ok")}))
+		require.Equal(t, 2, table.commits)
+		require.Zero(t, table.gets)
+		result, claim, err := s.Begin(t.Context(), attempt("a2", 0))
+		require.NoError(t, err)
+		require.Nil(t, claim)
+		require.Equal(t, Replay, result.State)
+		require.Equal(t, "ok", string(result.Answer.Body))
+		other := attempt("a3", 0)
+		other.RequestHash = "another"
+		result, _, err = s.Begin(t.Context(), other)
+		require.NoError(t, err)
+		require.Equal(t, Mismatch, result.State)
+	})
+}
+
+// Guards against a lost answer that is taken for a failure (key blocked) or for a start by someone else.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	for _, script := range [][]string{{"lost"}, {"dropped"}, {"dropped", "lost"}} {
+		run(t, func(t *testing.T, s *Store, table *store) {
+			table.script = script
+			result, claim, err := s.Begin(t.Context(), attempt("a1", 0))
+			require.NoError(t, err)
+			require.Equal(t, Started, result.State)
+			table.script = []string{"lost"}
+			require.Error(t, s.Finish(t.Context(), claim, Answer{Status: 200}))
+			time.Sleep(time.Second)
+			require.Zero(t, s.Pending())
+			result, err = s.Lookup(t.Context(), "w", "a/b", "h")
+			require.NoError(t, err)
+			require.Equal(t, Replay, result.State)
+		})
+	}
+}
+
+// Guards against a key that stays blocked after a start in doubt that was not executed.
+func TestStartInDoubtIsRefusedInBackground(t *testing.T) {
+	for _, step := range []string{"lost", "dropped"} {
+		run(t, func(t *testing.T, s *Store, table *store) {
+			table.script = []string{step}
+			table.downAfter = true
+			_, claim, err := s.Begin(t.Context(), attempt("a1", 0))
+			require.ErrorIs(t, err, ErrInDoubt)
+			require.Nil(t, claim)
+			table.setDown(false)
+			time.Sleep(30 * time.Second)
+			result, err := s.Lookup(t.Context(), "w", "a/b", "h")
+			require.NoError(t, err)
+			require.Equal(t, Refused, result.State)
+			_, claim, err = s.Begin(t.Context(), attempt("a2", result.Version))
+			require.NoError(t, err)
+			require.NotNil(t, claim)
+		})
+	}
+}
+
+// Guards against a late start after an entry has answered not_run, and against not_run for what has started.
+func TestRefuseExcludesStart(t *testing.T) {
+	run(t, func(t *testing.T, s *Store, table *store) {
+		a := attempt("a1", 0)
+		table.script = []string{"lost"}
+		_, notRun, err := s.Refuse(t.Context(), a)
+		require.NoError(t, err)
+		require.True(t, notRun)
+		result, claim, err := s.Begin(t.Context(), a)
+		require.NoError(t, err)
+		require.Nil(t, claim, "the paused agent wakes after the refusal")
+		require.Equal(t, Refused, result.State)
+		_, claim, err = s.Begin(t.Context(), attempt("a2", result.Version))
+		require.NoError(t, err)
+		require.NotNil(t, claim)
+		result, notRun, err = s.Refuse(t.Context(), attempt("a2", 1))
+		require.NoError(t, err)
+		require.False(t, notRun)
+		require.Equal(t, InProgress, result.State)
+		_, notRun, err = s.Refuse(t.Context(), a)
+		require.NoError(t, err)
+		require.True(t, notRun, "the row has passed the condition of a1")
+		time.Sleep(11 * time.Second)
+		result, err = s.Lookup(t.Context(), "w", "a/b", "h")
+		require.NoError(t, err)
+		require.Equal(t, Unknown, result.State)
+	})
+}
+
+// Guards against starts past the deadline and during an outage, and a restarted agent that takes the start of an earlier
+// incarnation under the same attempt id for its own.
+func TestNoStart(t *testing.T) {
+	run(t, func(t *testing.T, s *Store, table *store) {
+		a := attempt("a1", 0)
+		table.setDown(true)
+		_, claim, err := s.Begin(t.Context(), a)
+		require.ErrorIs(t, err, ErrStore)
+		require.Nil(t, claim)
+		table.setDown(false)
+		_, claim, err = s.Begin(t.Context(), a)
+		require.NoError(t, err)
+		require.NotNil(t, claim)
+		table.script = []string{"dropped"}
+		result, claim, err := s.Begin(t.Context(), a)
+		require.NoError(t, err)
+		require.Nil(t, claim)
+		require.Equal(t, InProgress, result.State)
+		time.Sleep(10 * time.Second)
+		_, _, err = s.Begin(t.Context(), a)
+		require.ErrorIs(t, err, ErrLate)
+	})
+}
+
+// Guards against an outcome that is lost when the table is down at the end of the call, and an abandoned claim that
+// blocks its key.
+func TestBackgroundWrites(t *testing.T) {
+	run(t, func(t *testing.T, s *Store, table *store) {
+		_, claim, err := s.Begin(t.Context(), attempt("a1", 0))
+		require.NoError(t, err)
+		table.setDown(true)
+		large := bytes.Repeat([]byte("x"), 100)
+		require.Error(t, s.Finish(t.Context(), claim, Answer{Status: 200, Body: large}))
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, s.Pending())
+		table.setDown(false)
+		time.Sleep(10 * time.Second)
+		result, err := s.Lookup(t.Context(), "w", "a/b", "h")
+		require.NoError(t, err)
+		require.Equal(t, large, result.Answer.Body)
+		require.Len(t, table.objects, 1)
+
+		b := attempt("b", 0)
+		b.Key = "other"
+		_, claim, err = s.Begin(t.Context(), b)
+		require.NoError(t, err)
+		s.Abandon(claim)
+		time.Sleep(time.Second)
+		result, err = s.Lookup(t.Context(), "w", "other", "h")
+		require.NoError(t, err)
+		require.Equal(t, Refused, result.State)
+	})
+}
+
+// Shows that the assertion reports a second start when the version condition is off.
+func TestSecondStartIsReported(t *testing.T) {
+	var names []string
+	defer invariant.SetHandler(func(name, _ string) { names = append(names, name) })()
+	s := New(Options{Table: &store{rows: make(map[string]platform.Row)}, ignoreCondition: true})
+	for _, id := range []string{"a1", "a2"} {
+		_, claim, err := s.Begin(t.Context(), attempt(id, 0))
+		require.NoError(t, err)
+		require.NotNil(t, claim)
+	}
+	require.Equal(t, []string{"once_started_twice"}, names)
+}
--- a/once/row.go
+++ b/once/row.go
@@ -63,10 +63,11 @@
 
 // Result is what the table says about a key.
 type Result struct {
-	State   State
-	Version int64 // current version of the row, 0 if absent
-	Attempt string
-	Answer  *Answer
+	State       State
+	Version     int64 // current version of the row, 0 if absent
+	Attempt     string
+	RequestHash string
+	Answer      *Answer
 }
 
 // Errors of a Store.
--- /dev/null
+++ b/stream/sender_test.go
@@ -0,0 +1,90 @@
+package stream
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+func noLoad() *wire.Load { return nil }
+
+func token(i int) *wire.Frame {
+	return &wire.Frame{Payload: &wire.Frame_Token{Token: &wire.Token{Index: int64(i), Text: "x"}}}
+}
+
+// serve connects the buffer to a pipe whose reading end is returned.
+func serve(ctx context.Context, b *Buffer, next uint64) (*io.PipeReader, <-chan error) {
+	r, w := io.Pipe()
+	result := make(chan error, 1)
+	go func() { result <- b.Serve(ctx, NewWriter(w, nil), next, noLoad) }()
+	return r, result
+}
+
+// Guards against a lost, repeated or changed frame when a stream is resumed on a new connection, and against a silent
+// old connection that keeps the stream.
+func TestResumeAfterSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b := NewBuffer("r", "a")
+		reader := NewReader("r", "a")
+		first, firstResult := serve(ctx, b, 0)
+		reader.Attach(first)
+		require.NoError(t, b.Append(token(0)))
+		_, err := reader.Recv()
+		require.NoError(t, err)
+		require.NoError(t, b.Append(token(1))) // stays in the silent connection
+		synctest.Wait()
+		second, secondResult := serve(ctx, b, reader.Next())
+		reader.Attach(second)
+		_ = first.CloseWithError(errors.New("reset")) // the writer of the old connection ends at last
+		require.Error(t, <-firstResult)
+		go func() {
+			for i := 2; i < 5; i++ {
+				_ = b.Append(token(i))
+			}
+			_ = b.Finish(&wire.End{})
+		}()
+		for reader.Next() < 5 {
+			_, err = reader.Recv()
+			require.NoError(t, err)
+		}
+		end, err := reader.Recv()
+		require.NoError(t, err, "the count and the hash cover the whole stream")
+		require.EqualValues(t, 5, end.GetEnd().GetFrames())
+		require.NoError(t, <-secondResult)
+		require.ErrorIs(t, b.Append(token(5)), ErrClosedStream)
+		require.ErrorIs(t, b.Serve(ctx, nil, 6, noLoad), ErrBeyond)
+	})
+}
+
+// Guards against an idle stream that looks silent to the entry, and against an attempt without a connection that looks
+// attached.
+func TestHeartbeatAndDetach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := NewBuffer("r", "a")
+		reader := NewReader("r", "a")
+		conn, result := serve(ctx, b, 0)
+		reader.Attach(conn)
+		start := time.Now()
+		for range 3 {
+			frame, err := reader.Recv()
+			require.NoError(t, err)
+			require.NotNil(t, frame.GetHeartbeat())
+		}
+		require.Equal(t, 3*HeartbeatInterval, time.Since(start))
+		require.Zero(t, b.Detached())
+		cancel()
+		require.ErrorIs(t, <-result, context.Canceled)
+		time.Sleep(time.Second)
+		require.Equal(t, time.Second, b.Detached())
+	})
+}
