--- /dev/null
+++ b/blame/blame.go
@@ -0,0 +1,471 @@
+// Package blame tracks suspects and blamed prompts: requests that were running on an endpoint when it crashed.
+//
+// A suspect is retried alone. A second crash marks the prompt as blamed, and it is refused until the blame expires. The
+// records live in table rows, in the memory of each entry, and travel with the exchange between nodes, so that the rule
+// also holds while the table is down.
+package blame
+
+import (
+	"container/list"
+	"context"
+	"encoding/json"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/ring"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// RowPrefix starts the table keys of blame records.
+const RowPrefix = "blame/"
+
+// blamedAt is the number of crashes at which a prompt is refused.
+const blamedAt = 2
+
+// Limits of a Tracker's memory and of its table traffic.
+const (
+	DefaultCapacity = 16_384                 // records and proven fingerprints each; about 4 MB
+	DefaultTTL      = 15 * time.Minute       // life of suspects and blames
+	gossipFor       = 60 * time.Second       // age up to which a record is offered to other nodes
+	gossipMax       = 64                     // records per exchange
+	writeTimeout    = 250 * time.Millisecond // wait for the table before a retry proceeds without it
+	retryEvery      = time.Second            // pause of the writer while the table is down
+	writeQueue      = 1024                   // records waiting for the table
+	writeTries      = 4                      // conditional writes that may lose against other entries
+	scanPage        = 500
+	sameCrash       = 2 * time.Second // reports of one endpoint within it are one crash
+)
+
+// Verdict says how a prompt may run.
+type Verdict int
+
+// Verdicts.
+const (
+	Unproven Verdict = iota // never seen to finish at this entry: first run
+	Proven                  // finished before
+	Suspect                 // was running when an endpoint crashed: run it alone
+	Blamed                  // crashed endpoints twice: refuse it
+)
+
+// Sink is what the exchange between nodes needs of a Tracker.
+type Sink interface {
+	// Observe merges records from another node.
+	Observe(records []*wire.BlameRecord)
+	// Pending returns the records to offer to other nodes.
+	Pending() []*wire.BlameRecord
+}
+
+// Options configures a Tracker.
+type Options struct {
+	Table      platform.Table       // nil: memory and gossip only
+	TTL        func() time.Duration // nil: DefaultTTL
+	Capacity   int                  // 0: DefaultCapacity
+	Log        *logrus.Logger       // nil: the standard logger
+	Registerer prometheus.Registerer
+	Disabled   bool // test-only: nothing becomes a suspect
+}
+
+// Record is the state of one fingerprint.
+type Record struct {
+	Fingerprint string    `json:"-"`
+	Crashes     int       `json:"crashes"`
+	Endpoints   []string  `json:"endpoints"`
+	Cleared     bool      `json:"cleared"`
+	Expires     time.Time `json:"-"`
+	changed     time.Time
+	crashed     time.Time // newest crash seen by this entry
+}
+
+// Tracker holds the records known to one entry. It is safe for concurrent use.
+type Tracker struct {
+	opts    Options
+	metrics metrics
+	writes  *ring.Ring[string]
+
+	mu      sync.Mutex
+	records *lru[*Record]
+	proven  *lru[time.Time]
+}
+
+type metrics struct {
+	crashes, cleared, blamed, dropped prometheus.Counter
+}
+
+// New returns an empty Tracker. Run loads the table's records and keeps them written.
+func New(opts Options) *Tracker {
+	if opts.TTL == nil {
+		opts.TTL = func() time.Duration { return DefaultTTL }
+	}
+	if opts.Capacity <= 0 {
+		opts.Capacity = DefaultCapacity
+	}
+	if opts.Log == nil {
+		opts.Log = logrus.StandardLogger()
+	}
+	t := &Tracker{
+		opts:    opts,
+		metrics: newMetrics(opts.Registerer),
+		writes:  ring.New[string](writeQueue),
+		records: newLRU[*Record](opts.Capacity),
+		proven:  newLRU[time.Time](opts.Capacity),
+	}
+	return t
+}
+
+func newMetrics(reg prometheus.Registerer) metrics {
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+		if reg != nil {
+			reg.MustRegister(c)
+		}
+		return c
+	}
+	return metrics{
+		crashes: counter("bilberry_blame_crashes_total", "Crashes attributed to suspects."),
+		cleared: counter("bilberry_blame_cleared_total", "Suspects that finished."),
+		blamed:  counter("bilberry_blame_blamed_total", "Prompts that became blamed."),
+		dropped: counter("bilberry_blame_writes_dropped_total", "Table writes dropped because the queue was full."),
+	}
+}
+
+// Check returns the verdict on a fingerprint from memory.
+func (t *Tracker) Check(fingerprint string) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if r, ok := t.records.get(fingerprint); ok && now.Before(r.Expires) && !r.Cleared {
+		return verdict(r.Crashes)
+	}
+	if until, ok := t.proven.get(fingerprint); ok && now.Before(until) {
+		return Proven
+	}
+	return Unproven
+}
+
+func verdict(crashes int) Verdict {
+	if crashes >= blamedAt {
+		return Blamed
+	}
+	return Suspect
+}
+
+// Crashed records that an endpoint crashed while the prompt was running there and returns the resulting verdict. It
+// merges the table's row within a short bound; with the table down it decides from memory and writes later.
+func (t *Tracker) Crashed(ctx context.Context, fingerprint, endpoint string) Verdict {
+	if t.opts.Disabled {
+		return Unproven
+	}
+	t.metrics.crashes.Inc()
+	t.merge(Record{Fingerprint: fingerprint, Crashes: 1, Endpoints: []string{endpoint}}, true)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := t.persist(ctx, fingerprint); err != nil {
+		t.opts.Log.WithError(err).WithField("fingerprint", fingerprint).Warn("blame record not written yet")
+		t.enqueue(fingerprint)
+	}
+	return t.Check(fingerprint)
+}
+
+// Finished records that the prompt completed. It clears a suspect; a blamed prompt stays blamed until it expires.
+func (t *Tracker) Finished(fingerprint string) {
+	t.mu.Lock()
+	t.proven.put(fingerprint, time.Now().Add(t.opts.TTL()))
+	r, ok := t.records.get(fingerprint)
+	cleared := ok && !r.Cleared && r.Crashes < blamedAt
+	if cleared {
+		r.Cleared = true
+		r.changed = time.Now()
+	}
+	t.mu.Unlock()
+	if cleared {
+		t.metrics.cleared.Inc()
+		t.enqueue(fingerprint)
+	}
+}
+
+func (t *Tracker) enqueue(fingerprint string) {
+	if t.opts.Table == nil {
+		return
+	}
+	if err := t.writes.Push(fingerprint); err != nil {
+		t.metrics.dropped.Inc()
+	}
+}
+
+// merge adds a record to memory. own marks a crash seen by this entry, which also reopens a cleared record. The crash
+// count is the number of distinct crashed endpoints at least, and grows when the same endpoint crashes again here.
+func (t *Tracker) merge(in Record, own bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	r, ok := t.records.get(in.Fingerprint)
+	if !ok || !now.Before(r.Expires) {
+		r = &Record{Fingerprint: in.Fingerprint}
+		t.records.put(in.Fingerprint, r)
+	}
+	before := *r
+	switch {
+	case own && r.Cleared:
+		r.Crashes, r.Cleared, r.Endpoints = 1, false, nil
+	case own && now.Sub(r.crashed) < sameCrash && slices.Contains(r.Endpoints, in.Endpoints[0]):
+		// Another request with the same prompt was lost in the same crash.
+	case own:
+		r.Crashes++
+	case in.Cleared && r.Crashes < blamedAt && in.Crashes >= r.Crashes:
+		r.Cleared, r.Crashes = true, in.Crashes
+	case !in.Cleared:
+		r.Cleared = r.Cleared && in.Crashes <= r.Crashes
+		r.Crashes = max(r.Crashes, in.Crashes)
+	}
+	if own {
+		r.crashed = now
+	}
+	r.addEndpoints(in.Endpoints)
+	if !r.Cleared {
+		r.Crashes = max(r.Crashes, len(r.Endpoints))
+	}
+	t.touch(r, &before, in, now)
+}
+
+func (r *Record) addEndpoints(names []string) {
+	for _, name := range names {
+		if !slices.Contains(r.Endpoints, name) {
+			r.Endpoints = append(r.Endpoints, name)
+		}
+	}
+}
+
+// touch updates the times of a record after a merge.
+func (t *Tracker) touch(r, before *Record, in Record, now time.Time) {
+	changed := r.Crashes != before.Crashes || r.Cleared != before.Cleared || len(r.Endpoints) != len(before.Endpoints)
+	if !changed {
+		return
+	}
+	expires := in.Expires
+	if expires.IsZero() {
+		expires = now.Add(t.opts.TTL())
+	}
+	if expires.After(r.Expires) {
+		r.Expires = expires
+	}
+	r.changed = now
+	t.proven.remove(r.Fingerprint)
+	if r.Crashes >= blamedAt && before.Crashes < blamedAt {
+		t.metrics.blamed.Inc()
+		t.opts.Log.WithFields(logrus.Fields{"fingerprint": r.Fingerprint, "endpoints": r.Endpoints}).
+			Warn("prompt blamed for endpoint crashes")
+	}
+}
+
+// Observe implements Sink.
+func (t *Tracker) Observe(records []*wire.BlameRecord) {
+	if t.opts.Disabled {
+		return
+	}
+	now := time.Now()
+	for _, in := range records {
+		ttl := min(time.Duration(in.GetTtlMs())*time.Millisecond, t.opts.TTL())
+		if in.GetFingerprint() == "" || ttl <= 0 {
+			continue
+		}
+		t.merge(Record{
+			Fingerprint: in.GetFingerprint(),
+			Crashes:     int(in.GetCrashes()),
+			Endpoints:   in.GetEndpoints(),
+			Cleared:     in.GetCleared(),
+			Expires:     now.Add(ttl),
+		}, false)
+	}
+}
+
+// Pending implements Sink. It returns the newest changes first.
+func (t *Tracker) Pending() []*wire.BlameRecord {
+	now := time.Now()
+	recent := t.list(func(r *Record) bool { return now.Sub(r.changed) < gossipFor })
+	sort.Slice(recent, func(i, j int) bool { return recent[i].changed.After(recent[j].changed) })
+	out := make([]*wire.BlameRecord, 0, min(len(recent), gossipMax))
+	for _, r := range recent[:min(len(recent), gossipMax)] {
+		out = append(out, &wire.BlameRecord{
+			Fingerprint: r.Fingerprint,
+			Crashes:     int32(r.Crashes),
+			TtlMs:       r.Expires.Sub(now).Milliseconds(),
+			Cleared:     r.Cleared,
+			Endpoints:   r.Endpoints,
+		})
+	}
+	return out
+}
+
+// Blamed returns the blamed prompts in force, for the status page.
+func (t *Tracker) Blamed() []Record {
+	return t.list(func(r *Record) bool { return !r.Cleared && r.Crashes >= blamedAt })
+}
+
+func (t *Tracker) list(keep func(*Record) bool) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var out []Record
+	t.records.each(func(r *Record) {
+		if now.Before(r.Expires) && keep(r) {
+			c := *r
+			c.Endpoints = slices.Clone(r.Endpoints)
+			out = append(out, c)
+		}
+	})
+	return out
+}
+
+// Run loads the table's records and writes queued ones until ctx ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	if t.opts.Table == nil {
+		<-ctx.Done()
+		return nil
+	}
+	for t.load(ctx) != nil && sleep(ctx, retryEvery) {
+	}
+	for {
+		fingerprint, err := t.writes.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		for t.persist(ctx, fingerprint) != nil && sleep(ctx, retryEvery) {
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (t *Tracker) load(ctx context.Context) error {
+	after := ""
+	for {
+		rows, err := t.opts.Table.Scan(ctx, RowPrefix, after, scanPage)
+		if err != nil {
+			return errors.Wrap(err, "scan blame records")
+		}
+		for _, row := range rows {
+			t.mergeRow(row)
+			after = row.Key
+		}
+		if len(rows) < scanPage {
+			return nil
+		}
+	}
+}
+
+func (t *Tracker) mergeRow(row platform.Row) {
+	var r Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		t.opts.Log.WithError(err).WithField("row", row.Key).Warn("unreadable blame record")
+		return
+	}
+	r.Fingerprint = row.Key[len(RowPrefix):]
+	r.Expires = row.Expires
+	t.merge(r, false)
+}
+
+// persist writes the record to its row, merging what another entry wrote first.
+func (t *Tracker) persist(ctx context.Context, fingerprint string) error {
+	if t.opts.Table == nil {
+		return nil
+	}
+	key := RowPrefix + fingerprint
+	expect := int64(0)
+	for range writeTries {
+		value, ttl, ok := t.encode(fingerprint)
+		if !ok {
+			return nil
+		}
+		_, err := t.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: value, TTL: ttl})
+		var lost *platform.ConditionError
+		if !errors.As(err, &lost) {
+			return errors.Wrap(err, "write blame record")
+		}
+		expect = lost.Current.Version
+		if expect > 0 {
+			t.mergeRow(lost.Current)
+		}
+	}
+	return errors.New("blame record: too many conflicting writes")
+}
+
+func (t *Tracker) encode(fingerprint string) (value []byte, ttl time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records.get(fingerprint)
+	if !ok {
+		return nil, 0, false
+	}
+	ttl = time.Until(r.Expires)
+	if ttl <= 0 {
+		return nil, 0, false
+	}
+	value, err := json.Marshal(r)
+	return value, ttl, err == nil
+}
+
+// lru is a map bounded by its least recently used key.
+type lru[T any] struct {
+	max   int
+	items map[string]*list.Element
+	order *list.List
+}
+
+type lruItem[T any] struct {
+	key   string
+	value T
+}
+
+func newLRU[T any](maxItems int) *lru[T] {
+	return &lru[T]{max: maxItems, items: make(map[string]*list.Element), order: list.New()}
+}
+
+func (l *lru[T]) get(key string) (value T, ok bool) {
+	e, ok := l.items[key]
+	if !ok {
+		return value, false
+	}
+	l.order.MoveToFront(e)
+	return e.Value.(*lruItem[T]).value, true
+}
+
+func (l *lru[T]) put(key string, value T) {
+	if e, ok := l.items[key]; ok {
+		e.Value.(*lruItem[T]).value = value
+		l.order.MoveToFront(e)
+		return
+	}
+	l.items[key] = l.order.PushFront(&lruItem[T]{key: key, value: value})
+	if l.order.Len() > l.max {
+		l.remove(l.order.Back().Value.(*lruItem[T]).key)
+	}
+}
+
+func (l *lru[T]) remove(key string) {
+	if e, ok := l.items[key]; ok {
+		l.order.Remove(e)
+		delete(l.items, key)
+	}
+}
+
+func (l *lru[T]) each(f func(T)) {
+	for e := l.order.Front(); e != nil; e = e.Next() {
+		f(e.Value.(*lruItem[T]).value)
+	}
+}
--- /dev/null
+++ b/cmd/bilberry-entry/main.go
@@ -0,0 +1,51 @@
+// Command bilberry-entry runs on an entry VM: HTTP for callers and operators, admission, routing and retries.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/bilberrylink/bilberrylink/internal/entry"
+	"github.com/bilberrylink/bilberrylink/internal/settings"
+)
+
+type cli struct {
+	settings.Log
+	settings.Node
+	settings.TLS
+	settings.Platform
+	CallersListen       string           `name:"listen" default:":8080" help:"host:port for callers and operators."`
+	OperatorTokenHashes []string         `name:"operator-token-hash" help:"Hex SHA-256 of an operators' token; repeatable."`
+	Seeds               []string         `name:"seed" help:"host:port of another node's internal listener; repeatable."`
+	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
+	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from a failing /readyz until the load balancer sends nothing more."`
+	DrainTimeout        time.Duration    `name:"drain-timeout" default:"10m" help:"Longest wait for streams to finish at a stop."`
+	Version             kong.VersionFlag `name:"version" help:"Print the version and exit."`
+}
+
+func main() {
+	var c cli
+	kctx := settings.Parse(&c, "bilberry-entry", "Entry of a bilberrylink fleet.")
+	log, err := c.Logger(os.Stderr)
+	kctx.FatalIfErrorf(err)
+	fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		entry.Module(entry.Options{
+			Node:                c.Node,
+			TLS:                 c.TLS,
+			CallersListen:       c.CallersListen,
+			OperatorTokenHashes: c.OperatorTokenHashes,
+			Services:            platformServices(c.URL, http.DefaultClient),
+			Seeds:               c.Seeds,
+			Log:                 log,
+			Policy:              c.Policy,
+			BalancerLag:         c.BalancerLag,
+			DrainTimeout:        c.DrainTimeout,
+		}),
+	).Run()
+}
--- /dev/null
+++ b/internal/entry/agent.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// Paths of the agent's answer streams.
+const (
+	runPath    = "/agent/v1/run"
+	resumePath = "/agent/v1/resume"
+)
+
+// maxRefusalBody bounds what is read of an agent's HTTP error.
+const maxRefusalBody = 64 << 10
+
+// errNotSent means that the request did not leave this process: no connection could be made.
+var errNotSent = errors.New("no connection to the agent")
+
+// errUnknownAttempt means that the agent does not know the attempt that should be resumed.
+var errUnknownAttempt = errors.New("agent does not know the attempt")
+
+// agents is the client side of the agents' interface.
+type agents struct {
+	pooled *http.Client // keeps connections
+	fresh  *http.Client // a new connection per request, for when pooled ones may have gone silent
+	scheme string
+}
+
+// dialFunc is the type of net.Dialer.DialContext.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Limits of the connections to agents.
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+	idlePerHost     = 32
+)
+
+func newAgents(dial dialFunc, creds *credentials) *agents {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{
+		DialContext:         markDialErrors(dial),
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		TLSHandshakeTimeout: dialTimeout,
+		DisableCompression:  true,
+	}
+	a := &agents{scheme: "http"}
+	if creds != nil {
+		a.scheme = "https"
+		transport.TLSClientConfig = creds.client()
+	}
+	once := transport.Clone()
+	once.DisableKeepAlives = true
+	a.pooled = &http.Client{Transport: transport}
+	a.fresh = &http.Client{Transport: once}
+	return a
+}
+
+// markDialErrors makes failures to connect recognizable: such a request certainly did not reach the agent.
+func markDialErrors(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, &dialError{cause: err}
+		}
+		return conn, nil
+	}
+}
+
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string        { return errNotSent.Error() + ": " + e.cause.Error() }
+func (e *dialError) Is(target error) bool { return target == errNotSent }
+
+func (a *agents) run(ctx context.Context, addr string, r *wire.RunRequest) (io.ReadCloser, error) {
+	return a.stream(ctx, a.pooled, addr, runPath, r)
+}
+
+func (a *agents) resume(ctx context.Context, addr string, r *wire.ResumeRequest) (io.ReadCloser, error) {
+	return a.stream(ctx, a.fresh, addr, resumePath, r)
+}
+
+// stream posts a message and returns the body of frames. Errors: errNotSent, errUnknownAttempt, *errkind.Error.
+func (a *agents) stream(ctx context.Context, c *http.Client, addr, path string, m proto.Message) (io.ReadCloser, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidRequest, "request is not valid UTF-8").WithRun(errkind.NotRun)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.scheme+"://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "agent address").WithRun(errkind.NotRun)
+	}
+	// Without GetBody the transport cannot repeat the request on another connection by itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/x-protobuf")
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "agent")
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }() // the body is read as far as needed
+		return nil, refusalOf(resp)
+	}
+	return resp.Body, nil
+}
+
+// refusalOf returns the error of an answer that is not a stream.
+func refusalOf(resp *http.Response) error {
+	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusGone {
+		return errUnknownAttempt
+	}
+	var body errkind.Body
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBody)).Decode(&body)
+	if err != nil || body.Error.Kind == "" {
+		return errkind.New(errkind.EndpointFailed, "agent answered "+resp.Status)
+	}
+	return errkind.New(body.Error.Kind, body.Error.Message).WithRun(body.Error.Run)
+}
+
+// twirp returns the unary client of an agent.
+func (a *agents) twirp(addr string) wire.Agent {
+	return wire.NewAgentProtobufClient(a.scheme+"://"+addr, a.pooled)
+}
+
+// twirpFresh returns a unary client that opens a new connection.
+func (a *agents) twirpFresh(addr string) wire.Agent {
+	return wire.NewAgentProtobufClient(a.scheme+"://"+addr, a.fresh)
+}
+
+// dropIdle closes unused pooled connections; the ones to a host that went silent may be silent too.
+func (a *agents) dropIdle() { a.pooled.CloseIdleConnections() }
+
+func (a *agents) close() {
+	a.pooled.CloseIdleConnections()
+	a.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,511 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/blame"
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/limit"
+	"github.com/bilberrylink/bilberrylink/member"
+	"github.com/bilberrylink/bilberrylink/route"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// maxBackoff bounds the pause between rounds over refusing candidates.
+const maxBackoff = 500 * time.Millisecond
+
+// dispatchOptions is what a dispatcher works with.
+type dispatchOptions struct {
+	Epochs   epoch.View
+	Members  member.View
+	Blames   *blame.Tracker
+	Once     OnceStore // nil: lost non-idempotent calls have an unknown outcome
+	Policy   route.Policy
+	View     *route.View
+	Agents   *agents
+	Timing   Timing
+	Log      *logrus.Logger
+	Metrics  *metrics
+	Disabled Disabled
+}
+
+// dispatcher runs requests on endpoints: it chooses, retries, hedges, continues and settles.
+type dispatcher struct {
+	opts    dispatchOptions
+	timing  Timing
+	epochs  epoch.View
+	members member.View
+	agents  *agents
+	log     *logrus.Logger
+	metrics *metrics
+
+	workspaceRetries *limit.Budgets
+	endpointRetries  *limit.Budgets
+	hedge            *limit.Hedge
+	prefixes         *prefixes
+	background       sync.WaitGroup // releases that outlive their request
+
+	mu    sync.Mutex
+	epoch int64
+	pools map[string]*route.Pool
+}
+
+func newDispatcher(opts dispatchOptions) *dispatcher {
+	budget := limit.BudgetOptions{Disabled: opts.Disabled.RetryBudget}
+	return &dispatcher{
+		opts:             opts,
+		timing:           opts.Timing.withDefaults(),
+		epochs:           opts.Epochs,
+		members:          opts.Members,
+		agents:           opts.Agents,
+		log:              opts.Log,
+		metrics:          opts.Metrics,
+		workspaceRetries: limit.NewBudgets(budget),
+		endpointRetries:  limit.NewBudgets(budget),
+		hedge:            limit.NewHedge(limit.HedgeOptions{}),
+		prefixes:         newPrefixes(),
+		pools:            make(map[string]*route.Pool),
+	}
+}
+
+// observe feeds a load report of a reply into the load view and the membership.
+func (d *dispatcher) observe(load *wire.Load) {
+	if load == nil {
+		return
+	}
+	d.opts.View.Observe(load)
+	d.members.ObserveLoad(load)
+}
+
+// pool returns the endpoints of a target, built once per epoch.
+func (d *dispatcher) pool(snap *fleet.Snapshot, t *fleet.Target) *route.Pool {
+	key := "service:" + t.Service
+	if t.Service == "" {
+		key = "model:" + t.Version.Model
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.epoch != snap.Epoch {
+		d.epoch = snap.Epoch
+		clear(d.pools)
+	}
+	p := d.pools[key]
+	if p == nil {
+		p = d.opts.View.Pool(t.Endpoints)
+		d.pools[key] = p
+		d.refreshPool(p)
+	}
+	return p
+}
+
+// refresh copies liveness and gossiped load of the membership into the load view.
+func (d *dispatcher) refresh() {
+	for _, n := range d.members.Agents() {
+		d.refreshNode(n)
+	}
+}
+
+func (d *dispatcher) refreshPool(p *route.Pool) {
+	for _, e := range p.Endpoints() {
+		if n, ok := d.members.Endpoint(e.Name); ok {
+			d.refreshNode(n)
+		}
+	}
+}
+
+func (d *dispatcher) refreshNode(n member.Node) {
+	if n.Endpoint == "" {
+		return
+	}
+	e := d.opts.View.Endpoint(n.Endpoint)
+	e.SetAvailable(n.Live && !n.Leaving && n.Fault == "", n.Leaving)
+	d.opts.View.Observe(n.Load)
+}
+
+// run executes a request until its answer is complete. The error is an *errkind.Error with the final run state.
+func (d *dispatcher) run(ctx context.Context, r *request) error {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(-d.margin(r)))
+	defer cancel()
+	if err := d.admit(r); err != nil {
+		return r.final(err)
+	}
+	d.workspaceRetries.Earn(r.workspace)
+	err := d.execute(ctx, r)
+	if err == nil {
+		d.opts.Blames.Finished(r.fingerprint)
+		return nil
+	}
+	return r.final(err)
+}
+
+// margin is the time reserved before the deadline to end attempts and to write the answer.
+func (d *dispatcher) margin(r *request) time.Duration {
+	total := r.deadline.Sub(r.arrived)
+	if !r.idempotent() {
+		return min(d.timing.SettleTimeout, total/4)
+	}
+	return min(d.timing.AnswerMargin, total/10)
+}
+
+// cancelBudget bounds the wait for an agent's answer to Cancel.
+func (d *dispatcher) cancelBudget(r *request) time.Duration {
+	left := time.Until(r.deadline) / 2
+	return max(min(d.timing.CancelTimeout, left), time.Millisecond)
+}
+
+// admit refuses blamed prompts.
+func (d *dispatcher) admit(r *request) error {
+	switch d.opts.Blames.Check(r.fingerprint) {
+	case blame.Blamed:
+		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	case blame.Suspect:
+		r.alone = true
+	}
+	return nil
+}
+
+// execute runs attempts, one after another, until one completes or no further one is allowed.
+func (d *dispatcher) execute(ctx context.Context, r *request) error {
+	round := &round{d: d, r: r}
+	for {
+		if err := d.resolve(r); err != nil {
+			return err
+		}
+		if d.tooLarge(r) {
+			return d.split(ctx, r)
+		}
+		choice, err := round.choose(ctx)
+		if err != nil {
+			return err
+		}
+		f := d.attemptHedged(ctx, r, choice, round)
+		if f == nil {
+			return nil
+		}
+		if err := d.afterFailure(ctx, r, f, choice.Endpoint, round); err != nil {
+			return err
+		}
+		if r.response != nil {
+			return nil // the recorded outcome of a lost attempt
+		}
+	}
+}
+
+// resolve follows configuration changes between attempts. A started answer keeps its version.
+func (d *dispatcher) resolve(r *request) error {
+	snap := d.epochs.Snapshot()
+	if snap == nil {
+		return errkind.New(errkind.NotReady, "no configuration is known yet")
+	}
+	if snap == r.snap {
+		return nil
+	}
+	target, err := snap.Resolve(r.asked)
+	if err != nil {
+		return err
+	}
+	if r.begun() && !sameVersion(wireVersion(target.Version), r.version) {
+		return errkind.New(errkind.StreamBroken, "the version of the started answer is no longer served")
+	}
+	r.snap, r.target = snap, target
+	return nil
+}
+
+// attemptOnce runs one attempt at the chosen endpoint.
+func (d *dispatcher) attemptOnce(ctx context.Context, r *request, ep *route.Endpoint) (*attempt, *failure) {
+	node, ok := d.members.Endpoint(ep.Name)
+	if !ok || node.Addr == "" {
+		err := errkind.New(errkind.NoEndpoint, "endpoint left the membership")
+		return nil, &failure{err: err, unreached: true}
+	}
+	remaining := time.Until(r.deadline) - d.margin(r)
+	a := d.newAttempt(r, node, ep, remaining)
+	if err := a.run(ctx); err != nil {
+		var f *failure
+		errors.As(err, &f) // run returns nothing else
+		return a, f
+	}
+	return a, nil
+}
+
+// complete takes over the result of a finished attempt.
+func (d *dispatcher) complete(r *request, a *attempt) *failure {
+	if !r.isChat() {
+		r.response = a.resp
+		return nil
+	}
+	if r.buffered {
+		if err := d.mayAnswer(r, a.started.GetVersion()); err != nil {
+			return &failure{err: err.WithRun(errkind.Ran)}
+		}
+	}
+	d.prefixes.learn(r.prefix, a.end.GetCachedTokens(), r.promptTokens)
+	return nil
+}
+
+// afterFailure decides what follows a failed attempt: nil lets the next attempt start.
+func (d *dispatcher) afterFailure(ctx context.Context, r *request, f *failure, ep *route.Endpoint, rd *round) error {
+	r.note(f.err.Run)
+	d.learn(ctx, r, f, ep)
+	if err := d.settle(ctx, r, f); err != nil || r.response != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return d.expired(ctx, f)
+	}
+	if err := d.retryable(r, f); err != nil {
+		return err
+	}
+	if d.opts.Blames.Check(r.fingerprint) == blame.Blamed {
+		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	}
+	if r.buffered && f.err.Kind == errkind.StreamBroken || f.err.Kind == errkind.Recalled {
+		r.restart()
+	}
+	rd.exclude(ep, f)
+	return d.spend(r, f)
+}
+
+// restart drops an answer of which the caller has seen nothing.
+func (r *request) restart() {
+	if r.buffered {
+		r.tokens, r.version = nil, nil
+	}
+}
+
+// learn records what a failure says about the endpoint and the prompt.
+func (d *dispatcher) learn(ctx context.Context, r *request, f *failure, ep *route.Endpoint) {
+	switch {
+	case f.crashed:
+		ep.SetAvailable(false, false)
+		verdict := d.opts.Blames.Crashed(ctx, r.fingerprint, ep.Name)
+		r.alone = verdict == blame.Suspect
+	case f.unreached:
+		ep.SetAvailable(false, false)
+		d.members.ObserveFailure(ep.Name)
+	case f.err.Kind == errkind.Draining:
+		ep.SetAvailable(false, true)
+		d.members.ObserveLeaving(ep.Name)
+	}
+}
+
+// retryable returns the error to answer if the failure must not be followed by another attempt.
+func (d *dispatcher) retryable(r *request, f *failure) error {
+	if f.err.Kind == errkind.StreamBroken {
+		if r.buffered && r.isChat() || r.isChat() && !r.begun() {
+			return nil
+		}
+		return f.err
+	}
+	retry := errkind.RuleOf(f.err.Kind).Retryable || f.unreached
+	if !retry {
+		return f.err
+	}
+	if f.err.Kind == errkind.Recalled && r.begun() && !r.buffered {
+		return f.err
+	}
+	if !r.idempotent() && f.err.Run != errkind.NotRun {
+		return f.err
+	}
+	return nil
+}
+
+// spend takes a retry from the workspace's budget. Planned refusals are free: a rolling restart must not use up the
+// budget, and every draining endpoint is asked at most once.
+func (d *dispatcher) spend(r *request, f *failure) error {
+	if f.err.Kind == errkind.Draining {
+		return nil
+	}
+	r.retries++
+	if d.workspaceRetries.Spend(r.workspace) {
+		d.metrics.retries.Inc()
+		return nil
+	}
+	d.metrics.budgetSpent.Inc()
+	if r.begun() {
+		return f.err
+	}
+	return errkind.Wrap(f.err, errkind.Overloaded, "retry budget of the workspace is spent")
+}
+
+// expired returns the error for a context that ended between or during attempts.
+func (d *dispatcher) expired(ctx context.Context, last *failure) error {
+	run := errkind.NotRun
+	if last != nil {
+		run = last.err.Run
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return errkind.New(errkind.DeadlineExceeded, "not finished by the deadline").WithRun(run)
+	}
+	return errkind.New(errkind.Canceled, "caller went away").WithRun(run)
+}
+
+// mayAnswer checks, immediately before the first byte, that the version is not recalled and that this entry's evidence
+// of the configuration is fresh.
+func (d *dispatcher) mayAnswer(r *request, v *wire.Version) *errkind.Error {
+	snap := d.epochs.Snapshot()
+	if !d.opts.Disabled.RecallCheck {
+		if item, recalled := snap.Recalled(versionOf(v)); recalled {
+			return errkind.New(errkind.Recalled, item+" is recalled")
+		}
+		if want := wireVersion(r.target.Version); !sameVersion(want, v) {
+			return errkind.New(errkind.NotLoaded, "the endpoint answered with another version than "+want.GetModel()+"@"+want.GetVersion())
+		}
+	}
+	return d.fresh(r)
+}
+
+func (d *dispatcher) fresh(r *request) *errkind.Error {
+	if d.opts.Disabled.Freshness || r.target.Spec.WhenIsolated == fleet.IsolatedServe || d.epochs.Fresh() {
+		return nil
+	}
+	return errkind.New(errkind.Isolated, "this entry has no fresh evidence of the current configuration")
+}
+
+// mayContinue cuts a running answer of a recalled version if the configuration says so.
+func (d *dispatcher) mayContinue(r *request, v *wire.Version) *errkind.Error {
+	snap := d.epochs.Snapshot()
+	if snap == r.snap || snap.Text.Settings.RecallStreams != fleet.RecallCut || d.opts.Disabled.RecallCheck {
+		return nil
+	}
+	if item, recalled := snap.Recalled(versionOf(v)); recalled {
+		return errkind.New(errkind.Recalled, item+" was recalled during the answer").WithRun(errkind.Ran)
+	}
+	return nil
+}
+
+// round is the state of the choices of one request.
+type round struct {
+	d        *dispatcher
+	r        *request
+	tried    []*route.Endpoint
+	attempts int
+	pause    time.Duration
+	last     *failure
+}
+
+func (rd *round) exclude(ep *route.Endpoint, f *failure) {
+	rd.tried = append(rd.tried, ep)
+	rd.last = f
+}
+
+// choose returns the next endpoint. After all candidates refused it pauses and asks them again.
+func (rd *round) choose(ctx context.Context) (route.Choice, error) {
+	for {
+		if ctx.Err() != nil {
+			return route.Choice{}, rd.d.expired(ctx, rd.last)
+		}
+		pool := rd.d.pool(rd.r.snap, &rd.r.target)
+		if c, ok := rd.pick(pool); ok {
+			return rd.accept(c)
+		}
+		rd.d.refreshPool(pool)
+		if !pool.Available() {
+			return route.Choice{}, rd.unavailable()
+		}
+		rd.tried = rd.tried[:0]
+		if err := rd.backOff(ctx); err != nil {
+			return route.Choice{}, err
+		}
+	}
+}
+
+func (rd *round) pick(pool *route.Pool) (route.Choice, bool) {
+	exclude := rd.tried
+	for range len(pool.Endpoints()) {
+		c, ok := rd.d.opts.Policy.Choose(pool, rd.r.routing(exclude, rd.d.confined(rd.r), rd.d.prefixes.cached(rd.r.prefix)))
+		if !ok || rd.attempts == 0 || rd.d.endpointRetries.Spend(c.Endpoint.Name) {
+			return c, ok
+		}
+		rd.d.metrics.budgetSpent.Inc()
+		exclude = append(exclude[:len(exclude):len(exclude)], c.Endpoint)
+	}
+	return route.Choice{}, false
+}
+
+// accept refuses a first attempt that the estimate says cannot begin in time.
+func (rd *round) accept(c route.Choice) (route.Choice, error) {
+	if rd.attempts == 0 {
+		rd.d.endpointRetries.Earn(c.Endpoint.Name)
+		if c.Estimate > time.Until(rd.r.deadline) {
+			return c, errkind.New(errkind.DeadlineUnmeetable, "queued work ahead does not finish before the deadline")
+		}
+	}
+	rd.attempts++
+	return c, nil
+}
+
+func (rd *round) unavailable() error {
+	if rd.last != nil {
+		return rd.last.err
+	}
+	return errkind.New(errkind.NoEndpoint, "no live endpoint serves "+rd.r.asked)
+}
+
+func (rd *round) backOff(ctx context.Context) error {
+	if rd.pause = min(rd.pause*2, maxBackoff); rd.pause == 0 {
+		rd.pause = rd.d.timing.Backoff
+	}
+	timer := time.NewTimer(rd.pause/2 + rand.N(rd.pause/2+1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return rd.d.expired(ctx, rd.last)
+	case <-timer.C:
+		return nil
+	}
+}
+
+// confined reports whether the request may only reach the two endpoints of its fingerprint.
+func (d *dispatcher) confined(r *request) bool {
+	return !d.opts.Disabled.Confinement && d.opts.Blames.Check(r.fingerprint) != blame.Proven
+}
+
+// prefixCapacity bounds each of the two generations of known prefixes.
+const prefixCapacity = 8192
+
+// prefixTokens is the length of the hashed prefix in tokens.
+var prefixTokens = int64(endpoint.CountTokens(strings.Repeat("x", prefixBytes)))
+
+// prefixes remembers how many tokens of a prefix the endpoint of that prefix reported as cached.
+type prefixes struct {
+	mu       sync.Mutex
+	now, old map[uint64]int64
+}
+
+func newPrefixes() *prefixes { return &prefixes{now: make(map[uint64]int64)} }
+
+func (p *prefixes) cached(prefix uint64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n, ok := p.now[prefix]; ok {
+		return n
+	}
+	return p.old[prefix]
+}
+
+// learn records a reply. A prompt without a hit has just filled the cache with its own prefix.
+func (p *prefixes) learn(prefix uint64, cached, prompt int64) {
+	if prefix == 0 {
+		return
+	}
+	if cached == 0 {
+		cached = min(prompt, prefixTokens)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.now) >= prefixCapacity {
+		p.old, p.now = p.now, make(map[uint64]int64)
+	}
+	p.now[prefix] = cached
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,358 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bilberrylink/bilberrylink/blame"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/limit"
+	"github.com/bilberrylink/bilberrylink/member"
+	"github.com/bilberrylink/bilberrylink/route"
+	"github.com/bilberrylink/bilberrylink/stream"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+const testKey = "clerk-key"
+
+const testText = `
+settings: {failure_domains: [a], max_body_bytes: 100000, recall_streams: cut}
+services:
+  clerk: {kind: model, class: interactive, model: lark, timeout: 5s, max_timeout: 10s, max_tokens: 100}
+  stock:
+    kind: plain
+    class: urgent
+    endpoints: ["order-{1..3}"]
+    timeout: 2s
+    calls:
+      - {method: GET, path: /stock/*, idempotent: true}
+      - {method: POST, path: /orders}
+      - {method: POST, path: /notes, without_key: single_attempt}
+models:
+  lark: {version: v1, batch: b1, endpoints: ["model-{1..3}"], max_tokens: 100000}
+workspaces:
+  workshop: {key_hashes: [KEYHASH]}
+  guests: {key_hashes: [GUESTHASH], services: [clerk], requests_per_second: 1}
+RECALLED`
+
+// fakeEpochs is an epoch.View under the test's control.
+type fakeEpochs struct {
+	snap  atomic.Pointer[fleet.Snapshot]
+	stale atomic.Bool
+}
+
+func (f *fakeEpochs) Snapshot() *fleet.Snapshot { return f.snap.Load() }
+func (f *fakeEpochs) Fresh() bool               { return !f.stale.Load() }
+func (f *fakeEpochs) Changed() <-chan struct{}  { return nil }
+
+func (f *fakeEpochs) accept(t *testing.T, epoch int64, recalled string) {
+	hash := func(s string) string { sum := sha256.Sum256([]byte(s)); return hex.EncodeToString(sum[:]) }
+	text := strings.NewReplacer("KEYHASH", hash(testKey), "GUESTHASH", hash("guest"), "RECALLED", recalled).Replace(testText)
+	snap, faults := fleet.NewSnapshot(epoch, []byte(text))
+	require.Empty(t, faults)
+	f.snap.Store(snap)
+}
+
+// fakeMembers is a member.View under the test's control.
+type fakeMembers struct {
+	mu    sync.Mutex
+	nodes map[string]member.Node
+}
+
+func (f *fakeMembers) Entries() []member.Node { return []member.Node{{Name: "entry", Live: true}} }
+func (f *fakeMembers) Agents() []member.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []member.Node
+	for _, n := range f.nodes {
+		out = append(out, n)
+	}
+	return out
+}
+func (f *fakeMembers) Endpoint(name string) (member.Node, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.nodes[name]
+	return n, ok
+}
+func (f *fakeMembers) ObserveLoad(*wire.Load)  {}
+func (f *fakeMembers) ObserveFailure(n string) { f.update(n, func(m *member.Node) { m.Live = false }) }
+func (f *fakeMembers) ObserveLeaving(n string) {
+	f.update(n, func(m *member.Node) { m.Leaving = true })
+}
+func (f *fakeMembers) update(name string, change func(*member.Node)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.nodes[name]
+	change(&n)
+	f.nodes[name] = n
+}
+
+// fakeAgent is the agent of one endpoint; run and resume are its behaviour.
+type fakeAgent struct {
+	wire.Agent
+	name    string
+	fleet   *fakeFleet
+	mu      sync.Mutex
+	cancels []string
+	runs    []*wire.RunRequest
+}
+
+// fakeFleet is a set of agents with one behaviour.
+type fakeFleet struct {
+	run     func(a *fakeAgent, r *wire.RunRequest, out *frames)
+	resume  func(a *fakeAgent, r *wire.ResumeRequest, out *frames)
+	agents  map[string]*fakeAgent
+	members *fakeMembers
+	cancel  string // run state of Cancel's answers
+}
+
+func (a *fakeAgent) Cancel(_ context.Context, r *wire.CancelRequest) (*wire.CancelReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancels = append(a.cancels, r.GetAttemptId())
+	return &wire.CancelReply{Run: a.fleet.cancel}, nil
+}
+
+func (a *fakeAgent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	body, _ := io.ReadAll(hr.Body)
+	flush := http.NewResponseController(w)
+	out := &frames{ctx: hr.Context(), w: w, out: stream.NewWriter(w, func() { _ = flush.Flush() }), digest: stream.NewDigest()}
+	if hr.URL.Path == resumePath {
+		m := new(wire.ResumeRequest)
+		_ = proto.Unmarshal(body, m)
+		out.request, out.attempt, out.next = m.GetRequestId(), m.GetAttemptId(), m.GetNextSequence()
+		if a.fleet.resume == nil {
+			http.NotFound(w, hr)
+			return
+		}
+		a.fleet.resume(a, m, out)
+		return
+	}
+	m := new(wire.RunRequest)
+	_ = proto.Unmarshal(body, m)
+	a.mu.Lock()
+	a.runs = append(a.runs, m)
+	a.mu.Unlock()
+	out.request, out.attempt = m.GetRequestId(), m.GetAttemptId()
+	a.fleet.run(a, m, out)
+}
+
+func (a *fakeAgent) counts() (runs, cancels int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.runs), len(a.cancels)
+}
+
+// frames writes the frames of one attempt.
+type frames struct {
+	ctx              context.Context
+	w                http.ResponseWriter
+	out              *stream.Writer
+	request, attempt string
+	next             uint64
+	digest           *stream.Digest
+	version          string // of started; empty: v1
+	skip             uint64 // frames below it are digested but not sent, as by an agent that resumes
+}
+
+func (f *frames) send(m *wire.Frame) {
+	m.RequestId, m.AttemptId, m.Sequence = f.request, f.attempt, f.next
+	_ = f.digest.Add(m)
+	f.next++
+	if m.GetSequence() >= f.skip {
+		_ = f.out.Send(m)
+	}
+}
+
+func (f *frames) started() *frames {
+	v := &wire.Version{Model: "lark", Version: "v1", Batch: "b1"}
+	if f.version != "" {
+		v.Version = f.version
+	}
+	f.send(&wire.Frame{Payload: &wire.Frame_Started{Started: &wire.Started{Version: v}}})
+	return f
+}
+
+func (f *frames) tokens(from int64, texts ...string) *frames {
+	for i, text := range texts {
+		f.send(&wire.Frame{Payload: &wire.Frame_Token{Token: &wire.Token{Index: from + int64(i), Text: text}}})
+	}
+	return f
+}
+
+func (f *frames) response(status int32, body string) *frames {
+	f.send(&wire.Frame{Payload: &wire.Frame_Response{Response: &wire.CallResponse{Status: status, Body: []byte(body)}}})
+	return f
+}
+
+func (f *frames) end() {
+	end := &wire.End{Frames: f.digest.Frames(), Hash: f.digest.Sum(), PromptTokens: 7, CachedTokens: 2}
+	f.raw(&wire.Frame{Payload: &wire.Frame_End{End: end}})
+}
+
+func (f *frames) fail(failure *wire.Failure) {
+	f.raw(&wire.Frame{Payload: &wire.Frame_Failure{Failure: failure}})
+}
+
+func (f *frames) raw(m *wire.Frame) {
+	m.RequestId, m.AttemptId, m.Sequence = f.request, f.attempt, f.next
+	_ = f.out.Send(m)
+}
+
+// hang keeps the connection silent until the entry drops it.
+func (f *frames) hang() {
+	_ = http.NewResponseController(f.w).Flush()
+	<-f.ctx.Done()
+}
+
+// abort breaks the connection.
+func (f *frames) abort() { panic(http.ErrAbortHandler) }
+
+// bench is one entry under test in front of a fake fleet.
+type bench struct {
+	url    string
+	epochs *fakeEpochs
+	fleet  *fakeFleet
+	blames *blame.Tracker
+	server *server
+	once   *fakeOnce
+}
+
+var testTiming = Timing{
+	Silence:       150 * time.Millisecond,
+	CancelTimeout: 200 * time.Millisecond,
+	SettleTimeout: 200 * time.Millisecond,
+	AnswerMargin:  50 * time.Millisecond,
+	Backoff:       5 * time.Millisecond,
+	Lease:         300 * time.Millisecond,
+	ReserveWait:   500 * time.Millisecond,
+}
+
+// newFleet starts the agents of the endpoints in testText.
+func newFleet(t *testing.T, run func(a *fakeAgent, r *wire.RunRequest, out *frames)) *fakeFleet {
+	f := &fakeFleet{run: run, agents: map[string]*fakeAgent{}, members: &fakeMembers{nodes: map[string]member.Node{}}, cancel: "unknown"}
+	for _, name := range []string{"model-1", "model-2", "model-3", "order-1", "order-2", "order-3"} {
+		f.add(t, name, func(a *fakeAgent) wire.Agent { return a })
+	}
+	return f
+}
+
+func (f *fakeFleet) add(t *testing.T, name string, rpc func(*fakeAgent) wire.Agent) {
+	a := &fakeAgent{name: name, fleet: f}
+	mux := http.NewServeMux()
+	mux.Handle("/agent/v1/", a)
+	mux.Handle("/twirp/", wire.NewAgentServer(rpc(a)))
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.CloseClientConnections)
+	t.Cleanup(srv.Close)
+	f.agents[name] = a
+	f.members.nodes[name] = member.Node{Name: name, Endpoint: name, Live: true, Addr: srv.Listener.Addr().String()}
+}
+
+// newBench starts an entry in front of a fleet.
+func newBench(t *testing.T, f *fakeFleet, off Disabled) *bench {
+	epochs := new(fakeEpochs)
+	epochs.accept(t, 1, "")
+	return newBenchWith(t, f, epochs, off, "")
+}
+
+func newBenchWith(t *testing.T, f *fakeFleet, epochs *fakeEpochs, off Disabled, policy string) *bench {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reg := prometheus.NewRegistry()
+	p, err := route.New(policy)
+	require.NoError(t, err)
+	b := &bench{epochs: epochs, fleet: f, once: &fakeOnce{}}
+	b.blames = blame.New(blame.Options{Log: log, Registerer: reg})
+	b.server = &server{epochs: epochs, members: f.members, metrics: newMetrics(reg), gatherer: reg, log: log,
+		rates: limit.NewRates(limit.RateOptions{})}
+	b.server.dispatch = newDispatcher(dispatchOptions{Epochs: epochs, Members: f.members, Blames: b.blames, Once: b.once,
+		Policy: p, View: route.NewView(route.Options{}), Agents: newAgents(nil, nil), Timing: testTiming, Log: log,
+		Metrics: b.server.metrics, Disabled: off})
+	srv := httptest.NewServer(b.server.router())
+	t.Cleanup(srv.Close)
+	b.url = srv.URL
+	return b
+}
+
+// fakeOnce is an at-most-once store with one row.
+type fakeOnce struct {
+	mu      sync.Mutex
+	row     OnceRecord
+	down    error
+	refused []string
+}
+
+func (o *fakeOnce) Refuse(_ context.Context, _, _ string, expect int64, attempt string) (OnceRecord, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down != nil {
+		return OnceRecord{}, o.down
+	}
+	o.refused = append(o.refused, attempt)
+	if o.row.Version == expect {
+		o.row = OnceRecord{State: OnceRefused, Version: expect + 1, AttemptID: attempt}
+	}
+	return o.row, nil
+}
+
+func (o *fakeOnce) Lookup(context.Context, string, string) (OnceRecord, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.row, o.down
+}
+
+// reply is an answer as the caller sees it.
+type reply struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (b *bench) do(t *testing.T, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers) && headers[i] != ""; i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return reply{status: resp.StatusCode, body: string(data), header: resp.Header}
+}
+
+const (
+	plainChat  = `{"model":"clerk","messages":[{"role":"user","content":"Which wineskins leak?"}]}`
+	streamChat = `{"model":"clerk","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"Which wineskins leak?"}]}`
+)
+
+func (b *bench) chat(t *testing.T, body string, headers ...string) reply {
+	return b.do(t, http.MethodPost, "/v1/chat/completions", body, headers...)
+}
+
+// total sums the runs over all agents.
+func (f *fakeFleet) total() (runs, cancels int) {
+	for _, a := range f.agents {
+		r, c := a.counts()
+		runs, cancels = runs+r, cancels+c
+	}
+	return runs, cancels
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,170 @@
+// Package limit holds per-workspace rate limits, retry budgets and the hedging trigger of an entry.
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// sweepEvery bounds how often idle records are searched; idleAfter is the age at which they are dropped. A full bucket
+// refills within a minute, so a dropped record loses no state that matters.
+const (
+	sweepEvery = time.Minute
+	idleAfter  = 5 * time.Minute
+)
+
+// buckets keeps one record per key and drops idle ones, so that memory is bounded by the recently active keys.
+type buckets[T any] struct {
+	mu    sync.Mutex
+	items map[string]*bucket[T]
+	max   int
+	swept time.Time
+}
+
+type bucket[T any] struct {
+	value T
+	used  time.Time
+}
+
+func newBuckets[T any](maxItems int) *buckets[T] {
+	return &buckets[T]{items: make(map[string]*bucket[T]), max: maxItems}
+}
+
+// get returns the record of key, made by create when it is new.
+func (b *buckets[T]) get(key string, now time.Time, create func() T) T {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	item := b.items[key]
+	if item == nil {
+		item = &bucket[T]{value: create()}
+		b.items[key] = item
+	}
+	item.used = now
+	return item.value
+}
+
+func (b *buckets[T]) sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepEvery && len(b.items) < b.max {
+		return
+	}
+	b.swept = now
+	for key, item := range b.items {
+		if now.Sub(item.used) > idleAfter || len(b.items) >= b.max {
+			delete(b.items, key)
+		}
+	}
+}
+
+func (b *buckets[T]) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.items)
+}
+
+// DefaultMaxKeys bounds the records of one limiter: the target is 11,000 workspaces.
+const DefaultMaxKeys = 32_768
+
+// RateOptions configures Rates.
+type RateOptions struct {
+	Burst   time.Duration // bucket size as time at the full rate; 0: 1 s
+	MaxKeys int           // 0: DefaultMaxKeys
+}
+
+// Rates holds the request and token rates of the workspaces, divided equally between the live entries.
+type Rates struct {
+	opts RateOptions
+	keys *buckets[*workspaceRate]
+}
+
+type workspaceRate struct {
+	requests *rate.Limiter
+	tokens   *rate.Limiter
+}
+
+// NewRates returns empty Rates.
+func NewRates(opts RateOptions) *Rates {
+	if opts.Burst <= 0 {
+		opts.Burst = time.Second
+	}
+	if opts.MaxKeys <= 0 {
+		opts.MaxKeys = DefaultMaxKeys
+	}
+	return &Rates{opts: opts, keys: newBuckets[*workspaceRate](opts.MaxKeys)}
+}
+
+// Share is the part of a workspace's limits that this entry enforces.
+type Share struct {
+	RequestsPerSecond float64 // over the fleet; 0: no limit
+	TokensPerSecond   float64 // over the fleet; 0: no limit
+	Entries           int     // live entries
+}
+
+// Allow takes one request of the given tokens from the workspace's buckets, or reports false and takes nothing.
+func (r *Rates) Allow(workspace string, s Share, tokens int) bool {
+	now := time.Now()
+	w := r.keys.get(workspace, now, newWorkspaceRate)
+	r.set(w.requests, now, s.RequestsPerSecond, s.Entries)
+	r.set(w.tokens, now, s.TokensPerSecond, s.Entries)
+	taken := w.requests.ReserveN(now, 1)
+	if !taken.OK() || taken.DelayFrom(now) > 0 {
+		taken.CancelAt(now)
+		return false
+	}
+	if !allowTokens(w.tokens, now, tokens) {
+		taken.CancelAt(now)
+		return false
+	}
+	return true
+}
+
+// allowTokens admits a request while the bucket is positive and then takes its tokens, so that a prompt larger than the
+// bucket passes and is paid for by the requests after it.
+func allowTokens(l *rate.Limiter, now time.Time, tokens int) bool {
+	if l.Limit() == rate.Inf {
+		return true
+	}
+	if l.TokensAt(now) <= 0 {
+		return false
+	}
+	takeTokens(l, now, tokens)
+	return true
+}
+
+// Charge takes tokens of an answer from the workspace's bucket after the fact.
+func (r *Rates) Charge(workspace string, tokens int) {
+	now := time.Now()
+	w := r.keys.get(workspace, now, newWorkspaceRate)
+	if w.tokens.Limit() != rate.Inf {
+		takeTokens(w.tokens, now, tokens)
+	}
+}
+
+func newWorkspaceRate() *workspaceRate {
+	return &workspaceRate{requests: rate.NewLimiter(rate.Inf, 1), tokens: rate.NewLimiter(rate.Inf, 1)}
+}
+
+// takeTokens may leave the bucket negative.
+func takeTokens(l *rate.Limiter, now time.Time, tokens int) {
+	for tokens > 0 {
+		part := min(tokens, l.Burst())
+		l.ReserveN(now, part)
+		tokens -= part
+	}
+}
+
+// set adapts a limiter to a changed limit or number of entries.
+func (r *Rates) set(l *rate.Limiter, now time.Time, perSecond float64, entries int) {
+	limit, burst := rate.Inf, 1
+	if perSecond > 0 {
+		limit = rate.Limit(perSecond / float64(max(entries, 1)))
+		burst = max(int(float64(limit)*r.opts.Burst.Seconds()), 1)
+	}
+	if l.Limit() == limit && l.Burst() == burst {
+		return
+	}
+	l.SetLimitAt(now, limit)
+	l.SetBurstAt(now, burst)
+}
--- /dev/null
+++ b/route/policy.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+)
+
+// Names of the policies.
+const (
+	Random        = "random"
+	RoundRobin    = "round_robin"
+	LeastRequests = "least_requests"
+	LeastTTFT     = "least_ttft" // default
+)
+
+// Request is what a policy knows of a request.
+type Request struct {
+	Class        fleet.Class
+	PromptTokens int64
+	Prefix       uint64 // hash of the prompt's prefix; 0: no prefix affinity
+	CachedTokens int64  // tokens expected in the prefix cache of the prefix's endpoint
+	Favor        string // fleet.FavorSlowdown or fleet.FavorFirstToken
+	Fingerprint  uint64 // with Confined: selects the endpoints of a first run
+	Confined     bool   // first run or suspect: only the two endpoints of the fingerprint may be chosen
+	Exclude      []*Endpoint
+}
+
+// Choice is the result of a policy.
+type Choice struct {
+	Endpoint *Endpoint
+	Estimate time.Duration // estimated time to first token
+}
+
+// Policy chooses among the endpoints of a pool. It is safe for concurrent use.
+type Policy interface {
+	// Name returns the policy's name in settings and metrics.
+	Name() string
+	// Choose returns the endpoint for a request; ok is false if no endpoint is available.
+	Choose(p *Pool, r *Request) (c Choice, ok bool)
+}
+
+// New returns the named policy; an empty name gives LeastTTFT.
+func New(name string) (Policy, error) {
+	switch name {
+	case "", LeastTTFT:
+		return leastTTFT{}, nil
+	case Random:
+		return random{}, nil
+	case RoundRobin:
+		return new(roundRobin), nil
+	case LeastRequests:
+		return leastRequests{}, nil
+	}
+	return nil, errors.Errorf("unknown routing policy %q", name)
+}
+
+// Names returns the names of all policies.
+func Names() []string { return []string{LeastTTFT, LeastRequests, RoundRobin, Random} }
+
+type random struct{}
+
+func (random) Name() string { return Random }
+
+func (random) Choose(p *Pool, r *Request) (Choice, bool) {
+	return p.first(r, p.randomIndex())
+}
+
+type roundRobin struct{ next atomic.Uint64 }
+
+func (*roundRobin) Name() string { return RoundRobin }
+
+func (rr *roundRobin) Choose(p *Pool, r *Request) (Choice, bool) {
+	if len(p.endpoints) == 0 {
+		return Choice{}, false
+	}
+	return p.first(r, int((rr.next.Add(1)-1)%uint64(len(p.endpoints))))
+}
+
+// first returns the first eligible endpoint at or after index start.
+func (p *Pool) first(r *Request, start int) (Choice, bool) {
+	allowed, limited := p.allowed(r)
+	for i := range p.endpoints {
+		e := p.endpoints[(start+i)%len(p.endpoints)]
+		if eligible(e, r) && (!limited || allowed.has(e)) {
+			return Choice{Endpoint: e, Estimate: estimate(e, r, false)}, true
+		}
+	}
+	return Choice{}, false
+}
+
+type leastRequests struct{}
+
+func (leastRequests) Name() string { return LeastRequests }
+
+func (leastRequests) Choose(p *Pool, r *Request) (Choice, bool) {
+	return p.best(r, func(e *Endpoint, prefix bool) time.Duration { return time.Duration(e.requests()) })
+}
+
+// requests returns the requests at the endpoint: reported ones, or the own open ones if those are more.
+func (e *Endpoint) requests() int64 {
+	report, _ := e.Report()
+	return max(report.Running+report.Waiting, e.InFlight())
+}
+
+type leastTTFT struct{}
+
+func (leastTTFT) Name() string { return LeastTTFT }
+
+func (leastTTFT) Choose(p *Pool, r *Request) (Choice, bool) {
+	return p.best(r, func(e *Endpoint, prefix bool) time.Duration { return cost(e, r, prefix) })
+}
+
+// best returns the candidate with the lowest cost.
+func (p *Pool) best(r *Request, costOf func(e *Endpoint, prefix bool) time.Duration) (Choice, bool) {
+	var c Choice
+	var lowest time.Duration
+	cand := p.candidates(r)
+	for i, e := range cand.list[:cand.n] {
+		isPrefix := i == cand.prefix
+		if v := costOf(e, isPrefix); c.Endpoint == nil || v < lowest {
+			c, lowest = Choice{Endpoint: e, Estimate: estimate(e, r, isPrefix)}, v
+		}
+	}
+	return c, c.Endpoint != nil
+}
+
+func (p *Pool) randomIndex() int {
+	if len(p.endpoints) == 0 {
+		return 0
+	}
+	return rand.IntN(len(p.endpoints))
+}
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,187 @@
+// Package route chooses the endpoint of a request from a load view that may be stale.
+//
+// The view holds the newest load report of each endpoint and the work that this entry dispatched since that report.
+// Stale views cost latency, never safety: the agent admits or refuses with fresh state.
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// classes is the number of classes of service, most urgent first.
+const classes = 3
+
+// DefaultPrefillRate is the prefill rate in tokens per second that is assumed before the first report.
+const DefaultPrefillRate = 10_000
+
+// Report is the compact form of one load report, in tokens and tokens per second.
+type Report struct {
+	Incarnation string
+	Sequence    uint64
+	Queued      [classes]int64 // prefill work queued by class
+	Running     int64
+	Waiting     int64
+	KVFree      int64
+	KVCapacity  int64
+	PrefillRate int64
+}
+
+// Endpoint is the view's record of one endpoint. It is safe for concurrent use.
+type Endpoint struct {
+	Name string
+	hash uint64
+
+	available atomic.Bool
+	downSince atomic.Int64 // Unix nanoseconds; 0 while available, leaving or never seen
+	inFlight  atomic.Int64 // requests that this entry has open there
+
+	mu     sync.Mutex
+	report Report
+	sent   [classes]int64 // prefill tokens dispatched since the report
+}
+
+// Options configures a View.
+type Options struct {
+	PrefillRate int64 // tokens per second before the first report; 0: DefaultPrefillRate
+}
+
+// View is the load view of one entry.
+type View struct {
+	opts Options
+
+	mu        sync.RWMutex
+	endpoints map[string]*Endpoint
+}
+
+// NewView returns an empty view.
+func NewView(opts Options) *View {
+	if opts.PrefillRate <= 0 {
+		opts.PrefillRate = DefaultPrefillRate
+	}
+	return &View{opts: opts, endpoints: make(map[string]*Endpoint)}
+}
+
+// Endpoint returns the record of a name, creating an unavailable one if it is new.
+func (v *View) Endpoint(name string) *Endpoint {
+	v.mu.RLock()
+	e := v.endpoints[name]
+	v.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e = v.endpoints[name]; e == nil {
+		e = &Endpoint{Name: name, hash: xxhash.Sum64String(name)}
+		e.report.PrefillRate = v.opts.PrefillRate
+		v.endpoints[name] = e
+	}
+	return e
+}
+
+// Retain drops the records of endpoints that keep rejects, so that replaced endpoints do not accumulate.
+func (v *View) Retain(keep func(name string) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name := range v.endpoints {
+		if !keep(name) {
+			delete(v.endpoints, name)
+		}
+	}
+}
+
+// Observe merges a load report from a reply or from gossip. Reports older than the known one are ignored.
+func (v *View) Observe(load *wire.Load) {
+	if load == nil || load.GetEndpoint() == "" {
+		return
+	}
+	v.Endpoint(load.GetEndpoint()).observe(load)
+}
+
+func (e *Endpoint) observe(load *wire.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if load.GetIncarnation() == e.report.Incarnation && load.GetSequence() <= e.report.Sequence {
+		return
+	}
+	rate := load.GetPrefillRate()
+	if rate <= 0 {
+		rate = e.report.PrefillRate
+	}
+	urgent, interactive := load.GetQueuedUrgent(), load.GetQueuedInteractive()
+	e.report = Report{
+		Incarnation: load.GetIncarnation(),
+		Sequence:    load.GetSequence(),
+		Queued:      [classes]int64{urgent, interactive, max(load.GetQueuedPrefill()-urgent-interactive, 0)},
+		Running:     int64(load.GetRunning()),
+		Waiting:     int64(load.GetWaiting()),
+		KVFree:      load.GetKvFree(),
+		KVCapacity:  load.GetKvCapacity(),
+		PrefillRate: rate,
+	}
+	e.sent = [classes]int64{}
+}
+
+// Report returns the newest report and the own work by class that it does not contain yet.
+func (e *Endpoint) Report() (r Report, sent [classes]int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.report, e.sent
+}
+
+// SetAvailable records whether the endpoint may receive work. An endpoint that is leaving or otherwise refuses by plan
+// is skipped at once; one that failed counts as recently down for a while (see RecentlyDown).
+func (e *Endpoint) SetAvailable(available, planned bool) {
+	if available {
+		e.available.Store(true)
+		e.downSince.Store(0)
+		return
+	}
+	wasAvailable := e.available.Swap(false)
+	switch {
+	case planned:
+		e.downSince.Store(0)
+	case wasAvailable:
+		e.downSince.Store(time.Now().UnixNano())
+	}
+}
+
+// Available reports whether the endpoint may receive work.
+func (e *Endpoint) Available() bool { return e.available.Load() }
+
+// recentlyDown reports whether the endpoint failed less than grace ago.
+func (e *Endpoint) recentlyDown(now time.Time, grace time.Duration) bool {
+	since := e.downSince.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) < grace
+}
+
+// Dispatched adds a request's own prefill tokens to the estimate until a newer report arrives. The returned function
+// must be called when the request has ended there.
+func (e *Endpoint) Dispatched(class fleet.Class, tokens int64) (done func()) {
+	e.inFlight.Add(1)
+	e.mu.Lock()
+	e.sent[rank(class)] += tokens
+	e.mu.Unlock()
+	return sync.OnceFunc(func() { e.inFlight.Add(-1) })
+}
+
+// InFlight returns the number of requests that this entry has open at the endpoint.
+func (e *Endpoint) InFlight() int64 { return e.inFlight.Load() }
+
+func rank(class fleet.Class) int {
+	switch class {
+	case fleet.ClassUrgent:
+		return 0
+	case fleet.ClassBulk:
+		return 2
+	default:
+		return 1
+	}
+}
