--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,353 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/errkind"
+)
+
+const testMix = `
+name: test
+duration: 2s
+workspaces:
+  - name: alfold
+    traffic:
+      - {name: chat, kind: chat, rate: 40, deadline: 5s, model: clerk, prompt: {1-4k: 3, 4-32k: 1}, answer: {min: 2, max: 6}, prefixes: {count: 2, tokens: 500, share: 0.5}}
+      - {name: order, kind: call, rate: 40, deadline: 2s, method: POST, path: /services/orders/orders, body: '{"item":{n}}', items: 5, key: true, repeat_share: 0.3}
+`
+
+func mixOf(t *testing.T, text string) *Mix {
+	t.Helper()
+	mix, err := ParseMix([]byte(text))
+	require.NoError(t, err)
+	return mix
+}
+
+// fakeEntry answers chats and orders; its faults are the violations that the tool must find.
+type fakeEntry struct {
+	dropTokens   bool // leave out one token of each stream
+	breakStreams bool // end streams with an error event
+	changeAnswer bool // answer a repeated key differently
+	executeTwice bool // count each execution twice
+	refuse       bool // answer not_run to orders but count them
+
+	mu     sync.Mutex
+	counts map[string]int
+	bodies map[string]string
+}
+
+func (f *fakeEntry) start(t *testing.T) string {
+	f.counts, f.bodies = make(map[string]int), make(map[string]string)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", f.chat)
+	mux.HandleFunc("POST /services/orders/orders", f.order)
+	mux.HandleFunc("GET /counters", f.counters)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (f *fakeEntry) chat(w http.ResponseWriter, r *http.Request) {
+	var q chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || r.Header.Get("Authorization") != "Bearer alfold-key" {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range q.MaxTokens {
+		if f.dropTokens && i == 1 {
+			continue
+		}
+		fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"t \"}}]}\n\n")
+	}
+	if f.breakStreams {
+		_, body := errkind.Answer(errkind.New(errkind.StreamBroken, "test"))
+		data, _ := json.Marshal(body)
+		fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+		return
+	}
+	prompt := endpoint.CountTokens(q.Messages[0].Content)
+	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", prompt, q.MaxTokens)
+}
+
+func (f *fakeEntry) order(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := r.Header.Get("Idempotency-Key")
+	if _, ok := f.bodies[key]; !ok {
+		f.counts[key]++
+		if f.executeTwice {
+			f.counts[key]++
+		}
+		body, _ := io.ReadAll(r.Body)
+		f.bodies[key] = string(body)
+	} else if f.changeAnswer {
+		f.bodies[key] += "!"
+	}
+	if f.refuse {
+		status, body := errkind.Answer(errkind.New(errkind.Overloaded, "test"))
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+		return
+	}
+	fmt.Fprint(w, f.bodies[key])
+}
+
+func (f *fakeEntry) counters(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls := []map[string]any{}
+	for key, n := range f.counts {
+		calls = append(calls, map[string]any{"key": key, "executions": n})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"calls": calls})
+}
+
+func runAgainst(t *testing.T, f *fakeEntry) *Report {
+	t.Helper()
+	url := f.start(t)
+	report, err := Run(t.Context(), Options{
+		Mix: mixOf(t, testMix), Sender: NewClient([]string{url, url + "/"}, 4), Seed: 7,
+		Duration: 2 * time.Second, TimeScale: 4, ScaleDeadlines: true, Standin: url,
+	})
+	require.NoError(t, err)
+	return report
+}
+
+func TestHealthyEntryHasNoViolation(t *testing.T) {
+	report := runAgainst(t, new(fakeEntry))
+	require.Empty(t, report.Violations)
+	require.True(t, report.CountersChecked)
+	sent := 0
+	for _, s := range report.Series {
+		require.Equal(t, s.Sent, s.OK(), "%s: %v", s.Name(), s.Outcomes)
+		sent += s.Sent
+	}
+	require.Len(t, Schedule(mixOf(t, testMix), 7, "", 2*time.Second), sent)
+	chat := report.find("chat 1-4k")
+	require.EqualValues(t, chat.Sent, chat.First.Count)
+	require.LessOrEqual(t, chat.First.P50, chat.Total.P50)
+}
+
+// Guards against checks that pass whatever the entry does.
+func TestFaultyEntriesAreReported(t *testing.T) {
+	for want, entry := range map[string]*fakeEntry{
+		ViolationNotWhole:   {dropTokens: true},
+		ViolationTwoAnswers: {changeAnswer: true},
+		ViolationTwice:      {executeTwice: true},
+		ViolationNotRun:     {refuse: true},
+	} {
+		t.Run(want, func(t *testing.T) {
+			report := runAgainst(t, entry)
+			require.Len(t, report.Violations, 1)
+			require.Equal(t, want, report.Violations[0].Name)
+			require.NotEmpty(t, report.Violations[0].Examples)
+		})
+	}
+}
+
+// Guards against counting a broken stream as a success.
+func TestBrokenStreamIsAFailureWithItsKind(t *testing.T) {
+	report := runAgainst(t, &fakeEntry{breakStreams: true})
+	chat := report.find("chat 1-4k")
+	require.Equal(t, chat.Sent, chat.Outcomes["stream_broken/ran"])
+	require.Zero(t, chat.Total.Count)
+	require.Empty(t, report.Violations)
+}
+
+func TestStreamWithoutEndIsTruncated(t *testing.T) {
+	r := readStream(bytes.NewBufferString("data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"))
+	require.Equal(t, OutcomeTruncated, r.Outcome)
+	require.Equal(t, 1, r.Tokens)
+	require.Equal(t, OutcomeMalformed, readStream(bytes.NewBufferString("data: {\n")).Outcome)
+	require.NotEmpty(t, readStream(bytes.NewBufferString("data: [DONE]\n\n")).Fault, "no usage")
+}
+
+// Guards against runs that cannot be repeated, and against phases of a slowdown experiment that differ in load.
+func TestScheduleDependsOnSeedOnly(t *testing.T) {
+	mix := mixOf(t, testMix)
+	a := Schedule(mix, 3, "", 20*time.Second)
+	require.Equal(t, a, Schedule(mix, 3, "", 20*time.Second))
+	require.NotEqual(t, a, Schedule(mix, 4, "", 20*time.Second))
+	salted := Schedule(mix, 3, "x-", 20*time.Second)
+	require.Len(t, salted, len(a))
+	repeats, keyed, prefixed := 0, 0, 0
+	for i := range a {
+		require.Equal(t, a[i].At, salted[i].At)
+		require.Equal(t, a[i].Tokens, salted[i].Tokens)
+		if a[i].Key != "" {
+			keyed++
+			require.NotEqual(t, a[i].Key, salted[i].Key)
+		} else {
+			require.NotEqual(t, a[i].Prompt(), salted[i].Prompt())
+			require.Equal(t, a[i].Tokens, endpoint.CountTokens(a[i].Prompt()))
+		}
+		if a[i].Repeat {
+			repeats++
+		}
+		if a[i].Prefix >= 0 {
+			prefixed++
+		}
+	}
+	// 800 arrivals are expected of each traffic; the bounds are more than four standard deviations away.
+	require.InDelta(t, 800, keyed, 120)
+	require.InDelta(t, 0.3, float64(repeats)/float64(keyed), 0.08)
+	require.InDelta(t, 0.5, float64(prefixed)/float64(len(a)-keyed), 0.08)
+}
+
+func TestRepeatsCarryTheFirstPayload(t *testing.T) {
+	bodies := make(map[string]string)
+	for _, a := range Schedule(mixOf(t, testMix), 5, "", 30*time.Second) {
+		if a.Key == "" {
+			continue
+		}
+		body, err := a.Body()
+		require.NoError(t, err)
+		first, seen := bodies[a.Key]
+		require.Equal(t, a.Repeat, seen)
+		if seen {
+			require.Equal(t, first, string(body))
+		}
+		bodies[a.Key] = string(body)
+	}
+	require.NotEmpty(t, bodies)
+}
+
+func TestPromptLengthsStayInTheirClass(t *testing.T) {
+	mix := mixOf(t, testMix)
+	mix.Workspaces[0].Traffic[0].Prompt = map[Class]float64{ClassShort: 1, ClassMedium: 1, ClassLong: 1, ClassHuge: 1}
+	seen := make(map[Class]bool)
+	for _, a := range Schedule(mix, 1, "", 10*time.Second) {
+		if a.Class == ClassNone {
+			continue
+		}
+		r, ok := rangeOf(a.Class)
+		require.True(t, ok)
+		require.GreaterOrEqual(t, a.Tokens, r.low)
+		require.LessOrEqual(t, a.Tokens, r.high)
+		seen[a.Class] = true
+	}
+	require.Len(t, seen, len(classRanges))
+}
+
+// slowSender answers after a fixed time.
+type slowSender time.Duration
+
+func (s slowSender) Send(ctx context.Context, _ *Arrival, _ []byte) Result {
+	time.Sleep(time.Duration(s))
+	return Result{Outcome: OutcomeOK, Last: time.Now()}
+}
+
+// Guards against coordinated omission: a stalled generator or entry must not hide the wait of the arrivals behind it.
+func TestLatencyCountsFromScheduledArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := Options{
+			Mix: mixOf(t, testMix), Sender: slowSender(100 * time.Millisecond), Seed: 1,
+			Duration: 5 * time.Second, MaxInFlight: 1,
+		}
+		report, err := Run(t.Context(), o)
+		require.NoError(t, err)
+		require.True(t, report.Generator.FellBehind)
+		// Some 400 arrivals take 40 s one after the other, so the last of them waits for 35 s.
+		require.Greater(t, report.Generator.LagMax, 25_000.0)
+		require.Greater(t, report.find("order call").Total.Max, 25_000.0)
+
+		o.MaxInFlight = 0
+		report, err = Run(t.Context(), o)
+		require.NoError(t, err)
+		require.False(t, report.Generator.FellBehind)
+		require.Zero(t, report.Generator.Behind)
+		require.InDelta(t, 100, report.find("order call").Total.Max, 1)
+	})
+}
+
+func TestTimeScaleMultipliesRatesAndTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		report, err := Run(t.Context(), Options{
+			Mix: mixOf(t, testMix), Sender: slowSender(10 * time.Millisecond), Seed: 1,
+			Duration: 40 * time.Second, Warmup: 20 * time.Second, TimeScale: 10,
+		})
+		require.NoError(t, err)
+		require.InDelta(t, 4, time.Since(start).Seconds(), 0.5)
+		require.InDelta(t, 100, report.find("order call").Total.P50, 1)
+		require.InDelta(t, 800, report.find("order call").Sent, 120, "arrivals of the warm-up are not recorded")
+	})
+}
+
+func TestSlowdownKeepsTheShortRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := Options{Mix: mixOf(t, testMix), Sender: slowSender(time.Millisecond), Seed: 1, Duration: 10 * time.Second}
+		s, err := RunSlowdown(t.Context(), o, 4000)
+		require.NoError(t, err)
+		require.Zero(t, s.Alone.find("chat 4-32k").Sent)
+		require.NotZero(t, s.With.find("chat 4-32k").Sent)
+		require.Equal(t, s.With.find("chat 1-4k").Sent, s.Alone.find("chat 1-4k").Sent)
+		var table bytes.Buffer
+		require.NoError(t, s.WriteTable(&table))
+		require.Contains(t, table.String(), "1.00")
+	})
+}
+
+func TestReportsArePlottedAndCompared(t *testing.T) {
+	report := runAgainst(t, new(fakeEntry))
+	dir := t.TempDir()
+	path := filepath.Join(dir, "a.json")
+	require.NoError(t, report.WriteFile(path))
+	again, err := ReadReport(path)
+	require.NoError(t, err)
+	require.Equal(t, report, again)
+
+	var table bytes.Buffer
+	require.NoError(t, report.WriteTable(&table))
+	require.Contains(t, table.String(), "0 kinds of violation (counters checked)")
+	table.Reset()
+	require.NoError(t, WriteComparison(&table, report, again))
+	require.Contains(t, table.String(), "1.00")
+
+	svg := filepath.Join(dir, "plot.svg")
+	require.NoError(t, Plot(svg, MeasureTotal, []string{PlotName(path)}, []*Report{again}))
+	data, err := os.ReadFile(svg)
+	require.NoError(t, err)
+	require.Contains(t, string(data), "a: order call")
+	require.Error(t, Plot(svg, MeasureFirst, []string{"empty"}, []*Report{{}}))
+}
+
+func TestShippedMixesAreValid(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/mixes/*.yaml")
+	require.NoError(t, err)
+	require.Len(t, paths, 2)
+	for _, path := range paths {
+		mix, err := ReadMix(path)
+		require.NoError(t, err)
+		require.Len(t, mix.Workspaces, 10, path)
+	}
+}
+
+func TestInvalidMixesAreRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":               "name: x",
+		"unknown field":       "name: x\nspeed: 3",
+		"zero rate":           "workspaces: [{name: a, traffic: [{name: t, kind: call, method: GET, path: /}]}]",
+		"unknown class":       "workspaces: [{name: a, traffic: [{name: t, kind: chat, rate: 1, model: m, prompt: {5k: 1}, answer: {min: 1, max: 1}}]}]",
+		"repeats without key": "workspaces: [{name: a, traffic: [{name: t, kind: call, rate: 1, method: GET, path: /, repeat_share: 0.5}]}]",
+	} {
+		_, err := ParseMix([]byte(text))
+		require.Error(t, err, name)
+	}
+}
