--- /dev/null
+++ b/errkind/callers_page_test.go
@@ -0,0 +1,31 @@
+package errkind_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/errkind"
+)
+
+var row = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| ([0-9]+ \\| `[a-z_]+`) \\| (\\S.*) \\| (\\S.*) \\|$")
+
+// Guards against a callers' page that lacks a kind, lists an unknown one, or differs from the table of kinds.
+func TestCallersPageListsEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../docs/callers.md")
+	require.NoError(t, err)
+	rows := make(map[errkind.Kind]string)
+	for _, m := range row.FindAllStringSubmatch(string(page), -1) {
+		kind := errkind.Kind(m[1])
+		require.NotContains(t, rows, kind, "listed twice")
+		rows[kind] = m[2]
+	}
+	for _, kind := range errkind.Kinds() {
+		rule := errkind.RuleOf(kind)
+		require.Equal(t, fmt.Sprintf("%d | `%s`", rule.Status, rule.Run), rows[kind], "row of %s", kind)
+	}
+	require.Len(t, rows, len(errkind.Kinds()), "kinds that do not exist")
+}
