--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// sweepInterval bounds how often finished streams are looked through, because a busy engine takes 100 steps a second.
+const sweepInterval = time.Second
+
 // task is one stream or segment on an engine.
 type task struct {
 	id        string
@@ -136,6 +139,7 @@
 	fence       int64
 	role        string
 	report      endpoint.Report
+	nextSweep   time.Time // of forgetFinished
 	closed      bool
 }
 
@@ -455,7 +459,12 @@
 
 // forgetFinished drops streams that ended too long ago to be resumed.
 func (e *Engine) forgetFinished() {
-	limit := time.Now().Add(-e.p.opts.scaled(e.o.KeepFinished))
+	now := time.Now()
+	if now.Before(e.nextSweep) {
+		return
+	}
+	e.nextSweep = now.Add(e.p.opts.scaled(sweepInterval))
+	limit := now.Add(-e.p.opts.scaled(e.o.KeepFinished))
 	for id, t := range e.tasks {
 		if t.done && t.memory == 0 && t.ended.Before(limit) {
 			delete(e.tasks, id)
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -105,10 +105,7 @@
 }
 
 // faultsChanged silences the connections of the names that a change lists.
-func (n *Network) faultsChanged(before, after standin.FaultState) {
-	if slices.Equal(before.ConnectionSilent, after.ConnectionSilent) {
-		return
-	}
+func (n *Network) faultsChanged(_, after standin.FaultState) {
 	n.Silence(after.ConnectionSilent...)
 }
 
--- a/internal/standin/faultnet/faultnet_test.go
+++ b/internal/standin/faultnet/faultnet_test.go
@@ -67,6 +67,10 @@
 	require.NoError(t, err)
 	defer func() { _ = fresh.Close() }()
 	require.NoError(t, roundTrip(t, fresh))
+	require.NoError(t, p.Faults().Merge([]byte(`{"table_down":true}`)))
+	require.NoError(t, roundTrip(t, fresh), "another fault must not silence newer connections")
+	require.NoError(t, p.Faults().Merge([]byte(`{"connection_silent":["model-1"]}`)))
+	require.ErrorIs(t, roundTrip(t, fresh), os.ErrDeadlineExceeded, "a repeated fault must take effect again")
 	require.NoError(t, p.Faults().Merge([]byte(`{"reset":true}`)))
 	require.ErrorIs(t, roundTrip(t, old), os.ErrDeadlineExceeded, "the state of the connection is lost for good")
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -49,7 +49,7 @@
 	EngineCrash         string     `json:"engine_crash" doc:"endpoint that crashes once, now, and restarts with a new incarnation; not kept"`
 	EngineDown          []string   `json:"engine_down" doc:"endpoints that crash and stay down while listed"`
 	CrashMarker         string     `json:"crash_marker" doc:"a prompt that contains this text crashes the engine that starts it; empty: none"`
-	ConnectionSilent    []string   `json:"connection_silent" doc:"nodes or endpoints whose connections that are open now go silent for good; later ones work"`
+	ConnectionSilent    []string   `json:"connection_silent" doc:"nodes or endpoints whose connections that are open now go silent for good, now; later ones work; not kept"`
 	Partition           [][]string `json:"partition" doc:"groups of failure domains that cannot reach each other; unlisted domains form one more group; the platform is reachable from all unless groups list the name platform, then only from those"`
 	DropCacheEvents     bool       `json:"drop_cache_events" doc:"engines lose their cache events, which leaves gaps in the sequence"`
 	LoadLagMS           int64      `json:"load_lag_ms" doc:"largest age of an engine's load report"`
@@ -133,6 +133,7 @@
 	before := f.state
 	f.state = next
 	f.state.EngineCrash = ""
+	f.state.ConnectionSilent = nil
 	close(f.changed)
 	f.changed = make(chan struct{})
 	listeners := slices.Clone(f.onChange)
--- a/internal/standin/scheduler.go
+++ b/internal/standin/scheduler.go
@@ -27,7 +27,7 @@
 	defer e.ends.Done()
 	for {
 		s, wait, incarnation := e.plan()
-		if !e.pause(wait) {
+		if !e.pause(wait, s == nil) {
 			return
 		}
 		if s != nil {
@@ -36,15 +36,18 @@
 	}
 }
 
-// pause waits for d, or for new work if d is negative. It reports whether the engine goes on.
-func (e *Engine) pause(d time.Duration) bool {
+// pause waits for d, without limit if d is negative; an idle engine also stops waiting for new work. It reports
+// whether the engine goes on.
+func (e *Engine) pause(d time.Duration, idle bool) bool {
 	var timeout <-chan time.Time
-	wake := e.wake
+	var wake <-chan struct{}
 	if d >= 0 {
 		timer := time.NewTimer(d)
 		defer timer.Stop()
 		timeout = timer.C
-		wake = nil
+	}
+	if idle {
+		wake = e.wake
 	}
 	select {
 	case <-e.stop:
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -313,3 +313,29 @@
 		require.Len(t, counts.Calls[0].Times, 2)
 	})
 }
+
+// A stream that still reads imported KV must not hold up other work.
+func TestImportDoesNotDelayOtherWork(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		a, b := loadedEngine(p, "model-1", EngineOptions{}), loadedEngine(p, "model-2", EngineOptions{ImportRate: 1000})
+		h, err := a.Prefill(t.Context(), endpoint.Segment{ID: "s", Version: testVersion, Prompt: prompt("s", 10_000)})
+		require.NoError(t, err)
+		generate(t, b, endpoint.Generate{StreamID: "long", Prompt: "x", Imported: []endpoint.KVHandle{h}})
+		time.Sleep(time.Second)
+		begin := time.Now()
+		_, err = collect(t, generate(t, b, endpoint.Generate{StreamID: "short", Prompt: "x", MaxTokens: 1}))
+		require.NoError(t, err)
+		require.Less(t, time.Since(begin), 20*time.Millisecond, "one step takes 10 ms")
+	})
+}
+
+func TestFinishedStreamsAreForgotten(t *testing.T) {
+	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
+		e := loadedEngine(p, "model-1", EngineOptions{})
+		_, err := collect(t, generate(t, e, endpoint.Generate{StreamID: "a", Prompt: "x", MaxTokens: 1}))
+		require.NoError(t, err)
+		time.Sleep(DefaultKeepFinished + 2*sweepInterval)
+		_, err = e.Resume(t.Context(), "a", 0)
+		require.ErrorIs(t, err, endpoint.ErrUnknownStream)
+	})
+}
