--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -58,6 +58,7 @@
 	services []string
 	server   *http.Server
 	apps     []*fx.App
+	reserved map[string]bool // addresses of daemons
 }
 
 // Run starts a fleet, prints its addresses and stops it when ctx ends.
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{o: o, text: raw, domains: s.Text.Settings.FailureDomains}
+	f := &Fleet{o: o, text: raw, domains: s.Text.Settings.FailureDomains, reserved: make(map[string]bool)}
 	if len(f.domains) == 0 {
 		f.domains = []string{defaultDomain}
 	}
@@ -214,7 +215,7 @@
 
 // node reserves a loopback address for a daemon and lists it as a VM.
 func (f *Fleet) node(name string, i int, role platform.VMRole, endpoints ...string) (settings.Node, error) {
-	addr, err := freeAddr()
+	addr, err := f.reserveAddr()
 	if err != nil {
 		return settings.Node{}, err
 	}
@@ -224,6 +225,18 @@
 	return settings.Node{Name: name, FailureDomain: domain, Listen: addr}, nil
 }
 
+// reserveAddr returns an address that no daemon of this fleet has. The kernel may offer one again before its daemon
+// listens on it.
+func (f *Fleet) reserveAddr() (string, error) {
+	for {
+		addr, err := freeAddr()
+		if err != nil || !f.reserved[addr] {
+			f.reserved[addr] = true
+			return addr, err
+		}
+	}
+}
+
 func freeAddr() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -233,7 +246,8 @@
 	return l.Addr().String(), nil
 }
 
-// submitText has the first entry accept the text as the first epoch.
+// submitText has the first entry accept the text as the first epoch. A failed precondition means that an earlier try,
+// whose answer was lost, took effect.
 func (f *Fleet) submitText(ctx context.Context) error {
 	return poll(ctx, "configuration text", func() error {
 		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.o.Listen[0]+"/v1/fleet", bytes.NewReader(f.text))
@@ -242,7 +256,7 @@
 		}
 		req.Header.Set("Authorization", "Bearer "+OperatorToken)
 		req.Header.Set("If-Match", `"0"`)
-		return expectOK(req)
+		return expect(req, http.StatusOK, http.StatusPreconditionFailed)
 	})
 }
 
@@ -252,18 +266,18 @@
 		if err != nil {
 			return err
 		}
-		return expectOK(req)
+		return expect(req, http.StatusOK)
 	})
 }
 
-func expectOK(req *http.Request) error {
+func expect(req *http.Request, accepted ...int) error {
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, _ := io.ReadAll(resp.Body) // only for the message
-	if resp.StatusCode != http.StatusOK {
+	if !slices.Contains(accepted, resp.StatusCode) {
 		return errors.Errorf("status %d: %s", resp.StatusCode, body)
 	}
 	return nil
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
 )
 
 const testText = `
@@ -47,3 +50,62 @@
 	defer func() { _ = resp.Body.Close() }()
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// fakeEntry accepts a text with the operator's token and is ready once it has one.
+func fakeEntry(accepted *atomic.Int32) func(EntryConfig) fx.Option {
+	return func(c EntryConfig) fx.Option {
+		mux := http.NewServeMux()
+		mux.HandleFunc("PUT /v1/fleet", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") != "Bearer "+OperatorToken || hexSHA256(OperatorToken) != c.OperatorTokenHashes[0] {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+			accepted.Add(1)
+		})
+		mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+			if accepted.Load() == 0 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		server := &http.Server{Handler: mux}
+		return fx.Invoke(func(lc fx.Lifecycle) {
+			lc.Append(fx.StartStopHook(func() error {
+				l, err := net.Listen("tcp", c.CallersListen)
+				if err == nil {
+					go func() { _ = server.Serve(l) }()
+				}
+				return err
+			}, server.Close))
+		})
+	}
+}
+
+// Every endpoint needs an agent with its own address, and the text must be accepted once before the fleet is ready.
+func TestStartConnectsDaemons(t *testing.T) {
+	var accepted atomic.Int32
+	agents := make(map[string]AgentConfig)
+	addr, err := freeAddr()
+	require.NoError(t, err)
+	var out bytes.Buffer
+	f, err := New(Options{Text: []byte(testText), Listen: []string{addr}, StandinListen: "127.0.0.1:0", Engines: 4,
+		Out: &out, Log: logrus.New(), Daemons: Daemons{
+			Entry: fakeEntry(&accepted),
+			Agent: func(c AgentConfig) fx.Option {
+				agents[c.Endpoint] = c
+				return fx.Options()
+			},
+		}})
+	require.NoError(t, err)
+	defer f.Stop()
+	require.NoError(t, f.Start(t.Context()))
+	require.EqualValues(t, 1, accepted.Load())
+	require.Contains(t, out.String(), addr)
+	require.Len(t, agents, 7)
+	seen := make(map[string]bool)
+	for name, c := range agents {
+		require.NotEqual(t, c.Engine == nil, c.Service == nil, name)
+		require.False(t, seen[c.Node.Listen], "two agents share an address")
+		seen[c.Node.Listen] = true
+		require.Len(t, c.Seeds, 1)
+	}
+}
