--- a/cmd/bilberry-agent/main.go
+++ b/cmd/bilberry-agent/main.go
@@ -30,8 +30,6 @@
 	k := settings.Parse(&c, "bilberry-agent", "Sidecar beside a model engine or a plain service.")
 	log, err := c.Logger(os.Stderr)
 	k.FatalIfErrorf(err)
-	opts, err := options(c, log)
-	k.FatalIfErrorf(err)
 	quiet := fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger })
-	fx.New(agent.Module(opts), quiet).Run()
+	fx.New(agent.Module(options(c, log)), quiet).Run()
 }
--- a/cmd/bilberry-agent/options.go
+++ b/cmd/bilberry-agent/options.go
@@ -1,19 +1,24 @@
 package main
 
 import (
-	"github.com/pkg/errors"
+	"net/http"
+
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/endpoint/endpointhttp"
+	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/agent"
+	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 // options connects the process's settings with the clients of the platform and of the endpoint.
-func options(c cli, log *logrus.Logger) (agent.Options, error) {
-	opts := agent.Options{Node: c.Node, TLS: c.TLS, Endpoint: c.Endpoint, EndpointKind: c.Kind, Seeds: c.Seeds, Log: log}
-	return opts, connect(c, &opts)
-}
-
-// connect sets the clients of platformhttp and endpointhttp.
-func connect(cli, *agent.Options) error {
-	return errors.New("clients of the platform and the endpoint are not connected")
+func options(c cli, log *logrus.Logger) agent.Options {
+	opts := agent.Options{Node: c.Node, TLS: c.TLS, Endpoint: c.Endpoint, EndpointKind: c.Kind, Seeds: c.Seeds, Log: log,
+		Services: platformhttp.New(c.URL, http.DefaultClient)}
+	if c.Kind == fleet.KindModel {
+		opts.Engine = endpointhttp.NewEngine(c.EndpointURL, http.DefaultClient)
+	} else {
+		opts.Service = endpointhttp.NewService(c.EndpointURL, http.DefaultClient)
+	}
+	return opts
 }
--- a/cmd/bilberry-dev/daemons.go
+++ b/cmd/bilberry-dev/daemons.go
@@ -1,6 +1,29 @@
 package main
 
-import "github.com/bilberrylink/bilberrylink/internal/dev"
+import (
+	"time"
 
-// daemons returns the modules of the entry and the agent that this build links.
-func daemons() dev.Daemons { return dev.Daemons{} }
+	"go.uber.org/fx"
+
+	"github.com/bilberrylink/bilberrylink/internal/agent"
+	"github.com/bilberrylink/bilberrylink/internal/dev"
+	"github.com/bilberrylink/bilberrylink/internal/entry"
+)
+
+// balancerLag is short because no load balancer stands before a development fleet.
+const balancerLag = 100 * time.Millisecond
+
+// daemons returns the modules of the entry and the agent.
+func daemons(policy string) dev.Daemons {
+	return dev.Daemons{
+		Entry: func(c dev.EntryConfig) fx.Option {
+			return entry.Module(entry.Options{Node: c.Node, CallersListen: c.CallersListen,
+				OperatorTokenHashes: c.OperatorTokenHashes, Services: c.Services, Seeds: c.Seeds, Dial: c.Dial, Log: c.Log,
+				Policy: policy, BalancerLag: balancerLag})
+		},
+		Agent: func(c dev.AgentConfig) fx.Option {
+			return agent.Module(agent.Options{Node: c.Node, Endpoint: c.Endpoint, EndpointKind: c.EndpointKind,
+				Engine: c.Engine, Service: c.Service, Services: c.Services, Seeds: c.Seeds, Dial: c.Dial, Log: c.Log})
+		},
+	}
+}
--- a/cmd/bilberry-entry/platform.go
+++ b/cmd/bilberry-entry/platform.go
@@ -4,7 +4,10 @@
 	"net/http"
 
 	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
-// platformServices connects the platform's services. It returns none until package platformhttp is linked in.
-func platformServices(_ string, _ *http.Client) platform.Services { return platform.Services{} }
+// platformServices returns clients of the platform's services.
+func platformServices(url string, client *http.Client) platform.Services {
+	return platformhttp.New(url, client)
+}
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -44,12 +44,6 @@
 // Connect constructs the Parts of an entry.
 type Connect func(ConnectParams) (Parts, error)
 
-// connectDefault is used when Options.Connect is nil. It is the only place that constructs the peer, the acceptor, the
-// operators' handler and the at-most-once records.
-func connectDefault(ConnectParams) (Parts, error) {
-	return Parts{}, errors.New("entry: no constructor for the exchange between nodes")
-}
-
 // Module returns a complete entry.
 func Module(opts Options) fx.Option {
 	if opts.Log == nil {
--- /dev/null
+++ b/internal/entry/connect.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/blame"
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/operator"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
+	"github.com/bilberrylink/bilberrylink/once"
+	"github.com/bilberrylink/bilberrylink/peer"
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// connectDefault is used when Options.Connect is nil. It is the only place that constructs the peer, the acceptor, the
+// operators' handler and the at-most-once records.
+func connectDefault(params ConnectParams) (Parts, error) {
+	exchange, err := newExchange(params)
+	if err != nil {
+		return Parts{}, err
+	}
+	o := params.Options
+	acceptor := epoch.NewAcceptor(epoch.AcceptorOptions{
+		Node: o.Node.Name, Services: o.Services, Store: exchange.Epochs(), Fleet: exchange, Log: params.Log,
+	})
+	records := once.New(once.Options{
+		Table: o.Services.Table, Objects: o.Services.Objects, TTL: recordTTL(exchange.Epochs()),
+		Log: params.Log, Registerer: params.Registerer,
+	})
+	operators := operator.New(operator.Options{Acceptor: acceptor, TokenHashes: o.OperatorTokenHashes, Log: params.Log})
+	return Parts{
+		Epochs:    exchange.Epochs(),
+		Members:   exchange.Members(),
+		Once:      onceRecords{records},
+		Operators: []func(*mux.Router){operators.Register},
+		Internal:  wire.NewPeerServer(exchange),
+		Run:       []func(context.Context) error{exchange.Run, acceptor.Run, records.Run},
+	}, nil
+}
+
+func newExchange(params ConnectParams) (*peer.Peer, error) {
+	o := params.Options
+	config, err := transport.Client(o.TLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "TLS of the exchange")
+	}
+	return peer.New(peer.Options{
+		Name:          o.Node.Name,
+		Addr:          o.Node.Addr(),
+		FailureDomain: o.Node.FailureDomain,
+		Role:          platform.RoleEntry,
+		Incarnation:   uuid.NewString(),
+		Seeds:         o.Seeds,
+		Services:      o.Services,
+		Client:        transport.PeerClients(transport.HTTPClient(config, o.Dial), o.TLS.Enabled()),
+		Self:          func(r *wire.NodeRecord) { r.Leaving = params.Leaving() },
+		Blames:        blameRecords{params.Blames},
+		Log:           params.Log,
+		Registerer:    params.Registerer,
+	})
+}
+
+// recordTTL returns the configured life of an at-most-once record.
+func recordTTL(view epoch.View) func() time.Duration {
+	return func() time.Duration {
+		if s := view.Snapshot(); s != nil {
+			return s.Text.Settings.IdempotencyTTL
+		}
+		return fleet.DefaultIdempotencyTTL
+	}
+}
+
+// blameRecords adapts the tracker of suspects to the exchange.
+type blameRecords struct{ sink blame.Sink }
+
+// Outgoing implements peer.BlameSink.
+func (b blameRecords) Outgoing(limit int) []*wire.BlameRecord {
+	pending := b.sink.Pending()
+	return pending[:min(limit, len(pending))]
+}
+
+// Merge implements peer.BlameSink.
+func (b blameRecords) Merge(records []*wire.BlameRecord) { b.sink.Observe(records) }
+
+// onceRecords adapts the at-most-once records of package once.
+type onceRecords struct{ store *once.Store }
+
+// refuseDeadline is recorded with a refusal, which never starts; the store requires a deadline.
+const refuseDeadline = time.Minute
+
+// Refuse implements OnceStore.
+func (o onceRecords) Refuse(ctx context.Context, workspace, key string, expect int64, attemptID string) (OnceRecord, error) {
+	result, _, err := o.store.Refuse(ctx, once.Attempt{Workspace: workspace, Key: key, ID: attemptID, Expect: expect,
+		Deadline: time.Now().Add(refuseDeadline)})
+	return onceRecord(result), err
+}
+
+// Lookup implements OnceStore.
+func (o onceRecords) Lookup(ctx context.Context, workspace, key string) (OnceRecord, error) {
+	result, err := o.store.Lookup(ctx, workspace, key, "")
+	return onceRecord(result), err
+}
+
+func onceRecord(r once.Result) OnceRecord {
+	record := OnceRecord{Version: r.Version, AttemptID: r.Attempt, RequestHash: r.RequestHash}
+	switch r.State {
+	case once.Absent:
+		record.State = OnceAbsent
+	case once.Refused:
+		record.State = OnceRefused
+	case once.Replay:
+		record.State = OnceDone
+		record.Response = callResponse(r.Answer)
+	default:
+		record.State = OnceStarted
+	}
+	return record
+}
+
+func callResponse(a *once.Answer) *wire.CallResponse {
+	if a == nil {
+		return nil
+	}
+	response := &wire.CallResponse{Status: int32(a.Status), Body: a.Body, Replayed: true}
+	for name, values := range a.Header {
+		response.Headers = append(response.Headers, &wire.Header{Name: name, Values: values})
+	}
+	return response
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -44,6 +44,8 @@
       - {method: POST, path: /notes, without_key: single_attempt}
 models:
   lark: {version: v1, batch: b1, endpoints: ["model-{1..3}"], max_tokens: 100000}
+batches:
+  b1: {supplier: example}
 workspaces:
   workshop: {key_hashes: [KEYHASH]}
   guests: {key_hashes: [GUESTHASH], services: [clerk], requests_per_second: 1}
