--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const small = `settings:
+  failure_domains: [a, b, c]
+models:
+  puli: {version: "3", batch: spring, endpoints: ["model-{01..02}"]}
+adapters:
+  letters: {model: puli, version: "7"}
+batches:
+  spring: {supplier: s}
+services:
+  replies: {kind: model, class: interactive, model: puli, adapter: letters, fallbacks: [plain]}
+  plain: {kind: model, class: interactive, model: puli}
+  orders:
+    kind: plain
+    class: urgent
+    endpoints: ["order-{01..02}"]
+    calls:
+      - {method: GET, path: /stock/*, idempotent: true}
+recalled: []
+`
+
+// Guards against examples that the validator refuses, or whose sizes differ from the deployments.
+func TestExamplesAreValid(t *testing.T) {
+	for file, want := range map[string]struct{ engines, plain int }{"workshop": {24, 3}, "timing-centre": {15, 3}} {
+		raw, err := os.ReadFile("../examples/" + file + ".yaml")
+		require.NoError(t, err)
+		s, faults := NewSnapshot(1, raw)
+		require.Empty(t, faults)
+		require.Empty(t, CheckTransition(nil, s.Text, raw))
+		require.Empty(t, Warnings(s))
+		require.Len(t, s.duties, want.engines)
+		require.Len(t, s.plain, want.plain)
+		require.Len(t, s.Text.Workspaces, 10)
+		for name := range s.Text.Workspaces {
+			owner, _, ok := s.WorkspaceByKey(name + "-key")
+			require.True(t, ok, name)
+			require.Equal(t, name, owner)
+		}
+	}
+}
+
+// Guards against a fault that is accepted, or reported without its line.
+func TestFaultsNameTheirLine(t *testing.T) {
+	for _, c := range []struct{ old, new, message, marker string }{
+		{"kind: plain", "kind: odd", "unknown kind", "kind: odd"},
+		{"class: urgent", "class: fast", "unknown class", "class: fast"},
+		{"class: urgent", "clas: urgent", "field clas not found", "clas: urgent"},
+		{"class: urgent", "timeout: -1s", "timeout must be positive", "timeout: -1s"},
+		{"class: urgent", "timeout: 0s", "timeout must be positive", "timeout: 0s"},
+		{"class: urgent", "timeout: 48h", "over the limit", "timeout: 48h"},
+		{"class: urgent", "depends_on: [none]", `unknown service "none"`, "depends_on: [none]"},
+		{"fallbacks: [plain]", "fallbacks: [replies]", "cycle in fallbacks: replies -> replies", "fallbacks: [replies]"},
+		{"class: urgent", "depends_on: [orders]", "cycle in depends_on", "depends_on: [orders]"},
+		{"path: /stock/*", `path: "/stock/["`, "invalid path pattern", `path: "/stock/["`},
+		{"method: GET", "method: FETCH", "unknown method", "FETCH"},
+		{"order-{01..02}", "order-{02..01}", "invalid range", "order-{02..01}"},
+		{"order-{01..02}", "model-{01..02}", "belongs to model puli", `endpoints: ["model-{01..02}"]` + "\n    calls"},
+		{"batch: spring", "batch: autumn", `unknown batch "autumn"`, "batch: autumn"},
+		{"{model: puli, version", "{model: pumi, version", `unknown model "pumi"`, "pumi"},
+		{"[a, b, c]", "[a, b, a]", "listed twice", "[a, b, a]"},
+	} {
+		text := strings.Replace(small, c.old, c.new, 1)
+		require.NotEqual(t, small, text, c.old)
+		_, faults := Parse([]byte(text))
+		require.NotEmpty(t, faults, c.new)
+		line := 1 + strings.Count(text[:strings.Index(text, c.marker)], "\n")
+		require.Condition(t, func() bool {
+			for _, f := range faults {
+				if f.Line == line && strings.Contains(f.Message, c.message) {
+					return true
+				}
+			}
+			return false
+		}, "%s: want line %d, got %v", c.message, line, faults)
+	}
+}
+
+// Guards against a recall that a later text drops silently, and against a recall of a misspelt name.
+func TestRecallStaysUntilReinstated(t *testing.T) {
+	parse := func(lists string) (*Text, []byte) {
+		raw := []byte(strings.Replace(small, "recalled: []\n", lists, 1))
+		text, faults := Parse(raw)
+		require.Empty(t, faults)
+		return text, raw
+	}
+	old, _ := parse("recalled: [spring, letters@7]\n")
+	for lists, want := range map[string]int{
+		"recalled: [spring, letters@7]\n":                0,
+		"recalled: [spring]\n":                           1,
+		"recalled: []\n":                                 2,
+		"recalled: [spring]\nreinstated: [letters@7]\n":  0,
+		"recalled: [spring, letters@7, sprint]\n":        1,
+		"recalled: [spring, letters@7, puli@3]\n":        0,
+		"recalled: [spring, letters@7, unknown@3]\n":     1,
+		"reinstated: [spring, letters@7]\n":              0,
+		"recalled: [letters@7, puli]\nreinstated: [a]\n": 1,
+	} {
+		next, raw := parse(lists)
+		require.Len(t, CheckTransition(old, next, raw), want, lists)
+	}
+}
+
+// Guards against a recall of name@version that does not cover the version, and against a missing warning.
+func TestWarningsNameServicesWithoutSupplier(t *testing.T) {
+	for item, want := range map[string]int{"letters@7": 0, "letters@6": 0, "puli@3": 3, "spring": 3, "letters": 0} {
+		s, faults := NewSnapshot(1, []byte(strings.Replace(small, "recalled: []", "recalled: ["+item+"]", 1)))
+		require.Empty(t, faults)
+		require.Len(t, Warnings(s), want, "%s: %v", item, Warnings(s))
+	}
+}
+
+// Guards against a difference that an operator does not see.
+func TestDiffShowsChanges(t *testing.T) {
+	old, _ := Parse([]byte(small))
+	next, faults := Parse([]byte(strings.NewReplacer("recalled: []", "recalled: [spring]", `version: "7"`, `version: "8"`,
+		"  spring: {supplier: s}", "  spring: {note: n}").Replace(small)))
+	require.Empty(t, faults)
+	require.Equal(t, []string{"~ adapters.letters.version: 7 -> 8", "+ batches.spring.note: n", "- batches.spring.supplier: s",
+		"+ recalled.spring: listed"}, Diff(old, next))
+	require.Empty(t, Diff(next, next))
+}
+
+// Guards against an increment that gives another text than it was made for.
+func TestPatchGivesNextText(t *testing.T) {
+	line := rapid.SampledFrom([]string{"", "a\n", "b\n", "c", "\n", "=3\n", "d\r\n"})
+	rapid.Check(t, func(t *rapid.T) {
+		base := strings.Join(rapid.SliceOfN(line, 0, 30).Draw(t, "base"), "")
+		next := strings.Join(rapid.SliceOfN(line, 0, 30).Draw(t, "next"), "")
+		got, err := ApplyPatch([]byte(base), MakePatch([]byte(base), []byte(next)))
+		require.NoError(t, err)
+		require.Equal(t, next, string(got))
+		if base != next {
+			_, err = ApplyPatch([]byte(next), MakePatch([]byte(base), []byte(next)))
+			require.ErrorIs(t, err, ErrPatchBase)
+		}
+	})
+}
+
+// Guards against an increment that is larger than the change: a changed line must not cost the whole text.
+func TestPatchIsSmall(t *testing.T) {
+	var text strings.Builder
+	for range 11000 {
+		text.WriteString("  weight: 1\n  requests_per_second: 5\n")
+	}
+	base := text.String()
+	next := base[:len(base)/2] + "changed\n" + base[len(base)/2:]
+	require.Less(t, len(MakePatch([]byte(base), []byte(next))), 400)
+}
+
+// Guards against a crash or an inconsistent snapshot for any text.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte("services: {a: {kind: plain, endpoints: [\"x-{1..99999999999}\"]}}"))
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("services: {a: }"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, faults := NewSnapshot(1, data)
+		if (s == nil) == (len(faults) == 0) {
+			t.Fatalf("snapshot %v with faults %v", s, faults)
+		}
+		if s != nil {
+			Warnings(s)
+			CheckTransition(nil, s.Text, data)
+			if d := Diff(s.Text, s.Text); len(d) > 0 {
+				t.Fatalf("difference to itself: %v", d)
+			}
+		}
+	})
+}
+
+// Guards against a crash on a corrupt increment.
+func FuzzApplyPatch(f *testing.F) {
+	f.Add([]byte("a\nb\n"), MakePatch([]byte("a\nb\n"), []byte("a\nc\n")))
+	f.Fuzz(func(t *testing.T, base, patch []byte) {
+		next, err := ApplyPatch(base, patch)
+		if err == nil && !strings.Contains(string(patch), Hash(next)) {
+			t.Fatal("a text that the patch does not name")
+		}
+	})
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,131 @@
+package member
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+func agent(incarnation string, sequence uint64) *wire.NodeRecord {
+	return &wire.NodeRecord{Name: "agent-1", Addr: "a:1", FailureDomain: "a", Role: "agent", Endpoint: "model-01",
+		Incarnation: incarnation, Sequence: sequence}
+}
+
+func listed(state platform.VMState) []platform.VM {
+	return []platform.VM{{Name: "agent-1", Addr: "a:1", FailureDomain: "a", State: state, Role: platform.RoleAgent}}
+}
+
+func live(t *testing.T, table *Table) bool {
+	n, ok := table.Endpoint("model-01")
+	require.True(t, ok)
+	return n.Live
+}
+
+// Guards against work for a node that the list names before it has started.
+func TestListedButNeverHeardIsNotLive(t *testing.T) {
+	table := NewTable(Options{Name: "entry-1"})
+	table.UpdateList(listed(platform.VMLive))
+	require.Empty(t, table.Agents())
+	require.Len(t, table.PossiblyServing(time.Second), 1, "acceptance must wait for it")
+}
+
+// Guards against a lagging list that takes a running node out of service, and against one that is never dropped.
+func TestDroppedByListButAnsweringStaysLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(Options{Name: "entry-1"})
+		table.UpdateList(listed(platform.VMLive))
+		table.Observe(agent("i1", 1), true)
+		table.UpdateList(nil)
+		require.True(t, live(t, table))
+		time.Sleep(20 * time.Second)
+		require.False(t, live(t, table))
+		require.Empty(t, table.PossiblyServing(4*time.Second))
+	})
+}
+
+// Guards against late gossip about an old incarnation that replaces the new one.
+func TestRestartAtSameAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(Options{Name: "entry-1"})
+		table.Observe(agent("i1", 900), true)
+		leaving := agent("i1", 901)
+		leaving.Leaving = true
+		table.Observe(leaving, true)
+		require.False(t, live(t, table))
+		time.Sleep(time.Second)
+		table.Observe(agent("i2", 1), true)
+		require.True(t, live(t, table), "the new incarnation is not leaving")
+		late := agent("i1", 902)
+		late.AgeMs = 0
+		table.Observe(late, false)
+		n, _ := table.Endpoint("model-01")
+		require.Equal(t, "i2", n.Incarnation)
+	})
+}
+
+// Guards against new work for a leaving node, whoever says that it leaves.
+func TestLeavingIsFinal(t *testing.T) {
+	for name, leave := range map[string]func(*Table){
+		"list":   func(table *Table) { table.UpdateList(listed(platform.VMLeaving)) },
+		"reply":  func(table *Table) { table.ObserveLeaving("model-01") },
+		"record": func(table *Table) { r := agent("i1", 2); r.Leaving = true; table.Observe(r, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(Options{Name: "entry-1"})
+			table.Observe(agent("i1", 1), true)
+			require.True(t, table.Agents()[0].Live)
+			leave(table)
+			require.False(t, table.Agents()[0].Live, "the cached view must not hide it")
+			table.Observe(agent("i1", 3), true)
+			require.False(t, live(t, table), "a later heartbeat does not undo it")
+			require.Len(t, table.TakeUrgent(10), 1)
+			require.Empty(t, table.TakeUrgent(10))
+		})
+	}
+}
+
+// Guards against routing to an agent that stopped answering, and against never using it again.
+func TestFailureUntilHeardAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(Options{Name: "entry-1"})
+		table.Observe(agent("i1", 1), true)
+		time.Sleep(time.Second)
+		table.ObserveFailure("model-01")
+		require.False(t, live(t, table))
+		old := agent("i1", 2)
+		old.AgeMs = 500
+		time.Sleep(100 * time.Millisecond)
+		table.Observe(old, false)
+		require.False(t, live(t, table), "gossip from before the failure proves nothing")
+		table.Observe(agent("i1", 3), true)
+		require.True(t, live(t, table))
+	})
+}
+
+// Guards against an old load report that replaces a newer one.
+func TestLoadBySequence(t *testing.T) {
+	table := NewTable(Options{Name: "entry-1"})
+	table.Observe(agent("i1", 1), true)
+	for _, sequence := range []uint64{5, 4, 7, 6} {
+		table.ObserveLoad(&wire.Load{Endpoint: "model-01", Incarnation: "i1", Sequence: sequence})
+	}
+	n, _ := table.Endpoint("model-01")
+	require.Equal(t, uint64(7), n.Load.Sequence)
+}
+
+// Guards against unbounded exchanges, and against gossip that prefers old news.
+func TestRecordsAreBoundedNewestFirst(t *testing.T) {
+	table := NewTable(Options{Name: "entry-1"})
+	for _, name := range []string{"a", "b", "c"} {
+		table.Observe(&wire.NodeRecord{Name: name, Role: "agent", Incarnation: "i", Sequence: 1}, true)
+	}
+	records := table.Records(2, "")
+	require.Len(t, records, 2)
+	require.Equal(t, "c", records[0].Name)
+	require.Equal(t, "b", table.Records(2, "c")[0].Name)
+}
