--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/bilberrylink/bilberrylink/errkind"
 )
 
 const small = `settings:
@@ -119,6 +123,28 @@
 	}
 }
 
+// Guards against a recall that reaches a service by the wrong path, and against exponential work in dense texts.
+func TestRecallFollowsDependenciesAndFallbacks(t *testing.T) {
+	text := "models:\n  m: {version: \"1\", endpoints: [e]}\n  r: {version: \"1\", endpoints: [f]}\nservices:\n" +
+		"  reserve: {kind: model, model: r}\n  base: {kind: model, model: m, fallbacks: [mixed]}\n" +
+		"  mixed: {kind: model, model: r, depends_on: [base]}\n  saved: {kind: model, model: m, fallbacks: [base, reserve]}\n" +
+		"  user: {kind: model, model: r, depends_on: [saved]}\n"
+	const layers = 200
+	var names []string
+	for i := range layers {
+		names = append(names, fmt.Sprintf("s%03d", i))
+		text += fmt.Sprintf("  s%03d: {kind: model, model: r, depends_on: [%s]}\n", i, strings.Join(append([]string{"base"}, names[:i]...), ", "))
+	}
+	s, faults := NewSnapshot(1, []byte(text+"recalled: [m]\n"))
+	require.Empty(t, faults)
+	for name, want := range map[string]string{"reserve": "reserve", "saved": "reserve", "user": "user", "base": "", "mixed": "", "s199": ""} {
+		target, err := s.Resolve(name)
+		require.Equal(t, want, target.Service, name)
+		require.Equal(t, want == "", errkind.Is(err, errkind.DependencyRecalled), name)
+	}
+	require.Equal(t, layers+4, len(Warnings(s)), "the layers, base, mixed, the model and the missing domains")
+}
+
 // Guards against a difference that an operator does not see.
 func TestDiffShowsChanges(t *testing.T) {
 	old, _ := Parse([]byte(small))
@@ -157,13 +183,22 @@
 	require.Less(t, len(MakePatch([]byte(base), []byte(next))), 400)
 }
 
-// Guards against a crash or an inconsistent snapshot for any text.
+// maxParseTime bounds the work for a text of 10,000 bytes. It is generous, since the fuzzer loads every processor.
+const maxParseTime = 3 * time.Second
+
+// Guards against a crash, an inconsistent snapshot or excessive work for any text.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(small))
 	f.Add([]byte("services: {a: {kind: plain, endpoints: [\"x-{1..99999999999}\"]}}"))
 	f.Add([]byte("a: &a [*a]"))
 	f.Add([]byte("services: {a: }"))
 	f.Fuzz(func(t *testing.T, data []byte) {
+		start := time.Now()
+		defer func() {
+			if took := time.Since(start); took > maxParseTime && len(data) < 10000 {
+				t.Fatalf("%d bytes took %s", len(data), took)
+			}
+		}()
 		s, faults := NewSnapshot(1, data)
 		if (s == nil) == (len(faults) == 0) {
 			t.Fatalf("snapshot %v with faults %v", s, faults)
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -103,7 +103,7 @@
 
 var namePattern = regexp.MustCompile(`^(.*)\{(\d+)\.\.(\d+)\}(.*)$`)
 
-// maxExpansion bounds the names that one pattern expands to.
+// maxExpansion bounds the names that one list of patterns expands to, so that a short text cannot fill the memory.
 const maxExpansion = 10000
 
 // ExpandNames expands patterns such as model-{01..24}, keeping leading zeros.
@@ -117,7 +117,7 @@
 		}
 		low, errLow := strconv.Atoi(m[2])
 		high, errHigh := strconv.Atoi(m[3])
-		if errLow != nil || errHigh != nil || high < low || high-low >= maxExpansion {
+		if errLow != nil || errHigh != nil || high < low || high-low >= maxExpansion-len(names) {
 			return nil, errors.Errorf("invalid range in endpoint pattern %q", p)
 		}
 		for i := low; i <= high; i++ {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"path"
+	"slices"
 	"strings"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
@@ -23,6 +24,9 @@
 	duties    map[string][]endpoint.Version // endpoint name to versions that its engine holds
 	plain     map[string][]string           // endpoint name to plain services that it runs
 	keys      []workspaceKey
+
+	blocked    map[string]string // service to the recalled name or dependency that keeps it from answering itself
+	answerable map[string]bool   // services that answer themselves or through a fallback
 }
 
 type workspaceKey struct {
@@ -63,6 +67,7 @@
 	if err := s.indexServices(); err != nil {
 		return err
 	}
+	s.indexSuppliers()
 	return s.indexKeys()
 }
 
@@ -161,7 +166,7 @@
 // Errors: UnknownService, Recalled, DependencyRecalled.
 func (s *Snapshot) Resolve(name string) (Target, error) {
 	if spec, ok := s.Text.Services[name]; ok {
-		return s.resolveService(name, spec, map[string]bool{})
+		return s.resolveService(name, spec)
 	}
 	if _, ok := s.Text.Models[name]; ok {
 		return s.resolveModel(name)
@@ -178,19 +183,14 @@
 		Endpoints: s.endpoints["model:"+name]}, nil
 }
 
-func (s *Snapshot) resolveService(name string, spec *Service, seen map[string]bool) (Target, error) {
-	seen[name] = true
-	blocked := s.blockedBy(name, spec, map[string]bool{})
+func (s *Snapshot) resolveService(name string, spec *Service) (Target, error) {
+	blocked := s.blocked[name]
 	if blocked == "" {
 		return s.target(name, spec), nil
 	}
 	for _, next := range spec.Fallbacks {
-		fallback, ok := s.Text.Services[next]
-		if !ok || seen[next] {
-			continue
-		}
-		if t, err := s.resolveService(next, fallback, seen); err == nil {
-			return t, nil
+		if s.answerable[next] {
+			return s.resolveService(next, s.Text.Services[next])
 		}
 	}
 	return Target{}, errkind.New(errkind.DependencyRecalled, "service "+name+": "+blocked+" is recalled and no fallback is usable")
@@ -203,22 +203,35 @@
 	return Target{Service: name, Spec: spec, Version: s.version(spec.Model, spec.Adapter), Endpoints: s.endpoints["model:"+spec.Model]}
 }
 
-// blockedBy returns the recalled name that keeps a service from answering, or "".
-func (s *Snapshot) blockedBy(name string, spec *Service, seen map[string]bool) string {
-	if seen[name] {
-		return ""
+// indexSuppliers computes which services can answer themselves or through a fallback. It starts from none and repeats
+// until nothing changes, which takes linear time per pass; following every path would take exponential time.
+func (s *Snapshot) indexSuppliers() {
+	s.blocked, s.answerable = make(map[string]string), make(map[string]bool)
+	names := sortedKeys(s.Text.Services)
+	for changed := true; changed; {
+		changed = false
+		for _, name := range names {
+			spec := s.Text.Services[name]
+			s.blocked[name] = s.blockedBy(spec)
+			if !s.answerable[name] && (s.blocked[name] == "" || slices.ContainsFunc(spec.Fallbacks, s.canAnswer)) {
+				s.answerable[name], changed = true, true
+			}
+		}
 	}
-	seen[name] = true
+}
+
+func (s *Snapshot) canAnswer(name string) bool { return s.answerable[name] }
+
+// blockedBy returns the recalled name or the dependency that keeps a service from answering itself, or "".
+func (s *Snapshot) blockedBy(spec *Service) string {
 	if spec.Kind != KindPlain {
 		if item, recalled := s.Recalled(s.version(spec.Model, spec.Adapter)); recalled {
 			return item
 		}
 	}
 	for _, dep := range spec.DependsOn {
-		if next, ok := s.Text.Services[dep]; ok {
-			if _, err := s.resolveService(dep, next, seen); err != nil {
-				return dep
-			}
+		if !s.answerable[dep] {
+			return dep
 		}
 	}
 	return ""
