--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,7 @@
 	cancels     *ring.Ring[string]
 	crashes     *ring.Ring[crash]
 	sequence    atomic.Uint64
+	late        atomic.Int64 // calls that run on after their deadline to record the outcome
 	estimates   estimates
 	orderState  orderState
 	reorder     chan struct{}
@@ -191,7 +192,7 @@
 func (a *Agent) waitIdle(ctx context.Context) {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
-	for !a.idle() || a.once.Pending() > 0 {
+	for !a.idle() || a.late.Load() > 0 || a.once.Pending() > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -163,7 +163,9 @@
 		cancel()
 		return a.recordAndRespond(att, claim, r)
 	case <-att.ctx.Done():
+		a.late.Add(1)
 		go func() {
+			defer a.late.Add(-1)
 			defer cancel()
 			a.recordLate(claim, <-results)
 		}()
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -150,6 +150,7 @@
 		started := time.Now()
 		require.True(t, reserve(f, "next", 60000, 30000).GetGranted())
 		require.Less(t, time.Since(started), 2*runLease)
+		time.Sleep(100 * time.Millisecond) // segments are cancelled in the background
 		require.Contains(t, f.engine.state().cancelled, "seg")
 		_, _ = f.Release(t.Context(), &wire.ReleaseRequest{Reservations: []string{"next"}})
 		require.Zero(t, f.ledger.Reserved())
