--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -37,8 +37,7 @@
       - {method: POST, path: /orders}
 models:
   m: {version: VERSION, batch: b1, endpoints: ["e0", "e1"]}
-batches:
-  b1: {supplier: example}
+batches: {b1: {supplier: s}}
 recalled: [RECALLED]
 `
 
@@ -427,8 +426,8 @@
 	if kind == fleet.KindModel {
 		opts.Engine = f.engine
 	} else {
-		opts.Endpoint = "p1"
 		opts.Service = f.service
+		opts.Endpoint = "p1"
 	}
 	if change != nil {
 		change(&opts)
