--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -134,13 +134,8 @@
 	return errkind.New(body.Error.Kind, body.Error.Message).WithRun(body.Error.Run)
 }
 
-// twirp returns the unary client of an agent.
-func (a *agents) twirp(addr string) wire.Agent {
-	return wire.NewAgentProtobufClient(a.scheme+"://"+addr, a.pooled)
-}
-
-// twirpFresh returns a unary client that opens a new connection.
-func (a *agents) twirpFresh(addr string) wire.Agent {
+// unary returns a unary client that opens a new connection per call, because a pooled one may have gone silent.
+func (a *agents) unary(addr string) wire.Agent {
 	return wire.NewAgentProtobufClient(a.scheme+"://"+addr, a.fresh)
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -30,6 +30,7 @@
 	lost       bool // the state at the agent is unknown
 	crashed    bool // the endpoint crashed while the request was running there
 	unreached  bool // no connection to the agent could be made
+	own        bool // this entry may not answer; another endpoint does not change that
 	attemptID  string
 	rowVersion int64
 	load       *wire.Load
@@ -95,7 +96,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.d.cancelBudget(a.r))
 	defer cancel()
-	reply, err := a.d.agents.twirpFresh(a.node.Addr).Cancel(ctx, &wire.CancelRequest{RequestId: a.r.id, AttemptId: a.id})
+	reply, err := a.d.agents.unary(a.node.Addr).Cancel(ctx, &wire.CancelRequest{RequestId: a.r.id, AttemptId: a.id})
 	if err != nil {
 		a.d.metrics.cancels.WithLabelValues("failed").Inc()
 		return
@@ -245,7 +246,7 @@
 		return nil
 	}
 	if err := a.d.mayAnswer(a.r, s.GetVersion()); err != nil {
-		return &failure{err: err.WithRun(errkind.Ran), lost: true}
+		return &failure{err: err.WithRun(errkind.Ran), lost: true, own: err.Kind == errkind.Isolated}
 	}
 	if a.r.version == nil {
 		return nil
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -246,7 +246,7 @@
 	}
 	if r.buffered {
 		if err := d.mayAnswer(r, a.started.GetVersion()); err != nil {
-			return &failure{err: err.WithRun(errkind.Ran)}
+			return &failure{err: err.WithRun(errkind.Ran), own: err.Kind == errkind.Isolated}
 		}
 	}
 	d.prefixes.learn(r.prefix, a.end.GetCachedTokens(), r.promptTokens)
@@ -308,7 +308,7 @@
 		return f.err
 	}
 	retry := errkind.RuleOf(f.err.Kind).Retryable || f.unreached
-	if !retry {
+	if !retry || f.own {
 		return f.err
 	}
 	if f.err.Kind == errkind.Recalled && r.begun() && !r.buffered {
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -2,12 +2,533 @@
 
 import (
 	"context"
+	"math"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
 
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/member"
+	"github.com/bilberrylink/bilberrylink/route"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// Limits of a split prompt.
+const (
+	usableShare    = 0.75            // of a member's KV memory; the rest holds the import window and short requests
+	splitTries     = 4               // plans, segment re-runs and decodes that may fail
+	releaseTimeout = 2 * time.Second // afterwards the lease ends the reservation
+	renewsPerLease = 3
+	missedRenewals = 2 // one failed renewal may be a passing fault
+	prefillSlack   = 3 // a prefill call has no heartbeats; after this many times its estimate it counts as lost
 )
 
-func (d *dispatcher) tooLarge(*request) bool { return false }
+// segment is one member's part of a split prompt.
+type segment struct {
+	ep          *route.Endpoint
+	node        member.Node
+	reservation string
+	text        string
+	tokens      int64 // reserved: the text's tokens, and for the last member the answer's
+	handle      *wire.KVHandle
+	granted     atomic.Bool
+	lost        atomic.Bool
+	missed      atomic.Int32 // renewals in a row without an answer
+}
+
+// splitRun coordinates one prompt that is larger than one engine.
+type splitRun struct {
+	d        *dispatcher
+	r        *request
+	excluded map[*route.Endpoint]bool
+	tries    int
+
+	mu       sync.Mutex
+	segments []*segment // in the order of the prompt, which is that of the endpoint names
+}
+
+// tooLarge reports whether a prompt and its answer exceed the largest known engine of the pool.
+func (d *dispatcher) tooLarge(r *request) bool {
+	if !r.isChat() {
+		return false
+	}
+	largest := int64(0)
+	for _, e := range d.pool(r.snap, &r.target).Endpoints() {
+		report, _ := e.Report()
+		largest = max(largest, report.KVCapacity)
+	}
+	return largest > 0 && r.promptTokens+r.maxTokens > largest
+}
+
+// split prefills segments on several engines and decodes at the last one. All reservations are released on return.
+func (d *dispatcher) split(ctx context.Context, r *request) error {
+	d.metrics.splits.Inc()
+	s := &splitRun{d: d, r: r, excluded: make(map[*route.Endpoint]bool)}
+	defer s.release()
+	stop := s.keepLeases(ctx)
+	defer stop()
+	for {
+		f, ep := s.once(ctx)
+		if f == nil {
+			r.usage.PromptTokens = r.promptTokens
+			return nil
+		}
+		if err := s.afterFailure(ctx, f, ep); err != nil {
+			return err
+		}
+	}
+}
+
+// once goes on from what is held: it plans and reserves if nothing is, prefills what is missing, and decodes.
+func (s *splitRun) once(ctx context.Context) (*failure, *route.Endpoint) {
+	if len(s.held()) == 0 {
+		if f, ep := s.reserveAll(ctx); f != nil {
+			return f, ep
+		}
+	}
+	if f, ep := s.replaceLost(ctx); f != nil {
+		return f, ep
+	}
+	if f, ep := s.prefill(ctx); f != nil {
+		return f, ep
+	}
+	return s.decode(ctx)
+}
+
+func (s *splitRun) held() []*segment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*segment(nil), s.segments...)
+}
+
+// plan chooses the members with the most free memory and cuts the prompt in proportion to their memory.
+func (s *splitRun) plan() ([]*segment, *errkind.Error) {
+	total := s.r.promptTokens + s.r.maxTokens
+	members := s.candidates()
+	sum, n := int64(0), 0
+	for n < len(members) && sum < total {
+		sum += usable(members[n])
+		n++
+	}
+	if sum < total {
+		return nil, errkind.New(errkind.PromptTooLarge, "the engines' memory together does not hold the prompt")
+	}
+	members = members[:n]
+	if !s.d.opts.Disabled.ReserveOrder {
+		sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	}
+	return s.cut(members, total, sum), nil
+}
+
+func (s *splitRun) candidates() []*route.Endpoint {
+	var members []*route.Endpoint
+	free := make(map[*route.Endpoint]int64)
+	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
+		report, _ := e.Report()
+		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 {
+			members = append(members, e)
+			free[e] = report.KVFree
+		}
+	}
+	sort.SliceStable(members, func(i, j int) bool { return free[members[i]] > free[members[j]] })
+	return members
+}
+
+func usable(e *route.Endpoint) int64 {
+	report, _ := e.Report()
+	return int64(float64(report.KVCapacity) * usableShare)
+}
+
+func (s *splitRun) cut(members []*route.Endpoint, total, sum int64) []*segment {
+	rest := s.r.prompt
+	segments := make([]*segment, len(members))
+	for i, e := range members {
+		share := int64(math.Ceil(float64(total) * float64(usable(e)) / float64(sum)))
+		text := rest
+		if i < len(members)-1 {
+			text = cutText(rest, share)
+		}
+		rest = rest[len(text):]
+		tokens := int64(endpoint.CountTokens(text))
+		if i == len(members)-1 {
+			tokens += s.r.maxTokens
+		}
+		segments[i] = s.newSegment(e, text, tokens)
+	}
+	return segments
+}
+
+func (s *splitRun) newSegment(e *route.Endpoint, text string, tokens int64) *segment {
+	node, _ := s.d.members.Endpoint(e.Name) // without a node the reservation fails
+	return &segment{ep: e, node: node, reservation: newID(), text: text, tokens: tokens}
+}
+
+// cutText returns the beginning of text with at most the given tokens, cut between runes.
+func cutText(text string, tokens int64) string {
+	low, high := 0, len(text)
+	for low < high {
+		mid := (low + high + 1) / 2
+		if int64(endpoint.CountTokens(text[:mid])) <= tokens {
+			low = mid
+		} else {
+			high = mid - 1
+		}
+	}
+	for low > 0 && low < len(text) && !utf8.RuneStart(text[low]) {
+		low--
+	}
+	return text[:low]
+}
+
+// reserveAll reserves the members one after another in ascending order of their names, so that concurrent prompts
+// cannot wait for each other in a circle. A failure releases everything.
+func (s *splitRun) reserveAll(ctx context.Context) (*failure, *route.Endpoint) {
+	segments, err := s.plan()
+	if err != nil {
+		return &failure{err: err}, nil
+	}
+	for _, seg := range segments {
+		s.mu.Lock()
+		s.segments = append(s.segments, seg) // before the call: a lost reply may hide a grant
+		s.mu.Unlock()
+		if f := s.reserve(ctx, seg, s.d.timing.ReserveWait); f != nil {
+			s.release()
+			return f, seg.ep
+		}
+	}
+	return nil, nil
+}
+
+// reserve takes one member's memory, waiting in its queue for up to wait.
+func (s *splitRun) reserve(ctx context.Context, seg *segment, wait time.Duration) *failure {
+	if seg.node.Addr == "" {
+		return &failure{err: errkind.New(errkind.NoEndpoint, "endpoint left the membership"), unreached: true}
+	}
+	wait = min(wait, time.Until(s.r.deadline))
+	ctx, cancel := context.WithTimeout(ctx, wait+s.d.timing.Silence)
+	defer cancel()
+	reply, err := s.d.agents.unary(seg.node.Addr).Reserve(ctx, &wire.ReserveRequest{
+		Reservation: seg.reservation,
+		RequestId:   s.r.id,
+		Workspace:   s.r.workspace,
+		Class:       string(s.r.class()),
+		Tokens:      seg.tokens,
+		WaitMs:      wait.Milliseconds(),
+		LeaseMs:     s.d.timing.Lease.Milliseconds(),
+		Epoch:       s.r.snap.Epoch,
+		Version:     wireVersion(s.r.target.Version),
+	})
+	if err != nil {
+		return unreachable(err)
+	}
+	s.d.observe(reply.GetLoad())
+	if reply.GetGranted() {
+		seg.granted.Store(true)
+		return nil
+	}
+	return refused(reply.GetRefusal())
+}
+
+func unreachable(err error) *failure {
+	return &failure{err: errkind.Wrap(err, errkind.EndpointFailed, "member does not answer").WithRun(errkind.NotRun), unreached: true}
+}
+
+// refused returns the failure of a member. Nothing of the answer exists before the decode, so the state is not_run.
+func refused(w *wire.Failure) *failure {
+	kind := errkind.Kind(w.GetKind())
+	if kind == "" {
+		kind = errkind.Overloaded
+	}
+	return &failure{
+		err:     errkind.New(kind, w.GetMessage()).WithRun(errkind.NotRun),
+		crashed: w.GetEndpointCrashed(),
+		load:    w.GetLoad(),
+	}
+}
+
+// prefill computes the segments before the last whose KV is not held.
+func (s *splitRun) prefill(ctx context.Context) (*failure, *route.Endpoint) {
+	segments := s.held()
+	for i, seg := range segments[:len(segments)-1] {
+		if seg.handle != nil {
+			continue
+		}
+		if f := s.prefillOne(ctx, seg, handles(segments[:i])); f != nil {
+			return f, seg.ep
+		}
+	}
+	return nil, nil
+}
+
+func handles(segments []*segment) []*wire.KVHandle {
+	var out []*wire.KVHandle
+	for _, seg := range segments {
+		out = append(out, seg.handle)
+	}
+	return out
+}
+
+func (s *splitRun) prefillOne(ctx context.Context, seg *segment, imported []*wire.KVHandle) *failure {
+	done := seg.ep.Dispatched(s.r.class(), seg.tokens)
+	defer done()
+	s.d.metrics.segments.Inc()
+	remaining := time.Until(s.r.deadline) - s.d.margin(s.r)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := prefillSlack*estimateOf(seg) + 2*s.d.timing.Silence
+	ctx, expire := context.WithTimeout(ctx, patience)
+	defer expire()
+	watch := s.watch(seg, cancel)
+	defer watch()
+	reply, err := s.d.agents.unary(seg.node.Addr).Prefill(ctx, &wire.PrefillRequest{
+		Reservation: seg.reservation,
+		RequestId:   s.r.id,
+		Prompt:      seg.text,
+		Version:     wireVersion(s.r.target.Version),
+		Imported:    imported,
+		Class:       string(s.r.class()),
+		DeadlineMs:  max(remaining.Milliseconds(), 1),
+		Epoch:       s.r.snap.Epoch,
+		Fingerprint: s.r.fingerprint,
+	})
+	if err != nil {
+		seg.lost.Store(true)
+		return unreachable(err)
+	}
+	s.d.observe(reply.GetLoad())
+	if reply.GetFailure() != nil {
+		seg.lost.Store(true)
+		return refused(reply.GetFailure())
+	}
+	seg.handle = reply.GetHandle()
+	return nil
+}
+
+// estimateOf returns the time for the work queued at the member and the segment itself.
+func estimateOf(seg *segment) time.Duration {
+	report, _ := seg.ep.Report()
+	ahead := seg.tokens
+	for _, queued := range report.Queued {
+		ahead += queued
+	}
+	return time.Duration(float64(ahead) / float64(max(report.PrefillRate, 1)) * float64(time.Second))
+}
+
+// watch cancels a prefill whose member loses its reservation or goes silent; the unary call has no heartbeats.
+func (s *splitRun) watch(seg *segment, cancel context.CancelCauseFunc) (stop func()) {
+	ticker := time.NewTicker(s.d.timing.Lease / renewsPerLease)
+	done := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				if seg.lost.Load() {
+					cancel(errAgent)
+					return
+				}
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+		<-ended
+	}
+}
+
+// decode runs the answer at the last member, which attends to the KV of the others.
+func (s *splitRun) decode(ctx context.Context) (*failure, *route.Endpoint) {
+	segments := s.held()
+	last := segments[len(segments)-1]
+	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
+	work := a.message.GetModel()
+	work.Prompt = last.text
+	work.PromptTokens = int64(endpoint.CountTokens(last.text))
+	work.Imported = handles(segments[:len(segments)-1])
+	work.Reservation = last.reservation
+	if err := a.run(ctx); err != nil {
+		var f *failure
+		errors.As(err, &f) // run returns nothing else
+		for range missedRenewals {
+			s.probe(ctx)
+		}
+		return f, last.ep
+	}
+	if f := s.d.complete(s.r, a); f != nil {
+		return f, last.ep
+	}
+	return nil, nil
+}
+
+// afterFailure decides whether the coordination goes on with the members that still hold their part.
+func (s *splitRun) afterFailure(ctx context.Context, f *failure, ep *route.Endpoint) error {
+	s.r.note(f.err.Run)
+	if ep != nil {
+		s.d.learn(ctx, s.r, f, ep)
+		s.excluded[ep] = f.err.Kind != errkind.Overloaded
+	}
+	if ctx.Err() != nil {
+		return s.d.expired(ctx, f)
+	}
+	if s.tries++; s.tries >= splitTries {
+		return f.err
+	}
+	if err := s.d.retryable(s.r, f); err != nil {
+		return err
+	}
+	if f.err.Kind == errkind.Recalled {
+		return f.err
+	}
+	s.r.restartAfter(f)
+	s.markLost(ep, f)
+	return s.d.spend(s.r, f)
+}
+
+// restartAfter drops an unseen answer that failed its check.
+func (r *request) restartAfter(f *failure) {
+	if f.err.Kind == errkind.StreamBroken {
+		r.restart()
+	}
+}
+
+// markLost makes the next round replace a member that failed.
+func (s *splitRun) markLost(ep *route.Endpoint, f *failure) {
+	for _, seg := range s.held() {
+		if seg.ep == ep && (f.crashed || f.lost || f.unreached) {
+			seg.lost.Store(true)
+		}
+	}
+}
+
+// replaceLost puts another endpoint in the place of each lost member. It does not wait at the replacement, because
+// waiting while holding memory of later names could deadlock; if none grants at once, everything is released.
+func (s *splitRun) replaceLost(ctx context.Context) (*failure, *route.Endpoint) {
+	for i, seg := range s.held() {
+		if !seg.lost.Load() {
+			continue
+		}
+		s.excluded[seg.ep] = true
+		next, ok := s.replacement(ctx, seg)
+		if !ok {
+			s.release()
+			return &failure{err: errkind.New(errkind.Overloaded, "no replacement for a failed member")}, nil
+		}
+		s.mu.Lock()
+		s.segments[i] = next
+		s.mu.Unlock()
+		s.releaseSegments([]*segment{seg})
+	}
+	return nil, nil
+}
+
+func (s *splitRun) replacement(ctx context.Context, lost *segment) (*segment, bool) {
+	used := make(map[*route.Endpoint]bool)
+	for _, seg := range s.held() {
+		used[seg.ep] = true
+	}
+	for _, e := range s.candidates() {
+		if used[e] {
+			continue
+		}
+		next := s.newSegment(e, lost.text, lost.tokens)
+		f := s.reserve(ctx, next, 0)
+		if f == nil {
+			return next, true
+		}
+		s.d.learn(ctx, s.r, f, e)
+		s.releaseSegments([]*segment{next})
+	}
+	return nil, false
+}
+
+// keepLeases renews the reservations until stop is called.
+func (s *splitRun) keepLeases(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(s.d.timing.Lease / renewsPerLease)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				s.probe(ctx)
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// probe renews every granted reservation and marks the members that no longer hold theirs.
+func (s *splitRun) probe(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, seg := range s.held() {
+		if seg.granted.Load() {
+			all.Go(func() { s.renew(ctx, seg) })
+		}
+	}
+	all.Wait()
+}
+
+func (s *splitRun) renew(ctx context.Context, seg *segment) {
+	bounded, cancel := context.WithTimeout(ctx, s.d.timing.Lease/renewsPerLease)
+	defer cancel()
+	reply, err := s.d.agents.unary(seg.node.Addr).Renew(bounded, &wire.RenewRequest{
+		Reservations: []string{seg.reservation},
+		LeaseMs:      s.d.timing.Lease.Milliseconds(),
+	})
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		seg.missed.Store(0)
+	}
+	if len(reply.GetUnknown()) > 0 || err != nil && seg.missed.Add(1) >= missedRenewals {
+		seg.lost.Store(true)
+	}
+}
+
+// release frees every reservation.
+func (s *splitRun) release() {
+	s.mu.Lock()
+	segments := s.segments
+	s.segments = nil
+	s.mu.Unlock()
+	s.releaseSegments(segments)
+}
 
-func (d *dispatcher) split(context.Context, *request) error {
-	return errkind.New(errkind.PromptTooLarge, "prompt is larger than one engine")
+// releaseSegments frees reservations in the background; it only ends work, so it may outlive the answer.
+func (s *splitRun) releaseSegments(segments []*segment) {
+	if s.d.opts.Disabled.Release {
+		return
+	}
+	for _, seg := range segments {
+		if seg.node.Addr == "" {
+			continue
+		}
+		s.d.background.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			reply, err := s.d.agents.unary(seg.node.Addr).Release(ctx, &wire.ReleaseRequest{Reservations: []string{seg.reservation}})
+			if err != nil {
+				s.d.log.WithError(err).WithField("endpoint", seg.ep.Name).Debug("release left to the lease")
+				return
+			}
+			s.d.observe(reply.GetLoad())
+		})
+	}
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -58,12 +58,6 @@
 	}
 }
 
-func (b *buckets[T]) len() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.items)
-}
-
 // DefaultMaxKeys bounds the records of one limiter: the target is 11,000 workspaces.
 const DefaultMaxKeys = 32_768
 
