--- /dev/null
+++ b/internal/load/commands_test.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/internal/settings"
+)
+
+// execute runs one command line and returns its output.
+func execute(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	var commands Commands
+	var out bytes.Buffer
+	options := append(settings.Options("bilberry-load", "test"), kong.Writers(&out, &out), kong.Exit(func(int) {}))
+	parser, err := kong.New(&commands, options...)
+	require.NoError(t, err)
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return "", err
+	}
+	err = ctx.Run()
+	return out.String(), err
+}
+
+// Guards against flags that do not reach the run, and against a run with violations that exits as a success.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	mix, a, b, svg := filepath.Join(dir, "mix.yaml"), filepath.Join(dir, "a.json"), filepath.Join(dir, "b.json"), filepath.Join(dir, "x.svg")
+	require.NoError(t, os.WriteFile(mix, []byte(testMix), 0o600))
+	url := new(fakeEntry).start(t)
+
+	out, err := execute(t, "run", "--entry", url, "--standin", url, "--mix", mix, "--time-scale", "4", "--rate-factor", "2", "--json", a)
+	require.NoError(t, err, out)
+	require.Contains(t, out, "0 kinds of violation (counters checked)")
+	t.Log(out)
+
+	out, err = execute(t, "run", "--entry", url, "--single", "--workspace", "alfold", "--model", "clerk", "--rate", "50",
+		"--prompt", "1-4k=1;4-32k=1", "--duration", "2s", "--time-scale", "4", "--json", b)
+	require.NoError(t, err, out)
+	report, err := ReadReport(b)
+	require.NoError(t, err)
+	require.NotZero(t, report.find("chat 1-4k").OK())
+	require.NotZero(t, report.find("chat 4-32k").OK())
+
+	out, err = execute(t, "slowdown", "--entry", url, "--mix", mix, "--time-scale", "4", "--key-prefix", "s-")
+	require.NoError(t, err, out)
+	require.Contains(t, out, "slowdown")
+	out, err = execute(t, "compare", a, b)
+	require.NoError(t, err)
+	require.Contains(t, out, "order call")
+	_, err = execute(t, "plot", a, b, "--out", svg)
+	require.NoError(t, err)
+	require.FileExists(t, svg)
+
+	_, err = execute(t, "run", "--entry", (&fakeEntry{dropTokens: true}).start(t), "--mix", mix, "--time-scale", "4")
+	require.ErrorContains(t, err, "violations")
+	_, err = execute(t, "run", "--entry", url)
+	require.Error(t, err, "neither --mix nor --single")
+}
