--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -73,11 +73,17 @@
 	return results
 }
 
+// keyHeader passes the caller's key on, so that the service's own records can be compared with the caller's.
+const keyHeader = "Idempotency-Key"
+
 func callOf(c *wire.CallWork) endpoint.Call {
 	header := make(http.Header, len(c.GetHeaders()))
 	for _, h := range c.GetHeaders() {
 		header[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
 	}
+	if key := c.GetIdempotencyKey(); key != "" {
+		header.Set(keyHeader, key)
+	}
 	return endpoint.Call{Method: c.GetMethod(), Path: c.GetPath(), Header: header, Body: c.GetBody()}
 }
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
@@ -127,9 +128,29 @@
 			return err
 		}
 	}
+	if err := f.awaitLoaded(ctx); err != nil {
+		return err
+	}
 	return f.printReady()
 }
 
+// awaitLoaded waits until every engine holds weights, so that the first requests are not refused.
+func (f *Fleet) awaitLoaded(ctx context.Context) error {
+	for _, name := range f.engines {
+		err := poll(ctx, "engine "+name, func() error {
+			report, err := f.platform.Engine(name).Report(ctx)
+			if err == nil && len(report.Loaded) == 0 {
+				err = endpoint.ErrNotLoaded
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Stop ends the daemons in the reverse order of their start, then the emulators.
 func (f *Fleet) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -24,7 +24,7 @@
 	StepTime      time.Duration // fixed part of each step; default 10 ms
 	ChunkTokens   int           // prefill tokens per step; default 512
 	MaxBatch      int           // streams that decode in one step; default 256
-	MaxTokens     int           // length of an answer that sets none; default 128
+	MaxTokens     int           // length at which an answer ends by itself; default 256
 	ImportRate    float64       // tokens per second of KV read from another engine; default 1,000,000
 	ImportWindow  int           // tokens of imported KV held at a time; default 4,096
 	LoadTime      time.Duration // per set of weights; default 1 s
@@ -42,7 +42,7 @@
 	DefaultStepTime      = 10 * time.Millisecond
 	DefaultChunkTokens   = 512
 	DefaultMaxBatch      = 256
-	DefaultMaxTokens     = 128
+	DefaultMaxTokens     = 256
 	DefaultImportRate    = 1_000_000
 	DefaultImportWindow  = 4096
 	DefaultLoadTime      = time.Second
@@ -238,7 +238,7 @@
 // Generate implements endpoint.Engine. MaxTokens bounds the whole answer, Generated included. A stream ID that is
 // known already attaches to the existing stream.
 func (e *Engine) Generate(ctx context.Context, g endpoint.Generate) (endpoint.TokenStream, error) {
-	longest := orDefault(g.MaxTokens, e.o.MaxTokens)
+	longest := min(orDefault(g.MaxTokens, e.o.MaxTokens), e.o.MaxTokens)
 	t := &task{id: g.StreamID, version: g.Version, priority: g.Priority, prompt: g.Prompt, imported: g.Imported,
 		first: len(g.Generated), max: max(longest, len(g.Generated)), changed: make(chan struct{})}
 	t.length = endpoint.CountTokens(g.Prompt)
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -138,7 +138,7 @@
 	for body, check := range checked {
 		t.Run(body, func(t *testing.T) {
 			onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
-				loadedEngine(p, "model-1", EngineOptions{})
+				loadedEngine(p, "model-1", EngineOptions{MaxTokens: 2000})
 				p.AddService("order-1", ServiceOptions{})
 				p.AddService("order-2", ServiceOptions{})
 				require.NoError(t, p.faults.Merge([]byte(body)))
