--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -72,7 +72,7 @@
 	if att.id == "" || att.request.GetRequestId() == "" {
 		return errkind.New(errkind.InvalidRequest, "request and attempt ids are required")
 	}
-	if a.isDraining() {
+	if a.isDraining() && !a.holdsMemory(att) {
 		return errkind.New(errkind.Draining, "endpoint is leaving")
 	}
 	if err := a.catchUp(ctx, att.request.GetEpoch()); err != nil {
@@ -87,6 +87,12 @@
 	return a.fitsDeadline(att)
 }
 
+// holdsMemory reports whether an attempt continues a long prompt that holds a reservation here. Such an attempt is work in
+// progress, which draining does not cut off.
+func (a *Agent) holdsMemory(att *attempt) bool {
+	return att.continues() && a.ledger.Renew(att.reservation, runLease) == nil
+}
+
 // catchUp fetches a newer text when the entry's epoch is ahead.
 func (a *Agent) catchUp(ctx context.Context, epoch int64) error {
 	s := a.peer.Epochs().Snapshot()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -63,12 +63,12 @@
 	reorder     chan struct{}
 
 	mu          sync.Mutex
-	attempts    map[string]*attempt         // by attempt id, until finishedKept after the end
-	refused     *tombstones                 // answered not_run; a later run is refused
-	past        *tombstones                 // may have run; a later run is refused without a statement
-	segments    map[string]endpoint.Version // reservations of other nodes, with the version that they are for
-	outstanding [3]int                      // prefill tokens at the engine before their first token, by class rank
-	kvWaiters   [2]*attempt                 // queued attempts that wait in the ledger: long, short
+	attempts    map[string]*attempt // by attempt id, until finishedKept after the end
+	refused     *tombstones         // answered not_run; a later run is refused
+	past        *tombstones         // may have run; a later run is refused without a statement
+	segments    map[string]hold     // reservations for segments of long prompts
+	outstanding [3]int              // prefill tokens at the engine before their first token, by class rank
+	kvWaiters   [2]*attempt         // queued attempts that wait in the ledger: long, short
 	report      endpoint.Report
 	reported    time.Time // when report arrived
 	down        bool      // the endpoint does not answer
@@ -84,6 +84,12 @@
 	beforeCall func() // tests only: runs between the `started` write and the call
 }
 
+// hold is what a reservation was made for.
+type hold struct {
+	version   endpoint.Version
+	workspace string
+}
+
 // New returns an agent that is not started yet.
 func New(opts Options) (*Agent, error) {
 	if (opts.Engine == nil) == (opts.Service == nil) {
@@ -113,7 +119,7 @@
 		refused:     newTombstones(),
 		past:        newTombstones(),
 		born:        time.Now(),
-		segments:    make(map[string]endpoint.Version),
+		segments:    make(map[string]hold),
 	}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	a.ledger = kvledger.New(kvledger.Options{Changed: a.schedule})
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -71,6 +71,9 @@
 
 func (att *attempt) hasVersion() bool { return att.segment != nil || att.request.GetModel() != nil }
 
+// continues reports whether the attempt uses memory that was reserved before.
+func (att *attempt) continues() bool { return att.reservation != "" && att.reservation != att.id }
+
 func (a *Agent) newAttempt(req *wire.RunRequest) *attempt {
 	now := time.Now()
 	att := &attempt{
@@ -182,7 +185,7 @@
 	}
 	a.mu.Lock()
 	refused := a.refused.has(att.id)
-	draining := !a.draining.IsZero() && att.arrived.After(a.draining)
+	draining := !a.draining.IsZero() && att.arrived.After(a.draining) && !att.continues()
 	att.incarnation = a.report.Incarnation
 	att.executed.Store(true)
 	a.mu.Unlock()
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -225,6 +225,7 @@
 func TestDrainWithRunningStreams(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		f.engine.set(func(e *fakeEngine) { e.tokens = 300 })
+		require.True(t, reserve(f, "held", 1000, 0).GetGranted())
 		att := f.submit(t.Context(), modelRequest("a"))
 		time.Sleep(100 * time.Millisecond)
 		f.peer.setNode(member.Node{Name: "a1", Endpoint: "e1", Leaving: true})
@@ -234,6 +235,8 @@
 		require.True(t, record.GetLeaving())
 		requireFailure(t, f.submit(t.Context(), modelRequest("b")), errkind.Draining, errkind.NotRun)
 		require.False(t, reserve(f, "r", 100, 0).GetGranted())
+		reply, _ := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: toWire(v1), DeadlineMs: 5000, Epoch: 1})
+		require.Nil(t, reply.GetFailure(), "a long prompt that holds memory is in progress")
 		stopped := make(chan error, 1)
 		go func() { stopped <- f.Stop(context.Background()) }()
 		require.NotNil(t, wait(att).GetEnd())
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -70,8 +70,8 @@
 		}
 		att.cancel(err)
 	}
-	for id, v := range a.segments {
-		if _, recalled := s.Recalled(v); recalled {
+	for id, h := range a.segments {
+		if _, recalled := s.Recalled(h.version); recalled {
 			delete(a.segments, id)
 			go func() { a.cancelOnEngine(a.ledger.Release(id)...) }() // the ledger calls back without a.mu
 		}
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -51,7 +51,7 @@
 
 func (a *Agent) reserveMemory(ctx context.Context, req *wire.ReserveRequest, wait time.Duration) error {
 	a.mu.Lock()
-	a.segments[req.GetReservation()] = fromWire(req.GetVersion())
+	a.segments[req.GetReservation()] = hold{version: fromWire(req.GetVersion()), workspace: req.GetWorkspace()}
 	a.mu.Unlock()
 	err := a.ledger.Reserve(ctx, req.GetReservation(), int(req.GetTokens()), leaseOf(req.GetLeaseMs()), wait)
 	if err == nil {
@@ -114,7 +114,10 @@
 }
 
 func (a *Agent) submitSegment(ctx context.Context, req *wire.PrefillRequest) *attempt {
+	workspace := a.workspaceOf(req.GetReservation())
 	run := &wire.RunRequest{
+		Workspace:   workspace,
+		Weight:      a.weightOf(workspace),
 		RequestId:   req.GetRequestId(),
 		AttemptId:   segmentAttempt(req.GetReservation()),
 		Class:       req.GetClass(),
@@ -128,6 +131,22 @@
 	return a.enter(ctx, att)
 }
 
+// workspaceOf returns the workspace for which a reservation was made.
+func (a *Agent) workspaceOf(reservation string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.segments[reservation].workspace
+}
+
+// weightOf returns the share of a workspace in the text, 0 if unknown.
+func (a *Agent) weightOf(workspace string) float64 {
+	s := a.peer.Epochs().Snapshot()
+	if s == nil || s.Text.Workspaces[workspace] == nil {
+		return 0
+	}
+	return s.Text.Workspaces[workspace].Weight
+}
+
 // Cancel implements wire.Agent.
 func (a *Agent) Cancel(ctx context.Context, req *wire.CancelRequest) (*wire.CancelReply, error) {
 	return &wire.CancelReply{Run: string(a.cancelAttempt(ctx, req.GetAttemptId()))}, nil
