--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -23,8 +23,8 @@
 	defaultAnswerTokens = 256
 	// reportPatience is the age of the engine's last report after which no new work is started on it.
 	reportPatience = 3 * time.Second
-	// maxDeadline bounds the remaining time that an entry may state, so that records and tombstones outlive attempts.
-	maxDeadline = tombstoneTTL / 2
+	// maxDeadline bounds the remaining time that an entry may state: the largest max_timeout of the example texts.
+	maxDeadline = time.Hour
 )
 
 // submit admits an attempt to the run queue or refuses it. A refusal is the failure of the returned attempt's stream. A
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -225,7 +225,7 @@
 }
 
 const (
-	tombstoneTTL      = 10 * time.Minute // above the longest deadline of a caller
+	tombstoneTTL      = 2 * maxDeadline // a late run can arrive until its deadline
 	tombstoneCapacity = 1 << 16
 )
 
--- a/internal/agent/compose.go
+++ b/internal/agent/compose.go
@@ -8,8 +8,8 @@
 	"go.uber.org/fx"
 )
 
-// stopTimeout bounds a graceful stop. It exceeds the longest deadline of the example texts.
-const stopTimeout = 15 * time.Minute
+// stopTimeout bounds a graceful stop. It leaves time for an attempt with the longest deadline.
+const stopTimeout = maxDeadline + time.Minute
 
 // defaultPeer constructs the exchange loop when Options.Peer is nil.
 func defaultPeer(PeerParams) (Peer, error) {
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -58,7 +58,7 @@
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		require.Equal(t, errkind.Unknown, f.cancelAttempt(t.Context(), "early"), "an earlier incarnation may have run it")
 		requireFailure(t, f.submit(t.Context(), modelRequest("early")), errkind.StreamBroken, errkind.Unknown)
-		time.Sleep(maxDeadline)
+		f.born = f.born.Add(-maxDeadline)
 		require.Equal(t, errkind.NotRun, f.cancelAttempt(t.Context(), "late"))
 		requireFailure(t, f.submit(t.Context(), modelRequest("late")), errkind.Canceled, errkind.NotRun)
 		require.Empty(t, f.engine.state().generated)
@@ -328,7 +328,7 @@
 		test func(t *testing.T, f *fixture)
 	}{
 		"not_run_executed": {switches{tombstones: true}, func(t *testing.T, f *fixture) {
-			time.Sleep(maxDeadline)
+			f.born = f.born.Add(-maxDeadline)
 			require.Equal(t, errkind.NotRun, f.cancelAttempt(t.Context(), "a"))
 			wait(f.submit(t.Context(), modelRequest("a")))
 		}},
