--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -52,6 +52,7 @@
 type Fleet struct {
 	o        Options
 	text     []byte
+	snapshot *fleet.Snapshot
 	platform *standin.Platform
 	network  *faultnet.Network
 	domains  []string
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{o: o, text: raw, domains: s.Text.Settings.FailureDomains, reserved: make(map[string]bool)}
+	f := &Fleet{o: o, text: raw, snapshot: s, domains: s.Text.Settings.FailureDomains, reserved: make(map[string]bool)}
 	if len(f.domains) == 0 {
 		f.domains = []string{defaultDomain}
 	}
@@ -134,12 +135,12 @@
 	return f.printReady()
 }
 
-// awaitLoaded waits until every engine holds weights, so that the first requests are not refused.
+// awaitLoaded waits until every engine holds the versions that the text gives it, so that the first requests are not refused.
 func (f *Fleet) awaitLoaded(ctx context.Context) error {
 	for _, name := range f.engines {
 		err := poll(ctx, "engine "+name, func() error {
 			report, err := f.platform.Engine(name).Report(ctx)
-			if err == nil && len(report.Loaded) == 0 {
+			if err == nil && len(report.Loaded) < len(f.snapshot.Duties(name)) {
 				err = endpoint.ErrNotLoaded
 			}
 			return err
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -10,6 +10,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/standin"
 )
 
 const testText = `
@@ -84,6 +87,8 @@
 func TestStartConnectsDaemons(t *testing.T) {
 	var accepted atomic.Int32
 	agents := make(map[string]AgentConfig)
+	snapshot, faults := fleet.NewSnapshot(1, []byte(testText))
+	require.Empty(t, faults)
 	addr, err := freeAddr()
 	require.NoError(t, err)
 	var out bytes.Buffer
@@ -92,6 +97,11 @@
 			Entry: fakeEntry(&accepted),
 			Agent: func(c AgentConfig) fx.Option {
 				agents[c.Endpoint] = c
+				if e, ok := c.Engine.(*standin.Engine); ok {
+					for _, v := range snapshot.Duties(c.Endpoint) {
+						e.Load(v)
+					}
+				}
 				return fx.Options()
 			},
 		}})
