--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -62,7 +62,7 @@
 	if a.past.has(att.id) {
 		return nil, errkind.New(errkind.StreamBroken, "attempt has arrived before and its answer is no longer held").WithRun(errkind.Unknown)
 	}
-	if a.refused.has(att.id) && !a.opts.off.tombstones {
+	if a.refused.has(att.id) && !a.opts.Off.Tombstones {
 		return nil, errkind.New(errkind.Canceled, "attempt was cancelled before it arrived").WithRun(errkind.NotRun)
 	}
 	return nil, nil
@@ -165,7 +165,7 @@
 	if !epochs.Fresh() && !serve {
 		return errkind.New(errkind.Isolated, "no fresh evidence of the current epoch")
 	}
-	if a.opts.off.recallCheck {
+	if a.opts.Off.RecallCheck {
 		return nil
 	}
 	return recallError(s, att)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -238,7 +238,7 @@
 func (a *Agent) isDraining() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.draining.IsZero() && !a.opts.off.drain
+	return !a.draining.IsZero() && !a.opts.Off.Drain
 }
 
 // describe fills the agent's own record for the exchange.
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	att.ctx, att.cancel = ctx, cancel
-	if !a.opts.off.deadlines {
+	if !a.opts.Off.Deadlines {
 		late := errkind.New(errkind.DeadlineExceeded, "deadline has passed")
 		ctx, stop := context.WithDeadlineCause(ctx, att.deadline, late)
 		att.ctx = ctx
@@ -146,7 +146,7 @@
 // conclude frees what the attempt holds.
 func (a *Agent) conclude(att *attempt, run errkind.Run, kind string) {
 	a.noLongerOutstanding(att)
-	if att.reservation != "" && att.segment == nil && !a.opts.off.release {
+	if att.reservation != "" && att.segment == nil && !a.opts.Off.Release {
 		a.cancelOnEngine(a.ledger.Release(att.reservation)...)
 	}
 	a.mu.Lock()
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -26,9 +26,9 @@
 		return errkind.New(errkind.MethodNotAllowed, "the service does not list this call")
 	}
 	switch {
-	case rule.Idempotent && call.GetIdempotent():
+	case rule.Idempotent && call.GetIdempotent(), a.opts.Off.Records:
 		return a.runRepeatable(att)
-	case call.GetIdempotencyKey() != "":
+	case call.GetIdempotencyKey() != "" && !a.opts.Off.Records:
 		return a.runOnce(att)
 	case rule.WithoutKey == fleet.WithoutKeySingle:
 		return a.runRepeatable(att) // one attempt and no record; the entry does not retry it
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -324,34 +324,34 @@
 // Shows that the assertion behind each mechanism reports a violation when the mechanism is off.
 func TestViolationsAreReported(t *testing.T) {
 	cases := map[string]struct {
-		off  switches
+		off  Switches
 		test func(t *testing.T, f *fixture)
 	}{
-		"not_run_executed": {switches{tombstones: true}, func(t *testing.T, f *fixture) {
+		"not_run_executed": {Switches{Tombstones: true}, func(t *testing.T, f *fixture) {
 			f.born = f.born.Add(-maxDeadline)
 			require.Equal(t, errkind.NotRun, f.cancelAttempt(t.Context(), "a"))
 			wait(f.submit(t.Context(), modelRequest("a")))
 		}},
-		"deadline_overrun": {switches{deadlines: true}, func(t *testing.T, f *fixture) {
+		"deadline_overrun": {Switches{Deadlines: true}, func(t *testing.T, f *fixture) {
 			f.engine.set(func(e *fakeEngine) { e.hang = true })
 			req := modelRequest("a")
 			req.DeadlineMs = 2000
 			f.submit(t.Context(), req)
 			time.Sleep(5 * time.Second)
 		}},
-		"recalled_answer_started": {switches{recallCheck: true}, func(t *testing.T, f *fixture) {
+		"recalled_answer_started": {Switches{RecallCheck: true}, func(t *testing.T, f *fixture) {
 			f.engine.set(func(e *fakeEngine) { e.ignoreOrder, e.pace = true, time.Second })
 			att := f.submit(t.Context(), modelRequest("a"))
 			time.Sleep(500 * time.Millisecond)
 			f.peer.set(snapshot(t, 2, textOf("1", "finish", "m")))
 			wait(att)
 		}},
-		"drained_admitted": {switches{drain: true}, func(t *testing.T, f *fixture) {
+		"drained_admitted": {Switches{Drain: true}, func(t *testing.T, f *fixture) {
 			f.startDraining()
 			time.Sleep(time.Second)
 			wait(f.submit(t.Context(), modelRequest("a")))
 		}},
-		"kv_reserved_when_idle": {switches{release: true}, func(t *testing.T, f *fixture) {
+		"kv_reserved_when_idle": {Switches{Release: true}, func(t *testing.T, f *fixture) {
 			wait(f.submit(t.Context(), modelRequest("a")))
 			time.Sleep(time.Second)
 		}},
@@ -360,7 +360,7 @@
 		t.Run(name, func(t *testing.T) {
 			seen := violations(t)
 			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(t, fleet.KindModel, func(o *Options) { o.off = c.off })
+				f := newFixture(t, fleet.KindModel, func(o *Options) { o.Off = c.off })
 				defer f.close()
 				c.test(t, f)
 				require.Contains(t, seen(), name)
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -28,21 +28,23 @@
 	Services     platform.Services
 	Seeds        []string // addresses of entries
 	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen       func(ctx context.Context, network, addr string) (net.Listener, error) // nil: the default listener
 	Log          *logrus.Logger
 	Registry     *prometheus.Registry // nil: an own one
 	Crashes      CrashSink            // nil: crashes are only logged and answered to the entries
 	Peer         NewPeer              // nil: the exchange loop of package peer
 
-	off switches
+	Off Switches // tests only
 }
 
-// switches turn mechanisms off, for tests that show that the assertion behind a mechanism reports a violation.
-type switches struct {
-	tombstones  bool
-	deadlines   bool
-	recallCheck bool
-	drain       bool
-	release     bool
+// Switches turn mechanisms off, for tests that show that the check behind a mechanism reports a violation.
+type Switches struct {
+	Tombstones  bool // an attempt that was cancelled before it arrived runs
+	Deadlines   bool // attempts run on after their deadline
+	RecallCheck bool // answers of recalled versions start
+	Drain       bool // a draining agent takes new work
+	Release     bool // memory of finished attempts stays reserved
+	Records     bool // non-idempotent calls run without a record
 }
 
 // Peer is what the agent needs of the exchange between nodes.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -57,7 +57,7 @@
 
 // applyRecalls ends the attempts of recalled versions that have not begun to answer, and the others if the text says so.
 func (a *Agent) applyRecalls(s *fleet.Snapshot) {
-	if a.opts.off.recallCheck {
+	if a.opts.Off.RecallCheck {
 		return
 	}
 	cut := s.Text.Settings.RecallStreams == fleet.RecallCut
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -47,8 +47,11 @@
 	if err != nil {
 		return err
 	}
-	options := net.ListenConfig{Control: setUserTimeout}
-	listener, err := options.Listen(a.ctx, "tcp", a.opts.Node.Listen)
+	listen := a.opts.Listen
+	if listen == nil {
+		listen = (&net.ListenConfig{Control: setUserTimeout}).Listen
+	}
+	listener, err := listen(a.ctx, "tcp", a.opts.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -57,7 +57,7 @@
 	}
 	return fx.Options(
 		fx.StopTimeout(opts.BalancerLag+opts.DrainTimeout+stopMargin),
-		fx.Provide(func() (*daemon, error) { return newDaemon(opts, Timing{}, Disabled{}) }),
+		fx.Provide(func() (*daemon, error) { return newDaemon(opts, Timing{}, opts.Disabled) }),
 		fx.Invoke(func(lc fx.Lifecycle, d *daemon) {
 			lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 		}),
@@ -152,15 +152,21 @@
 	return snap.Text.Settings.BlameTTL
 }
 
+// listenFunc is the type of net.ListenConfig.Listen.
+type listenFunc = func(ctx context.Context, network, addr string) (net.Listener, error)
+
 // start opens the listeners and starts the background goroutines.
 func (d *daemon) start(ctx context.Context) error {
-	var lc net.ListenConfig
-	callers, err := lc.Listen(ctx, "tcp", d.opts.CallersListen)
+	listen := d.opts.Listen
+	if listen == nil {
+		listen = new(net.ListenConfig).Listen
+	}
+	callers, err := listen(ctx, "tcp", d.opts.CallersListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	d.listener = callers
-	if err := d.startInternal(ctx, &lc); err != nil {
+	if err := d.startInternal(ctx, listen); err != nil {
 		_ = callers.Close() // the first error is reported
 		return err
 	}
@@ -171,11 +177,11 @@
 	return nil
 }
 
-func (d *daemon) startInternal(ctx context.Context, lc *net.ListenConfig) error {
+func (d *daemon) startInternal(ctx context.Context, listen listenFunc) error {
 	if d.parts.Internal == nil {
 		return nil
 	}
-	l, err := lc.Listen(ctx, "tcp", d.opts.Node.Listen)
+	l, err := listen(ctx, "tcp", d.opts.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for other nodes")
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -22,11 +22,13 @@
 	Services            platform.Services // the platform
 	Seeds               []string          // internal addresses of some other nodes
 	Dial                func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen              func(ctx context.Context, network, addr string) (net.Listener, error) // nil: the default listener
 	Log                 *logrus.Logger
 	Policy              string        // routing policy; empty: route.LeastTTFT
 	BalancerLag         time.Duration // time between a failing /readyz and the end of new connections; 0: DefaultBalancerLag
 	DrainTimeout        time.Duration // bound on finishing streams; 0: DefaultDrainTimeout
 	Connect             Connect       // nil: the membership and configuration exchange of this node
+	Disabled            Disabled      // tests only
 }
 
 // Defaults of Options.
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -49,10 +49,12 @@
 	mu      sync.Mutex
 	calls   map[callKey]*CallCount
 	answers map[answerKey]*AnswerCount
+	crashes map[string][]string // endpoints by the prompt that crashed them
 }
 
 func newCounters() *Counters {
-	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount)}
+	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount),
+		crashes: make(map[string][]string)}
 }
 
 func (c *Counters) call(k callKey) {
@@ -99,6 +101,23 @@
 	return append(times, time.Now())
 }
 
+func (c *Counters) crashed(prompt, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[prompt] = append(c.crashes[prompt], endpoint)
+}
+
+// Crashes returns the endpoints that each prompt with the crash marker crashed, in order.
+func (c *Counters) Crashes() map[string][]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	crashes := make(map[string][]string, len(c.crashes))
+	for prompt, endpoints := range c.crashes {
+		crashes[prompt] = slices.Clone(endpoints)
+	}
+	return crashes
+}
+
 // Executions returns how often calls with an idempotency key ran, over all endpoints.
 func (c *Counters) Executions(key string) int {
 	c.mu.Lock()
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -33,6 +33,7 @@
 // Network knows the nodes and their open connections. It is safe for concurrent use.
 type Network struct {
 	faults *standin.Faults
+	dial   Dial
 
 	mu     sync.Mutex
 	places map[string]place // by address
@@ -41,11 +42,17 @@
 
 // New returns a Network that follows the faults.
 func New(faults *standin.Faults) *Network {
-	n := &Network{faults: faults, places: make(map[string]place), conns: make(map[*conn]struct{})}
+	n := &Network{faults: faults, dial: new(net.Dialer).DialContext, places: make(map[string]place), conns: make(map[*conn]struct{})}
 	faults.OnChange(n.faultsChanged)
 	return n
 }
 
+// Over makes connections through dial instead of TCP. It must be called before the first Dialer is used.
+func (n *Network) Over(dial Dial) *Network {
+	n.dial = dial
+	return n
+}
+
 // Register names what listens on addr and its failure domain: a node and, for an agent, its endpoint.
 func (n *Network) Register(addr, domain string, names ...string) {
 	n.mu.Lock()
@@ -66,7 +73,7 @@
 		if err := n.awaitReachable(ctx, from.domain, to.domain); err != nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 		}
-		inner, err := new(net.Dialer).DialContext(ctx, network, addr)
+		inner, err := n.dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/standin/scheduler.go
+++ b/internal/standin/scheduler.go
@@ -86,6 +86,7 @@
 			continue
 		}
 		if e.crashedBy(t) {
+			e.p.counters.crashed(t.prompt, e.name)
 			e.crash()
 			return nil, 0, e.incarnation
 		}
