Bound the resolution of a lost refusal by the context's deadline

Found by the randomised runs with a slow table: resolving a lost answer of a refusal took up to 2 s whatever the deadline of the request, so the caller's connection closed before an answer was written (timeout 5 s, end after 6.4 s).

--- a/once/once.go
+++ b/once/once.go
@@ -175,14 +175,18 @@
 }
 
 // settle resolves a lost answer of the write of rec. It reports whether the write won, with the current row. A write
-// that may still be on its way is repeated on the same condition, since only one of the two can win.
+// that may still be on its way is repeated on the same condition, since only one of the two can win. It outlives a
+// cancelled context, but not the context's deadline.
 func (s *Store) settle(ctx context.Context, a Attempt, rec record) (row platform.Row, won bool, err error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.opts.ResolveTime)
-	defer cancel()
-	if untilDeadline := time.Until(a.Deadline); rec.Phase == PhaseStarted && untilDeadline < s.opts.ResolveTime {
-		ctx, cancel = context.WithTimeout(ctx, untilDeadline)
-		defer cancel()
+	limit := time.Now().Add(s.opts.ResolveTime)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(limit) {
+		limit = deadline
+	}
+	if rec.Phase == PhaseStarted && a.Deadline.Before(limit) {
+		limit = a.Deadline
 	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), limit)
+	defer cancel()
 	for wait := retryMin; ; wait = min(2*wait, retryMax) {
 		row, err = s.get(ctx, a.row())
 		if err == nil && row.Version == a.Expect {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -182,6 +182,20 @@
 	}
 }
 
+// Guards against a refusal whose resolution outlives the deadline of the request that waits for it.
+func TestRefuseEndsByTheDeadline(t *testing.T) {
+	run(t, func(t *testing.T, s *Store, table *store) {
+		table.script, table.downAfter = []string{"dropped"}, true
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, notRun, err := s.Refuse(ctx, attempt("a1", 0))
+		require.ErrorIs(t, err, ErrInDoubt)
+		require.False(t, notRun)
+		require.LessOrEqual(t, time.Since(began), 300*time.Millisecond)
+	})
+}
+
 // Guards against a late start after an entry has answered not_run, and against not_run for what has started.
 func TestRefuseExcludesStart(t *testing.T) {
 	run(t, func(t *testing.T, s *Store, table *store) {
