--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -157,6 +157,11 @@
 	return min(d.timing.AnswerMargin, total/10)
 }
 
+// answerMargin is the part of the margin of a non-idempotent call that is left to write the answer.
+func (d *dispatcher) answerMargin(r *request) time.Duration {
+	return min(d.timing.AnswerMargin, d.margin(r)/4)
+}
+
 // cancelBudget bounds the wait for an agent's answer to Cancel.
 func (d *dispatcher) cancelBudget(r *request) time.Duration {
 	left := time.Until(r.deadline) / 2
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -281,6 +281,17 @@
 	assert.Contains(t, newBenchWith(t, f, epochs, Disabled{Freshness: true}, "").chat(t, streamChat).body, "[DONE]")
 }
 
+// Guards against a call whose settling takes all the time to the deadline, so that its answer cannot be written.
+func TestSettlingLeavesTimeForTheAnswer(t *testing.T) {
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) { out.hang() })
+	f.resume = func(_ *fakeAgent, _ *wire.ResumeRequest, out *frames) { out.hang() }
+	b := newBench(t, f, Disabled{})
+	b.once.hangs = true
+	got := b.do(t, http.MethodPost, "/services/stock/orders", "{}", "X-Request-Timeout", "800ms", "Idempotency-Key", "k")
+	assert.Contains(t, got.body, `"kind":"outcome_unknown"`)
+	assert.Contains(t, got.body, `"run":"unknown"`)
+}
+
 // Guards against a lost order that is answered not_run although it may start, and against a second execution.
 func TestLostOrderIsSettledThroughTheRow(t *testing.T) {
 	order := func(b *bench) reply {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -297,12 +297,17 @@
 	mu      sync.Mutex
 	row     OnceRecord
 	down    error
+	hangs   bool // answers when the context ends
 	refused []string
 }
 
-func (o *fakeOnce) Refuse(_ context.Context, _, _ string, expect int64, attempt string) (OnceRecord, error) {
+func (o *fakeOnce) Refuse(ctx context.Context, _, _ string, expect int64, attempt string) (OnceRecord, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.hangs {
+		<-ctx.Done()
+		return OnceRecord{}, ctx.Err()
+	}
 	if o.down != nil {
 		return OnceRecord{}, o.down
 	}
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -72,11 +72,12 @@
 	return outcomeUnknown(f)
 }
 
-// settleContext outlives the caller's disconnect: the row must be settled all the same. It ends before the deadline.
+// settleContext outlives the caller's disconnect: the row must be settled all the same. It ends early
+// enough before the deadline to write the answer.
 func (d *dispatcher) settleContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
 	limit := time.Now().Add(d.timing.SettleTimeout)
-	if r.deadline.Before(limit) {
-		limit = r.deadline
+	if last := r.deadline.Add(-d.answerMargin(r)); last.Before(limit) {
+		limit = last
 	}
 	return context.WithDeadline(context.WithoutCancel(ctx), limit)
 }
