Bind each run to the incarnation of its agent

Runs now name the incarnation that the entry knows from the newest load report; another incarnation refuses them as not_run with its own load.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -51,7 +51,8 @@
 	return att
 }
 
-// insert registers an attempt unless it was cancelled before it arrived or has arrived before.
+// insert registers an attempt unless it was cancelled before it arrived or has arrived before. A run that is delivered late,
+// after a restart, may have been answered not_run by the former incarnation.
 func (a *Agent) insert(att *attempt) (existing *attempt, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -59,6 +60,9 @@
 		return e, nil
 	}
 	a.attempts[att.id] = att
+	if meant := att.request.GetIncarnation(); meant != "" && meant != a.incarnation && !a.opts.Off.Incarnation {
+		return nil, errkind.New(errkind.NotReady, "attempt was made for another incarnation of this agent").WithRun(errkind.NotRun)
+	}
 	if a.past.has(att.id) {
 		return nil, errkind.New(errkind.StreamBroken, "attempt has arrived before and its answer is no longer held").WithRun(errkind.Unknown)
 	}
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -53,6 +53,19 @@
 	})
 }
 
+// Guards against a run that is delivered a second time after a restart, when the former incarnation answered not_run.
+func TestLateRunForTheFormerIncarnation(t *testing.T) {
+	bubble(t, fleet.KindPlain, nil, func(t *testing.T, f *fixture) {
+		late := callRequest("a", "POST", "/orders", "k")
+		late.Incarnation = "former"
+		requireFailure(t, f.submit(t.Context(), late), errkind.NotReady, errkind.NotRun)
+		require.Zero(t, f.service.count())
+		fresh := callRequest("b", "POST", "/orders", "k")
+		fresh.Incarnation = f.incarnation
+		require.NotNil(t, wait(f.submit(t.Context(), fresh)).GetEnd())
+	})
+}
+
 // Guards against a run that arrives after its cancellation was answered with not_run.
 func TestLateRunAfterCancel(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -44,6 +44,7 @@
 	RecallCheck bool // answers of recalled versions start
 	Drain       bool // a draining agent takes new work
 	Release     bool // memory of finished attempts stays reserved
+	Incarnation bool // an attempt made for an earlier incarnation runs
 	Records     bool // non-idempotent calls run without a record
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -56,6 +56,8 @@
 
 func (d *dispatcher) newAttempt(r *request, node member.Node, ep *route.Endpoint, remaining time.Duration) *attempt {
 	id := newID()
+	message := r.message(id, remaining)
+	message.Incarnation = incarnationOf(node)
 	return &attempt{
 		d:       d,
 		r:       r,
@@ -63,11 +65,19 @@
 		node:    node,
 		ep:      ep,
 		reader:  stream.NewReader(r.id, id),
-		message: r.message(id, remaining),
+		message: message,
 		indexed: int64(len(r.tokens)),
 	}
 }
 
+// incarnationOf returns the incarnation of the newest load report: a refusal tells of a restart before gossip does.
+func incarnationOf(node member.Node) string {
+	if i := node.Load.GetIncarnation(); i != "" {
+		return i
+	}
+	return node.Incarnation
+}
+
 // run executes the attempt until its End frame. On any failure the attempt is cancelled at the agent, so that it cannot
 // start or go on later. The returned error is a *failure or nil.
 func (a *attempt) run(ctx context.Context) error {
