--- a/blame/blame.go
+++ b/blame/blame.go
@@ -78,6 +78,7 @@
 	Crashes     int       `json:"crashes"`
 	Endpoints   []string  `json:"endpoints"`
 	Cleared     bool      `json:"cleared"`
+	Generation  int       `json:"generation"` // grows when the record is cleared or reopened; orders rows
 	Expires     time.Time `json:"-"`
 	changed     time.Time
 	crashed     time.Time // newest crash seen by this entry
@@ -181,6 +182,7 @@
 	cleared := ok && !r.Cleared && r.Crashes < blamedAt
 	if cleared {
 		r.Cleared = true
+		r.Generation++
 		r.changed = time.Now()
 	}
 	t.mu.Unlock()
@@ -210,16 +212,21 @@
 		r = &Record{Fingerprint: in.Fingerprint}
 		t.records.put(in.Fingerprint, r)
 	}
+	if !own && in.Generation != unordered && !r.follow(in.Generation) {
+		return
+	}
 	before := *r
 	switch {
 	case own && r.Cleared:
 		r.Crashes, r.Cleared, r.Endpoints = 1, false, nil
+		r.Generation++
 	case own && now.Sub(r.crashed) < sameCrash && slices.Contains(r.Endpoints, in.Endpoints[0]):
 		// Another request with the same prompt was lost in the same crash.
 	case own:
 		r.Crashes++
 	case in.Cleared && r.Crashes < blamedAt && in.Crashes >= r.Crashes:
 		r.Cleared, r.Crashes = true, in.Crashes
+		r.Generation = max(r.Generation+1, in.Generation)
 	case !in.Cleared:
 		r.Cleared = r.Cleared && in.Crashes <= r.Crashes
 		r.Crashes = max(r.Crashes, in.Crashes)
@@ -234,6 +241,17 @@
 	t.touch(r, &before, in, now)
 }
 
+// unordered marks records from gossip, which carry no generation.
+const unordered = -1
+
+// follow adopts a newer generation and reports whether a record of that generation still counts.
+func (r *Record) follow(generation int) bool {
+	if generation > r.Generation {
+		r.Crashes, r.Cleared, r.Endpoints, r.Generation = 0, false, nil, generation
+	}
+	return generation == r.Generation
+}
+
 func (r *Record) addEndpoints(names []string) {
 	for _, name := range names {
 		if !slices.Contains(r.Endpoints, name) {
@@ -280,6 +298,7 @@
 			Crashes:     int(in.GetCrashes()),
 			Endpoints:   in.GetEndpoints(),
 			Cleared:     in.GetCleared(),
+			Generation:  unordered,
 			Expires:     now.Add(ttl),
 		}, false)
 	}
--- /dev/null
+++ b/blame/blame_test.go
@@ -0,0 +1,127 @@
+package blame
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+// fakeTable is a table of rows with conditional writes.
+type fakeTable struct {
+	platform.Table
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	down bool
+}
+
+func (f *fakeTable) Commit(_ context.Context, writes ...platform.Write) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	w := writes[0]
+	if row := f.rows[w.Key]; row.Version != w.Expect {
+		return nil, &platform.ConditionError{Current: row}
+	}
+	row := platform.Row{Key: w.Key, Version: w.Expect + 1, Value: w.Value, Expires: time.Now().Add(w.TTL)}
+	f.rows[w.Key] = row
+	return []platform.Row{row}, nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, _, after string, _ int) (rows []platform.Row, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	for key, row := range f.rows {
+		if key > after {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Guards against a crash at one entry that another entry does not count.
+func TestCrashesAddUpThroughTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		a, b := New(Options{Table: table}), New(Options{Table: table})
+		assert.Equal(t, Unproven, a.Check("p"))
+		assert.Equal(t, Suspect, a.Crashed(t.Context(), "p", "model-1"))
+		assert.Equal(t, Blamed, b.Crashed(t.Context(), "p", "model-2"))
+		assert.Equal(t, []string{"model-2", "model-1"}, b.Blamed()[0].Endpoints)
+		time.Sleep(DefaultTTL)
+		assert.Equal(t, Unproven, b.Check("p"), "a blame expires")
+	})
+}
+
+// Guards against the rule failing while the table is down: gossip carries it, and the table catches up.
+func TestCrashesAddUpThroughGossipWhileTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}, down: true}
+		a, b := New(Options{Table: table}), New(Options{Table: table})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = a.Run(ctx) }()
+		assert.Equal(t, Suspect, a.Crashed(ctx, "p", "model-1"))
+		b.Observe(a.Pending())
+		assert.Equal(t, Suspect, b.Check("p"))
+		assert.Equal(t, Blamed, b.Crashed(ctx, "p", "model-2"))
+		a.Observe(b.Pending())
+		assert.Equal(t, Blamed, a.Check("p"))
+		table.mu.Lock()
+		table.down = false
+		table.mu.Unlock()
+		time.Sleep(3 * retryEvery)
+		rows, _ := table.Scan(ctx, RowPrefix, "", 10)
+		assert.Len(t, rows, 1)
+		fresh := New(Options{Table: table})
+		go func() { _ = fresh.Run(ctx) }()
+		synctest.Wait()
+		assert.Equal(t, Blamed, fresh.Check("p"), "a restarted entry loads the rows")
+		cancel()
+	})
+}
+
+// Guards against innocent requests that stay suspects, and against one crash that counts twice.
+func TestInnocentSuspectsAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{rows: map[string]platform.Row{}}
+		a, b := New(Options{Table: table}), New(Options{})
+		a.Crashed(t.Context(), "p", "model-1")
+		assert.Equal(t, Suspect, a.Crashed(t.Context(), "p", "model-1"), "two requests lost in one crash")
+		b.Observe(a.Pending())
+		a.Finished("p")
+		assert.Equal(t, Proven, a.Check("p"))
+		b.Observe(a.Pending())
+		assert.Equal(t, Unproven, b.Check("p"))
+		assert.Equal(t, Suspect, a.Crashed(t.Context(), "p", "model-3"), "an old, cleared crash does not count")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, Blamed, a.Crashed(t.Context(), "p", "model-3"))
+		a.Finished("p")
+		assert.Equal(t, Blamed, a.Check("p"), "a late finish does not end a blame")
+		off := New(Options{Disabled: true})
+		off.Crashed(t.Context(), "p", "model-1")
+		off.Crashed(t.Context(), "p", "model-2")
+		assert.Equal(t, Unproven, off.Check("p"))
+	})
+}
+
+// Guards against unbounded memory.
+func TestRecordsAreBounded(t *testing.T) {
+	tr := New(Options{Capacity: 10})
+	for _, c := range "abcdefghijklmnopqrstuvwxyz" {
+		tr.Crashed(t.Context(), string(c), "model-1")
+		tr.Finished("done-" + string(c))
+	}
+	assert.Len(t, tr.records.items, 10)
+	assert.Len(t, tr.proven.items, 10)
+	assert.Equal(t, Suspect, tr.Check("z"))
+}
--- /dev/null
+++ b/internal/entry/split_test.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// ledger records what the members of split prompts were asked, over all agents.
+type ledger struct {
+	mu       sync.Mutex
+	reserved []string          // endpoints in the order of Reserve
+	held     map[string]string // reservation to endpoint
+	prefills []string
+	fail     string // endpoint whose first Prefill fails
+}
+
+// splitAgent is the unary side of a fakeAgent.
+type splitAgent struct {
+	*fakeAgent
+	l *ledger
+}
+
+func (s splitAgent) Reserve(_ context.Context, r *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	s.l.reserved = append(s.l.reserved, s.name)
+	s.l.held[r.GetReservation()] = s.name
+	return &wire.ReserveReply{Granted: true}, nil
+}
+
+func (s splitAgent) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewReply, error) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	reply := new(wire.RenewReply)
+	for _, id := range r.GetReservations() {
+		if s.l.held[id] == "" {
+			reply.Unknown = append(reply.Unknown, id)
+		}
+	}
+	return reply, nil
+}
+
+func (s splitAgent) Release(_ context.Context, r *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	for _, id := range r.GetReservations() {
+		delete(s.l.held, id)
+	}
+	return new(wire.ReleaseReply), nil
+}
+
+func (s splitAgent) Prefill(_ context.Context, r *wire.PrefillRequest) (*wire.PrefillReply, error) {
+	s.l.mu.Lock()
+	defer s.l.mu.Unlock()
+	s.l.prefills = append(s.l.prefills, s.name)
+	if s.l.fail == s.name {
+		s.l.fail = ""
+		return &wire.PrefillReply{Failure: &wire.Failure{Kind: "endpoint_failed", EndpointCrashed: true}}, nil
+	}
+	return &wire.PrefillReply{Handle: &wire.KVHandle{Engine: s.name, Id: r.GetPrompt()}}, nil
+}
+
+// splitBench is an entry in front of six engines of 1000 tokens each.
+func splitBench(t *testing.T, off Disabled, run func(a *fakeAgent, r *wire.RunRequest, out *frames)) (*bench, *ledger) {
+	f := newFleet(t, run)
+	l := &ledger{held: make(map[string]string)}
+	for i := range 6 {
+		f.add(t, fmt.Sprintf("model-%d", i+1), func(a *fakeAgent) wire.Agent { return splitAgent{a, l} })
+	}
+	epochs := new(fakeEpochs)
+	epochs.accept(t, 1, "")
+	b := newBenchWith(t, f, epochs, off, "")
+	for i := range 6 {
+		// More free memory at later names: the plan prefers them, the reservation order must not.
+		b.server.dispatch.opts.View.Observe(&wire.Load{Endpoint: fmt.Sprintf("model-%d", i+1), Sequence: 1, KvCapacity: 1000,
+			KvFree: int64(900 + i), PrefillRate: 100_000})
+	}
+	return b, l
+}
+
+// wholePrompt answers with the length of all segments together.
+func wholePrompt(_ *fakeAgent, r *wire.RunRequest, out *frames) {
+	n := len(r.GetModel().GetPrompt())
+	for _, h := range r.GetModel().GetImported() {
+		n += len(h.GetId())
+	}
+	out.started().tokens(0, fmt.Sprint(n)).end()
+}
+
+func splitChat(tokens int) string {
+	text := strings.Repeat("ledger é ", tokens*4/10)
+	return fmt.Sprintf(`{"model":"clerk","max_tokens":50,"messages":[{"role":"user","content":"%s"}]}`, text)
+}
+
+func (l *ledger) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held) == 0
+}
+
+// Guards against lost or repeated parts of a split prompt, reservations in opposite orders, and leaked memory.
+func TestSplitPromptIsWholeOrderedAndReleased(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, wholePrompt)
+	got := b.chat(t, splitChat(1400))
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	want := len("user: \n") + len("ledger é ")*(1400*4/10)
+	assert.Contains(t, got.body, fmt.Sprintf(`"content":"%d"`, want))
+	assert.True(t, sort.StringsAreSorted(l.reserved), "%v", l.reserved)
+	assert.Greater(t, len(l.reserved), 1)
+	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
+
+	off, unordered := splitBench(t, Disabled{ReserveOrder: true, Release: true}, wholePrompt)
+	off.chat(t, splitChat(1400))
+	assert.False(t, sort.StringsAreSorted(unordered.reserved))
+	assert.False(t, unordered.empty())
+}
+
+// Guards against re-running the whole prompt when one member fails.
+func TestFailedMemberIsReplacedAlone(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, wholePrompt)
+	l.fail = "model-5"
+	got := b.chat(t, splitChat(2000))
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	assert.Empty(t, l.fail, "the fault was met")
+	assert.Len(t, l.prefills, 3, "two segments and one re-run")
+	seen := make(map[string]int)
+	for _, name := range l.prefills {
+		seen[name]++
+	}
+	for name, n := range seen {
+		assert.Equal(t, 1, n, name)
+	}
+	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
+}
+
+// Guards against reservations that survive a failed decode or a prompt that no fleet can hold.
+func TestSplitFailuresReleaseEverything(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
+		out.fail(&wire.Failure{Kind: "internal", Run: "ran"})
+	})
+	assert.Contains(t, b.chat(t, splitChat(1400)).body, `"kind":"internal"`)
+	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
+	assert.Contains(t, b.chat(t, splitChat(9000)).body, `"kind":"prompt_too_large"`)
+	assert.True(t, l.empty())
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -51,8 +51,12 @@
 		return
 	}
 	b.swept = now
+	room := b.max
+	if len(b.items) >= b.max {
+		room = b.max - b.max/4 // frees many at once, so that the cost per new key stays constant
+	}
 	for key, item := range b.items {
-		if now.Sub(item.used) > idleAfter || len(b.items) >= b.max {
+		if now.Sub(item.used) > idleAfter || len(b.items) > room {
 			delete(b.items, key)
 		}
 	}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,102 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a fleet-wide limit that every entry grants in full.
+func TestRateIsDividedByEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRates(RateOptions{})
+		count := func(s Share) (n int) {
+			for range 1000 {
+				if r.Allow("workshop", s, 10) {
+					n++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			return n
+		}
+		assert.InDelta(t, 100, count(Share{RequestsPerSecond: 40, Entries: 4}), 11)
+		assert.InDelta(t, 200, count(Share{RequestsPerSecond: 40, Entries: 2}), 22)
+		assert.Equal(t, 1000, count(Share{Entries: 4}))
+	})
+}
+
+// Guards against large prompts that pass a token limit for free, or never pass.
+func TestTokensOfLargePromptsArePaidLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRates(RateOptions{})
+		s := Share{TokensPerSecond: 100, Entries: 1}
+		assert.True(t, r.Allow("w", s, 1000), "larger than the bucket")
+		assert.False(t, r.Allow("w", s, 1))
+		time.Sleep(8 * time.Second)
+		assert.False(t, r.Allow("w", s, 1), "900 tokens are owed")
+		time.Sleep(2 * time.Second)
+		assert.True(t, r.Allow("w", s, 1))
+		r.Charge("w", 500)
+		assert.False(t, r.Allow("w", s, 1), "the answer's tokens count")
+	})
+}
+
+// Guards against memory that grows with every workspace ever seen.
+func TestIdleWorkspacesAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRates(RateOptions{MaxKeys: 12_000})
+		for i := range 30_000 {
+			r.Allow(fmt.Sprint(i), Share{}, 1)
+		}
+		assert.LessOrEqual(t, len(r.keys.items), 12_000)
+		time.Sleep(idleAfter + time.Minute)
+		r.Allow("new", Share{}, 1)
+		assert.Len(t, r.keys.items, 1)
+	})
+}
+
+// Guards against retries beyond a tenth of the requests.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spend := func(b *Budgets) (n int) {
+			for range 1000 {
+				b.Earn("w")
+				if b.Spend("w") {
+					n++
+				}
+			}
+			return n
+		}
+		b := NewBudgets(BudgetOptions{})
+		assert.InDelta(t, 100+DefaultMinimum, spend(b), 1)
+		assert.False(t, b.Spend("w"))
+		b.Refund("w")
+		assert.True(t, b.Spend("w"))
+		time.Sleep(time.Hour)
+		for range DefaultMinimum {
+			assert.True(t, b.Spend("w"), "an idle workspace may retry again")
+		}
+		assert.False(t, b.Spend("w"))
+		assert.Equal(t, 1000, spend(NewBudgets(BudgetOptions{Disabled: true})))
+	})
+}
+
+// Guards against hedging by another service's latency, and against a trigger that never follows changes.
+func TestHedgeDelayIsTheOwnP95(t *testing.T) {
+	h := NewHedge(HedgeOptions{Window: 100})
+	assert.Equal(t, DefaultDelay, h.Delay("stock"))
+	for i := range 99 {
+		h.Observe("stock", time.Duration(i+1)*time.Millisecond)
+	}
+	assert.InEpsilon(t, 95*time.Millisecond, h.Delay("stock"), 0.03)
+	assert.Equal(t, DefaultDelay, h.Delay("kits"))
+	for range 200 {
+		h.Observe("stock", time.Second)
+	}
+	assert.InEpsilon(t, time.Second, h.Delay("stock"), 0.03)
+	h.Retain(func(string) bool { return false })
+	assert.Equal(t, DefaultDelay, h.Delay("stock"))
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -133,5 +132,5 @@
 	if len(p.endpoints) == 0 {
 		return 0
 	}
-	return rand.IntN(len(p.endpoints))
+	return p.intN(len(p.endpoints))
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -1,9 +1,6 @@
 package route
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // RecentlyDown is how long a failed endpoint still counts as one of the two endpoints of a fingerprint. Gossip over 360
 // entries at one exchange per second needs about ten rounds; until then an entry may not know that the prompt is a
@@ -19,11 +16,12 @@
 // Pool is the fixed set of endpoints that may run a service at one epoch.
 type Pool struct {
 	endpoints []*Endpoint
+	intN      func(n int) int
 }
 
 // Pool returns the pool of the named endpoints.
 func (v *View) Pool(names []string) *Pool {
-	p := &Pool{endpoints: make([]*Endpoint, len(names))}
+	p := &Pool{endpoints: make([]*Endpoint, len(names)), intN: v.opts.IntN}
 	for i, name := range names {
 		p.endpoints[i] = v.Endpoint(name)
 	}
@@ -168,11 +166,11 @@
 		return nil
 	}
 	for range randomTries {
-		if e := p.endpoints[rand.IntN(len(p.endpoints))]; eligible(e, r) {
+		if e := p.endpoints[p.intN(len(p.endpoints))]; eligible(e, r) {
 			return e
 		}
 	}
-	start := rand.IntN(len(p.endpoints))
+	start := p.intN(len(p.endpoints))
 	for i := range p.endpoints {
 		if e := p.endpoints[(start+i)%len(p.endpoints)]; eligible(e, r) {
 			return e
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,147 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+func testPool(n int, seed uint64) (*View, *Pool) {
+	r := rand.New(rand.NewPCG(seed, seed))
+	v := NewView(Options{IntN: r.IntN})
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("model-%03d", i)
+		v.Observe(&wire.Load{Endpoint: names[i], Sequence: 1, PrefillRate: 1000, KvFree: 50_000, KvCapacity: 100_000})
+		v.Endpoint(names[i]).SetAvailable(true, false)
+	}
+	return v, v.Pool(names)
+}
+
+// Guards against policies that choose an endpoint that is down or was tried.
+func TestPoliciesSkipUnavailableAndExcluded(t *testing.T) {
+	for _, name := range Names() {
+		policy, err := New(name)
+		assert.NoError(t, err)
+		assert.Equal(t, name, policy.Name())
+		v, p := testPool(3, 1)
+		v.Endpoint("model-000").SetAvailable(false, false)
+		for i := range 50 {
+			c, ok := policy.Choose(p, &Request{Prefix: uint64(i + 1), Exclude: []*Endpoint{v.Endpoint("model-001")}})
+			assert.True(t, ok, name)
+			assert.Equal(t, "model-002", c.Endpoint.Name, name)
+		}
+		_, ok := policy.Choose(v.Pool(nil), &Request{})
+		assert.False(t, ok, name)
+	}
+	_, err := New("guess")
+	assert.Error(t, err)
+}
+
+// Guards against estimates that ignore class, cached prefix, memory or the work sent since the last report.
+func TestEstimate(t *testing.T) {
+	v, _ := testPool(1, 1)
+	e := v.Endpoint("model-000")
+	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 2, PrefillRate: 1000, KvFree: 9000, KvCapacity: 100_000,
+		QueuedPrefill: 6000, QueuedUrgent: 1000, QueuedInteractive: 2000})
+	chat := &Request{Class: fleet.ClassInteractive, PromptTokens: 500, CachedTokens: 400}
+	assert.Equal(t, 3500*time.Millisecond, estimate(e, chat, false))
+	assert.Equal(t, 3100*time.Millisecond, estimate(e, chat, true))
+	assert.Equal(t, 6500*time.Millisecond, estimate(e, &Request{Class: fleet.ClassBulk, PromptTokens: 500}, false))
+	assert.Equal(t, 1500*time.Millisecond, estimate(e, &Request{Class: fleet.ClassUrgent, PromptTokens: 500}, false))
+	done := e.Dispatched(fleet.ClassInteractive, 2000)
+	assert.Equal(t, 5500*time.Millisecond, estimate(e, chat, false), "own work is not lost in a stale report")
+	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 1, PrefillRate: 1000})
+	assert.Equal(t, 5500*time.Millisecond, estimate(e, chat, false), "an older report is ignored")
+	done()
+	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 3, PrefillRate: 1000, KvFree: 100, KvCapacity: 100_000})
+	assert.Equal(t, 500*time.Millisecond+memoryWait, estimate(e, chat, false))
+	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 4, PrefillRate: 1000, KvFree: 9000, KvCapacity: 9000, QueuedPrefill: 4000})
+	favor := &Request{Class: fleet.ClassInteractive, PromptTokens: 500, Favor: fleet.FavorSlowdown}
+	assert.Greater(t, cost(e, favor, false), cost(e, chat, false), "slowdown counts the work that would be delayed")
+}
+
+// Guards against a herd: entries with the same stale report must not all choose the same endpoint.
+func TestLeastTTFTSpreadsAndPrefersIdle(t *testing.T) {
+	v, p := testPool(100, 3)
+	for i := range 50 {
+		v.Observe(&wire.Load{Endpoint: fmt.Sprintf("model-%03d", i), Sequence: 2, PrefillRate: 1000, QueuedPrefill: 90_000,
+			QueuedInteractive: 90_000, KvFree: 50_000, KvCapacity: 100_000})
+	}
+	busy, most := 0, 0
+	counts := make(map[string]int)
+	for i := range 2000 {
+		c, _ := leastTTFT{}.Choose(p, &Request{Class: fleet.ClassInteractive, PromptTokens: 100, Prefix: uint64(i+1) * 0x9e3779b97f4a7c15})
+		counts[c.Endpoint.Name]++
+		most = max(most, counts[c.Endpoint.Name])
+		if c.Endpoint.Name < "model-050" {
+			busy++
+		}
+	}
+	assert.Less(t, busy, 2000/4, "three candidates are all busy in one case of eight")
+	assert.Less(t, most, 2000/10)
+}
+
+// Guards against entries that send an unproven prompt to more than two endpoints.
+func TestConfinedRequestsAgreeOverEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := make(map[string]bool)
+		for entry := range 10 {
+			v, p := testPool(770, uint64(entry))
+			r := &Request{Prefix: 11, Fingerprint: 12, Confined: true}
+			for name := range reached {
+				v.Endpoint(name).SetAvailable(false, false) // crashed a moment ago
+			}
+			for range 5 {
+				if c, ok := (leastTTFT{}).Choose(p, r); ok {
+					reached[c.Endpoint.Name] = true
+					r.Exclude = append(r.Exclude, c.Endpoint)
+				}
+			}
+		}
+		assert.Len(t, reached, confinedEndpoints)
+		v, p := testPool(770, 1)
+		for name := range reached {
+			v.Endpoint(name).SetAvailable(false, false)
+		}
+		_, ok := leastTTFT{}.Choose(p, &Request{Prefix: 11, Fingerprint: 12, Confined: true})
+		assert.False(t, ok, "recently failed endpoints are not replaced")
+		time.Sleep(RecentlyDown)
+		_, ok = leastTTFT{}.Choose(p, &Request{Prefix: 11, Fingerprint: 12, Confined: true})
+		assert.True(t, ok, "endpoints that stay down are")
+	})
+}
+
+// Guards against allocations that grow with the fleet.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	_, p := testPool(770, 1)
+	r := &Request{Prefix: 5, PromptTokens: 1000}
+	allocs := testing.AllocsPerRun(100, func() { leastTTFT{}.Choose(p, r) })
+	assert.LessOrEqual(t, allocs, 1.0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, name := range Names() {
+		for _, confined := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%s/confined=%t", name, confined), func(b *testing.B) {
+				policy, _ := New(name)
+				_, p := testPool(770, 1)
+				r := &Request{Class: fleet.ClassInteractive, PromptTokens: 4000, Confined: confined, Fingerprint: 9}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					r.Prefix = uint64(i) + 1
+					if c, ok := policy.Choose(p, r); ok {
+						c.Endpoint.Dispatched(r.Class, r.PromptTokens)()
+					}
+				}
+			})
+		}
+	}
+}
--- a/route/view.go
+++ b/route/view.go
@@ -5,6 +5,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,8 @@
 
 // Options configures a View.
 type Options struct {
-	PrefillRate int64 // tokens per second before the first report; 0: DefaultPrefillRate
+	PrefillRate int64           // tokens per second before the first report; 0: DefaultPrefillRate
+	IntN        func(n int) int // random number in [0,n), safe for concurrent use; nil: math/rand/v2
 }
 
 // View is the load view of one entry.
@@ -65,6 +67,9 @@
 	if opts.PrefillRate <= 0 {
 		opts.PrefillRate = DefaultPrefillRate
 	}
+	if opts.IntN == nil {
+		opts.IntN = rand.IntN
+	}
 	return &View{opts: opts, endpoints: make(map[string]*Endpoint)}
 }
 
