--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	bound(w, arrived.Add(defaultMaxTimeout))
+	bound(w, arrived.Add(bodyTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody(id.snap)))
 	if err != nil {
 		return bodyError(err)
--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -83,3 +84,11 @@
 	assert.Zero(t, runs)
 	assert.Equal(t, http.StatusOK, b.chat(t, plainChat).status)
 }
+
+// Guards against the deadline of one request that breaks a later one on the same connection.
+func TestDeadlineEndsWithItsRequest(t *testing.T) {
+	b := newBench(t, newFleet(t, serveTokens), Disabled{})
+	assert.Equal(t, http.StatusOK, b.chat(t, plainChat, "X-Request-Timeout", "300ms").status)
+	time.Sleep(350 * time.Millisecond)
+	assert.Equal(t, http.StatusUnauthorized, b.chat(t, plainChat, "Authorization", "none").status)
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -307,6 +307,9 @@
 		}
 		return f.err
 	}
+	if f.err.Kind == errkind.PromptTooLarge && f.err.Run == errkind.NotRun && d.tooLarge(r) {
+		return nil // the refusal's load report shows that the prompt must be split
+	}
 	retry := errkind.RuleOf(f.err.Kind).Retryable || f.unreached
 	if !retry || f.own {
 		return f.err
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -82,4 +82,5 @@
 	defaultMaxTimeout = 10 * time.Minute
 	defaultMaxTokens  = 1024
 	maxKeyLength      = 255
+	bodyTimeout       = time.Minute // to read a chat's body, before its service and deadline are known
 )
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -385,7 +385,7 @@
 	if err := s.d.retryable(s.r, f); err != nil {
 		return err
 	}
-	if f.err.Kind == errkind.Recalled {
+	if f.err.Kind == errkind.Recalled || f.err.Kind == errkind.PromptTooLarge {
 		return f.err
 	}
 	s.r.restartAfter(f)
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -154,3 +155,25 @@
 	assert.Contains(t, b.chat(t, splitChat(9000)).body, `"kind":"prompt_too_large"`)
 	assert.True(t, l.empty())
 }
+
+// Guards against refusing a long prompt only because no load report has arrived yet.
+func TestPromptIsSplitAfterTheFirstRefusal(t *testing.T) {
+	report := func(name string) *wire.Load {
+		return &wire.Load{Endpoint: name, Sequence: 1, KvCapacity: 1000, KvFree: 1000, PrefillRate: 100_000}
+	}
+	var b *bench
+	b, l := splitBench(t, Disabled{}, func(a *fakeAgent, r *wire.RunRequest, out *frames) {
+		if r.GetModel().GetReservation() != "" {
+			wholePrompt(a, r, out)
+			return
+		}
+		for i := range 6 {
+			b.server.dispatch.opts.View.Observe(report(fmt.Sprintf("model-%d", i+1)))
+		}
+		out.fail(&wire.Failure{Kind: "prompt_too_large", Run: "not_run", Load: report(a.name)})
+	})
+	b.server.dispatch.opts.View = route.NewView(route.Options{IntN: seeded(1)})
+	got := b.chat(t, splitChat(1400))
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	assert.Greater(t, len(l.reserved), 1)
+}
