--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -94,7 +94,11 @@
 	if a.d.opts.Disabled.Cancel || f.unreached || !f.lost {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.d.cancelBudget(a.r))
+	limit := a.d.cancelBudget(a.r)
+	if errors.Is(context.Cause(ctx), errOutrun) {
+		limit = min(limit, outrunCancelTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	reply, err := a.d.agents.unary(a.node.Addr).Cancel(ctx, &wire.CancelRequest{RequestId: a.r.id, AttemptId: a.id})
 	if err != nil {
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -79,6 +79,9 @@
 // headerTimeout bounds the headers of a caller's request.
 const headerTimeout = 10 * time.Second
 
+// callerIdleTimeout ends unused kept-alive connections; load balancers reuse theirs more often than that.
+const callerIdleTimeout = 5 * time.Minute
+
 // daemon is one running entry.
 type daemon struct {
 	opts     Options
@@ -170,7 +173,11 @@
 		_ = callers.Close() // the first error is reported
 		return err
 	}
-	d.callers = &http.Server{Handler: d.server.router(d.parts.Operators...), ReadHeaderTimeout: headerTimeout}
+	d.callers = &http.Server{
+		Handler:           d.server.router(d.parts.Operators...),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
 	go d.serve(d.callers, callers, "callers")
 	d.startBackground()
 	d.opts.Log.WithField("callers", callers.Addr().String()).WithField("node", d.opts.Node.Name).Info("entry started")
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/ring"
 	"github.com/bilberrylink/bilberrylink/route"
@@ -12,6 +14,12 @@
 // attemptsPerHedge is the first attempt and its hedge.
 const attemptsPerHedge = 2
 
+// errOutrun ends an attempt whose hedge answered first.
+var errOutrun = errors.New("the other attempt answered first")
+
+// outrunCancelTimeout bounds how long the answer waits for the cancel of the slower attempt.
+const outrunCancelTimeout = 100 * time.Millisecond
+
 // outcome is the result of one attempt of a hedged call.
 type outcome struct {
 	attempt *attempt
@@ -43,9 +51,9 @@
 }
 
 func (h *hedged) run(ctx context.Context, c route.Choice) *failure {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer h.join()
-	defer cancel()
+	defer cancel(errOutrun)
 	h.start(ctx, c.Endpoint)
 	if first, ok := h.wait(ctx, h.d.hedge.Delay(h.r.target.Service)); ok {
 		return h.take(first)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -56,16 +56,7 @@
 	r.MethodNotAllowedHandler = s.answer(func(http.ResponseWriter, *http.Request) error {
 		return errkind.New(errkind.MethodNotAllowed, "method not allowed on this path")
 	})
-	return clearDeadline(r)
-}
-
-// clearDeadline removes the write deadline of the previous request on a kept-alive connection; net/http resets only the
-// read deadline.
-func clearDeadline(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // unsupported only by test recorders
-		next.ServeHTTP(w, r)
-	})
+	return r
 }
 
 func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
