--- a/internal/experiment/propagation_test.go
+++ b/internal/experiment/propagation_test.go
@@ -150,19 +150,21 @@
 		sizes[0].trials = 20
 		sizes = append(sizes, []struct{ entries, agents, domains, trials int }{{96, 204, 7, 20}, {360, 770, 7, 6}}...)
 	}
-	rows := []string{tableHead}
+	t.Log("\n" + tableHead)
 	for _, s := range sizes {
 		for _, mode := range []string{"exchange", "table fails after the write", "polling alone"} {
-			m := measure(t, s.entries, s.agents, s.domains, s.trials, mode)
-			rows = append(rows, m.row())
-			if mode == "polling alone" {
-				continue
-			}
-			require.LessOrEqual(t, slices.Max(m.held), propagationBound, m.row())
-			require.LessOrEqual(t, slices.Max(m.inForce), propagationBound, m.row())
-			require.LessOrEqual(t, m.nodeBytes, maxNodeBytes, m.row())
-			require.LessOrEqual(t, m.reads, maxTableReads, m.row())
+			t.Run(fmt.Sprintf("%d/%s", s.entries+s.agents, mode), func(t *testing.T) {
+				m := measure(t, s.entries, s.agents, s.domains, s.trials, mode)
+				t.Log("\n" + m.row())
+				if mode == "polling alone" {
+					require.Greater(t, quantile(m.held, 0.5), time.Second, "the baseline shares the table's read rate")
+					return
+				}
+				require.LessOrEqual(t, slices.Max(m.held), propagationBound)
+				require.LessOrEqual(t, slices.Max(m.inForce), propagationBound)
+				require.LessOrEqual(t, m.nodeBytes, maxNodeBytes)
+				require.LessOrEqual(t, m.reads, maxTableReads)
+			})
 		}
 	}
-	t.Log("\n" + strings.Join(rows, "\n"))
 }
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,6 +61,8 @@
 	if err != nil {
 		return
 	}
+	elsewhere := slices.ContainsFunc(r.world.Nodes, func(m *Node) bool { return m != n && m.Epoch() >= accepted.Epoch })
+	r.check(elsewhere, "confirmed_elsewhere", "epoch %d was accepted at %s, and no other node holds it", accepted.Epoch, n.Name)
 	r.mu.Lock()
 	other, taken := r.winners[accepted.Epoch]
 	r.winners[accepted.Epoch] = id
@@ -180,6 +183,9 @@
 	require.Greater(t, accepted, int(seeds), "runs accept texts")
 }
 
+// maxSearch bounds the seeds tried until a missing mechanism shows. Most show within ten.
+const maxSearch = 100
+
 // Guards against checks that report nothing: with a mechanism off, the run must report the violation.
 func TestRunReportsMissingMechanism(t *testing.T) {
 	for _, c := range []struct {
@@ -189,6 +195,9 @@
 	}{
 		{"commit without condition", Options{Unconditional: true}, "one_winner"},
 		{"evidence never expires", Options{Faulty: epoch.Faulty{IgnoreAge: true}}, "fresh_without_epoch"},
+		{"acceptance without confirmation", Options{SkipConfirm: true}, "confirmed_elsewhere"},
+		{"restarted nodes vouch", Options{Faulty: epoch.Faulty{TrustRestarted: true}}, "fresh_without_epoch"},
+		{"older epochs are adopted", Options{Faulty: epoch.Faulty{AdoptOlder: true}}, "epoch_monotonic"},
 		{"propagation by polling alone", Options{PollOnly: true}, "reaches_all"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -196,7 +205,7 @@
 			if c.options.PollOnly {
 				c.options.Agents = 114
 			}
-			for seed := range uint64(12) {
+			for seed := range uint64(maxSearch) {
 				if r := randomRun(t, seed+1, c.options, 25); r.found[c.want] != "" {
 					t.Logf("seed %d: %s", seed+1, r.found[c.want])
 					return
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -25,6 +25,7 @@
 	PollOnly      bool         // nodes learn from the table alone
 	Faulty        epoch.Faulty // mechanisms switched off in every store
 	Unconditional bool         // acceptors commit without a condition
+	SkipConfirm   bool         // acceptors answer without another node's confirmation
 }
 
 // World is a fleet of peers in one process.
@@ -132,7 +133,7 @@
 		return err
 	}
 	acceptor := epoch.NewAcceptor(epoch.AcceptorOptions{Node: n.Name, Services: services, Store: store, Fleet: p, Unconditional: o.Unconditional,
-		SkipConfirm: o.PollOnly})
+		SkipConfirm: o.PollOnly || o.SkipConfirm})
 	ctx, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
 	n.mu.Lock()
