--- a/internal/experiment/propagation_test.go
+++ b/internal/experiment/propagation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -23,6 +24,8 @@
 	maxTableReads   = 20.0    // per second; the design says about 10
 )
 
+var trialsFlag = flag.Int("trials", 0, "trials per row of the propagation table; 0: the default of each size")
+
 // measurement is one row of the propagation table.
 type measurement struct {
 	nodes     int
@@ -154,7 +157,11 @@
 	for _, s := range sizes {
 		for _, mode := range []string{"exchange", "table fails after the write", "polling alone"} {
 			t.Run(fmt.Sprintf("%d/%s", s.entries+s.agents, mode), func(t *testing.T) {
-				m := measure(t, s.entries, s.agents, s.domains, s.trials, mode)
+				trials := s.trials
+				if *trialsFlag > 0 {
+					trials = *trialsFlag
+				}
+				m := measure(t, s.entries, s.agents, s.domains, trials, mode)
 				t.Log("\n" + m.row())
 				if mode == "polling alone" {
 					require.Greater(t, quantile(m.held, 0.5), time.Second, "the baseline shares the table's read rate")
