Answer requests whose deadline is shorter than any attempt

Cause: the read deadline of the connection was the request's deadline. The server's background read took it for a disconnect, and the write deadline had passed before the error answer was written, so X-Request-Timeout: 5ms closed the connection without an answer. Before: curl reported status 000 for 1us, 1ms and 5ms. After: 504 with kind deadline_exceeded. The read deadline now ends with the body.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -134,10 +134,10 @@
 	if err != nil {
 		return err
 	}
-	bound(w, arrived.Add(bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody(id.snap)))
+	boundWrite(w, arrived.Add(bodyTimeout))
+	data, err := readBody(w, hr, maxBody(id.snap), arrived.Add(bodyTimeout))
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	body, err := parseChat(data)
 	if err != nil {
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	bound(w, r.deadline)
+	boundWrite(w, r.deadline)
 	if err := s.admit(id, r); err != nil {
 		return err
 	}
--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -92,3 +92,14 @@
 	time.Sleep(350 * time.Millisecond)
 	assert.Equal(t, http.StatusUnauthorized, b.chat(t, plainChat, "Authorization", "none").status)
 }
+
+// Guards against a connection that is closed without an answer when the deadline is shorter than any attempt.
+func TestImpossibleDeadlineIsAnswered(t *testing.T) {
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) { out.hang() })
+	b := newBench(t, f, Disabled{})
+	for _, timeout := range []string{"1ns", "1us", "1ms", "5ms"} {
+		got := b.do(t, http.MethodGet, "/services/stock/stock/7", "", "X-Request-Timeout", timeout)
+		assert.Equal(t, http.StatusGatewayTimeout, got.status, timeout)
+		assert.Contains(t, got.body, `"kind":"deadline_exceeded"`, timeout)
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"net/url"
 	"path"
@@ -44,10 +43,10 @@
 	if err != nil {
 		return err
 	}
-	bound(w, r.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody(id.snap)))
+	boundWrite(w, r.deadline)
+	body, err := readBody(w, hr, maxBody(id.snap), r.deadline)
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	if err := r.setCall(hr, body); err != nil {
 		return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -205,11 +206,29 @@
 	return max(live, 1)
 }
 
-// bound limits the connection to the deadline: neither a slow body nor a caller that does not read can hold it longer.
-func bound(w http.ResponseWriter, deadline time.Time) {
+// writeGrace lets the error answer of a request leave that was refused or failed at its deadline. Without it a deadline
+// of a few milliseconds closes the connection without an answer.
+const writeGrace = 250 * time.Millisecond
+
+// boundWrite limits the writes to the deadline: a caller that does not read cannot hold the connection longer.
+func boundWrite(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace)) // unsupported only by test recorders
+}
+
+// readBody reads a request's body until the deadline. The read deadline must not outlive the body: net/http reads on to
+// notice a disconnect, and would take an expired deadline for one.
+func readBody(w http.ResponseWriter, hr *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if hr.ContentLength == 0 {
+		return nil, nil
+	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(deadline)  // unsupported only by test recorders
-	_ = rc.SetWriteDeadline(deadline) // likewise
+	_ = rc.SetReadDeadline(deadline) // unsupported only by test recorders
+	data, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{}) // likewise
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	return data, nil
 }
 
 // maxBody returns the largest body that the configuration allows.
