Measure routing policies by prompt length; fill a workspace's bucket at its first request

The first run of the workshop's mix found two faults: - a workspace's rate limiter started with one token, so that 1 of 672 replies was refused as rate_limited at a tenth of the limit; - bilberry-dev gave 24 engines, whose weights load in steps, 10 s together and exited on a busy machine. Rate limiters now start with a full bucket; loading has 30 s of its own.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -41,6 +41,7 @@
 // Times of starting and stopping.
 const (
 	readyTimeout = 10 * time.Second
+	loadTimeout  = 30 * time.Second // weights are loaded in steps of a few engines, each after an exchange of 1 s
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
 )
@@ -119,6 +120,19 @@
 	if err := f.startDaemons(ctx); err != nil {
 		return err
 	}
+	if err := f.bringUp(ctx); err != nil {
+		return err
+	}
+	loading, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if err := f.awaitLoaded(loading); err != nil {
+		return err
+	}
+	return f.printReady()
+}
+
+// bringUp submits the text and waits until the entries are ready.
+func (f *Fleet) bringUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if err := f.submitText(ctx); err != nil {
@@ -129,10 +143,7 @@
 			return err
 		}
 	}
-	if err := f.awaitLoaded(ctx); err != nil {
-		return err
-	}
-	return f.printReady()
+	return nil
 }
 
 // awaitLoaded waits until every engine holds the versions that the text gives it, so that the first requests are not refused.
--- a/internal/load/commands.go
+++ b/internal/load/commands.go
@@ -16,6 +16,7 @@
 type Commands struct {
 	Run      RunCommand      `cmd:"" help:"Send the load of a mix and report what the callers saw."`
 	Slowdown SlowdownCommand `cmd:"" help:"Run short requests alone and with long ones, and print the ratio of their p95."`
+	Table    TableCommand    `cmd:"" help:"Print reports of slowdown as one Markdown table."`
 	Compare  CompareCommand  `cmd:"" help:"Show two reports side by side."`
 	Plot     PlotCommand     `cmd:"" help:"Plot the latency distributions of reports."`
 }
@@ -32,6 +33,7 @@
 	ScaleDeadlines bool          `default:"true" negatable:"" help:"Divide deadlines by the time scale."`
 	RateFactor     float64       `default:"1" help:"Multiplies the rates of the mix."`
 	MaxInFlight    int           `default:"10000" help:"Most requests in flight; further ones start late, which the report shows."`
+	IdleRate       float64       `help:"Prefill rate of an idle engine in tokens per second, to judge the time to first token against its target."`
 	JSON           string        `name:"json" type:"path" help:"Write the report to this file."`
 
 	Mix    string `type:"existingfile" xor:"mix" required:"" help:"YAML file of the mix."`
@@ -81,7 +83,7 @@
 	o := Options{
 		Mix: mix, Sender: NewClient(f.Entries, deadlineScale), Seed: f.Seed, Salt: f.KeyPrefix,
 		Duration: f.Duration, Warmup: f.Warmup, TimeScale: f.TimeScale, ScaleDeadlines: f.ScaleDeadlines,
-		MaxInFlight: f.MaxInFlight, Standin: f.Standin,
+		MaxInFlight: f.MaxInFlight, Standin: f.Standin, IdleRate: f.IdleRate,
 	}
 	if o.Duration == 0 {
 		o.Duration = time.Duration(mix.Duration)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -339,6 +340,40 @@
 	}
 }
 
+// Guards against routing mixes whose long prompts take more or less than half of the prefill capacity of the fleet.
+func TestRoutingMixesTakeHalfOfTheCapacity(t *testing.T) {
+	const engineRate = 16_797 // tokens per second of an idle engine of the stand-in
+	for name, engines := range map[string]float64{"workshop": 24, "timing-centre": 15} {
+		mix, err := ReadMix("../../examples/mixes/routing/" + name + ".yaml")
+		require.NoError(t, err)
+		long, all := 0.0, 0.0
+		for _, w := range mix.Workspaces {
+			for _, tr := range w.Traffic {
+				for class, weight := range tr.Prompt {
+					r, _ := rangeOf(class)
+					tokens := tr.Rate * weight * float64(r.high-r.low) / math.Log(float64(r.high)/float64(r.low))
+					all += tokens
+					if class == ClassLong || class == ClassHuge {
+						long += tokens
+					}
+				}
+			}
+		}
+		require.InDelta(t, 0.5, long/(engines*engineRate), 0.01, name)
+		require.InDelta(t, 0.7, all/(engines*engineRate), 0.01, name)
+	}
+}
+
+// Guards against long prompts that are judged by the target of short ones, or against one that was not scaled.
+func TestFirstTokenTargetGrowsWithThePrompt(t *testing.T) {
+	r := newRecorder(2, 10_000)
+	for tokens, want := range map[int]float64{4_000: 0.5, 16_000: 0.5, 32_000: 800.0 / 4800} {
+		s := newSeries()
+		require.NoError(t, r.recordTarget(s, tokens, 800*time.Millisecond))
+		require.InDelta(t, want, s.target.summary().P95, 0.002, tokens)
+	}
+}
+
 func TestInvalidMixesAreRefused(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty":               "name: x",
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -17,6 +17,13 @@
 	digits        = 3
 )
 
+// firstTokenTarget is the bound of the time to first token at p95. A prompt that an idle engine cannot prefill within it
+// is judged against idleFactor times its idle prefill time.
+const (
+	firstTokenTarget = 1600 * time.Millisecond
+	idleFactor       = 1.5
+)
+
 // fellBehindAfter is the delay of a request's start from which the generator counts as behind. Timers and scheduling
 // on a busy machine stay below it.
 const fellBehindAfter = 10 * time.Millisecond
@@ -47,6 +54,7 @@
 	gap      histogram
 	perToken histogram
 	total    histogram
+	target   histogram // time to first token over its target, in thousandths
 }
 
 func newSeries() *series {
@@ -56,6 +64,7 @@
 		gap:      newHistogram(),
 		perToken: newHistogram(),
 		total:    newHistogram(),
+		target:   newHistogram(),
 	}
 }
 
@@ -67,7 +76,8 @@
 
 // recorder collects results. It is safe for concurrent use. Times are multiplied by scale.
 type recorder struct {
-	scale float64
+	scale    float64
+	idleRate float64 // tokens per second of an idle engine; 0: targets are not judged
 
 	mu         sync.Mutex
 	series     map[seriesKey]*series
@@ -77,9 +87,10 @@
 	sent       int
 }
 
-func newRecorder(scale float64) *recorder {
+func newRecorder(scale, idleRate float64) *recorder {
 	return &recorder{
 		scale:      scale,
+		idleRate:   idleRate,
 		series:     make(map[seriesKey]*series),
 		workspaces: make(map[string]*workspaceTotals),
 		lag:        newHistogram(),
@@ -118,7 +129,11 @@
 	if o.result.First.IsZero() {
 		return nil
 	}
-	if err := s.first.record(r.scaled(o.result.First.Sub(o.scheduled))); err != nil {
+	first := r.scaled(o.result.First.Sub(o.scheduled))
+	if err := s.first.record(first); err != nil {
+		return err
+	}
+	if err := r.recordTarget(s, o.arrival.Tokens, first); err != nil {
 		return err
 	}
 	var sum time.Duration
@@ -134,6 +149,18 @@
 	return s.perToken.record(r.scaled(sum / time.Duration(len(o.result.Gaps))))
 }
 
+func (r *recorder) recordTarget(s *series, tokens int, first time.Duration) error {
+	if r.idleRate <= 0 {
+		return nil
+	}
+	idle := time.Duration(float64(tokens) / r.idleRate * float64(time.Second))
+	target := firstTokenTarget
+	if idle > firstTokenTarget {
+		target = time.Duration(idleFactor * float64(idle))
+	}
+	return s.target.record(time.Duration(float64(first) / float64(target) * float64(time.Millisecond)))
+}
+
 func (r *recorder) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * r.scale)
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -47,6 +47,7 @@
 	Gap      Summary        `json:"token_gap"`      // every time between two tokens
 	PerToken Summary        `json:"time_per_token"` // mean time between tokens of each answer
 	Total    Summary        `json:"total"`
+	Target   Summary        `json:"first_token_over_target"` // ratio, not milliseconds; 1 is the target
 }
 
 // Name returns the name of the series in tables and plots.
@@ -127,6 +128,7 @@
 		Gap:      s.gap.summary(),
 		PerToken: s.perToken.summary(),
 		Total:    s.total.summary(),
+		Target:   s.target.summary(),
 	}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -36,6 +36,7 @@
 	Grace          time.Duration // real time after the deadline at which waiting ends; 0: DefaultGrace
 	Standin        string        // base URL of the stand-in's control interface; empty: counters are not checked
 	Keep           func(*Arrival) bool
+	IdleRate       float64 // prefill rate of an idle engine in tokens per second; 0: targets are not judged
 }
 
 func (o *Options) applyDefaults() error {
@@ -75,7 +76,7 @@
 	}
 	r := &runner{
 		opts:     o,
-		recorder: newRecorder(o.TimeScale),
+		recorder: newRecorder(o.TimeScale, o.IdleRate),
 		checker:  newChecker(),
 		slots:    make(chan struct{}, o.MaxInFlight),
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -103,7 +103,7 @@
 // Allow takes one request of the given tokens from the workspace's buckets, or reports false and takes nothing.
 func (r *Rates) Allow(workspace string, s Share, tokens int) bool {
 	now := time.Now()
-	w := r.keys.get(workspace, now, newWorkspaceRate)
+	w := r.keys.get(workspace, now, func() *workspaceRate { return r.newWorkspaceRate(s) })
 	r.set(w.requests, now, s.RequestsPerSecond, s.Entries)
 	r.set(w.tokens, now, s.TokensPerSecond, s.Entries)
 	taken := w.requests.ReserveN(now, 1)
@@ -134,14 +134,28 @@
 // Charge takes tokens of an answer from the workspace's bucket after the fact.
 func (r *Rates) Charge(workspace string, tokens int) {
 	now := time.Now()
-	w := r.keys.get(workspace, now, newWorkspaceRate)
+	w := r.keys.get(workspace, now, func() *workspaceRate { return r.newWorkspaceRate(Share{}) })
 	if w.tokens.Limit() != rate.Inf {
 		takeTokens(w.tokens, now, tokens)
 	}
 }
 
-func newWorkspaceRate() *workspaceRate {
-	return &workspaceRate{requests: rate.NewLimiter(rate.Inf, 1), tokens: rate.NewLimiter(rate.Inf, 1)}
+// newWorkspaceRate returns full buckets. A limiter that is made small and enlarged later would start nearly empty and
+// refuse the first burst of a workspace.
+func (r *Rates) newWorkspaceRate(s Share) *workspaceRate {
+	return &workspaceRate{
+		requests: rate.NewLimiter(r.bucket(s.RequestsPerSecond, s.Entries)),
+		tokens:   rate.NewLimiter(r.bucket(s.TokensPerSecond, s.Entries)),
+	}
+}
+
+// bucket returns the limit and the size of the bucket of one entry.
+func (r *Rates) bucket(perSecond float64, entries int) (rate.Limit, int) {
+	if perSecond <= 0 {
+		return rate.Inf, 1
+	}
+	limit := rate.Limit(perSecond / float64(max(entries, 1)))
+	return limit, max(int(float64(limit)*r.opts.Burst.Seconds()), 1)
 }
 
 // takeTokens may leave the bucket negative.
@@ -155,11 +169,7 @@
 
 // set adapts a limiter to a changed limit or number of entries.
 func (r *Rates) set(l *rate.Limiter, now time.Time, perSecond float64, entries int) {
-	limit, burst := rate.Inf, 1
-	if perSecond > 0 {
-		limit = rate.Limit(perSecond / float64(max(entries, 1)))
-		burst = max(int(float64(limit)*r.opts.Burst.Seconds()), 1)
-	}
+	limit, burst := r.bucket(perSecond, entries)
 	if l.Limit() == limit && l.Burst() == burst {
 		return
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -28,6 +28,19 @@
 	})
 }
 
+// Guards against the refusal of the first requests of a workspace far below its limit.
+func TestFirstBurstOfAWorkspaceIsAdmitted(t *testing.T) {
+	r := NewRates(RateOptions{})
+	s := Share{RequestsPerSecond: 60, TokensPerSecond: 60_000, Entries: 2}
+	admitted := 0
+	for range 30 {
+		if r.Allow("w", s, 100) {
+			admitted++
+		}
+	}
+	assert.Equal(t, 30, admitted, "the bucket holds one second of the entry's share")
+}
+
 // Guards against large prompts that pass a token limit for free, or never pass.
 func TestTokensOfLargePromptsArePaidLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
