Split prompts of nearly one engine; refuse a blamed prompt while it is split

Entries now compare with what the ledger grants.

A prompt that crashes the engine of its segment was re-run on up to four engines, because the split did not ask for the verdict after a crash. It is now refused as prompt_blamed after the second one.

--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -11,8 +11,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/kvledger"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
@@ -52,7 +54,7 @@
 	segments []*segment // in the order of the prompt, which is that of the endpoint names
 }
 
-// tooLarge reports whether a prompt and its answer exceed the largest known engine of the pool.
+// tooLarge reports whether a prompt and its answer exceed what the largest known engine of the pool gives one request.
 func (d *dispatcher) tooLarge(r *request) bool {
 	if !r.isChat() {
 		return false
@@ -62,7 +64,7 @@
 		report, _ := e.Report()
 		largest = max(largest, report.KVCapacity)
 	}
-	return largest > 0 && r.promptTokens+r.maxTokens > largest
+	return largest > 0 && r.promptTokens+r.maxTokens > kvledger.LongCapacity(largest)
 }
 
 // split prefills segments on several engines and decodes at the last one. All reservations are released on return.
@@ -388,6 +390,9 @@
 	if f.err.Kind == errkind.Recalled || f.err.Kind == errkind.PromptTooLarge {
 		return f.err
 	}
+	if s.d.opts.Blames.Check(s.r.fingerprint) == blame.Blamed {
+		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	}
 	s.r.restartAfter(f)
 	s.markLost(ep, f)
 	return s.d.spend(s.r, f)
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -24,6 +24,7 @@
 	held     map[string]string // reservation to endpoint
 	prefills []string
 	fail     string // endpoint whose first Prefill fails
+	crashes  bool   // every Prefill crashes its endpoint
 }
 
 // splitAgent is the unary side of a fakeAgent.
@@ -65,7 +66,7 @@
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
 	s.l.prefills = append(s.l.prefills, s.name)
-	if s.l.fail == s.name {
+	if s.l.fail == s.name || s.l.crashes {
 		s.l.fail = ""
 		return &wire.PrefillReply{Failure: &wire.Failure{Kind: "endpoint_failed", EndpointCrashed: true}}, nil
 	}
@@ -145,6 +146,23 @@
 	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
 }
 
+// Guards against a prompt that takes down one replacement after another while its segments are prefilled.
+func TestCrashingSplitPromptLosesAtMostTwoEndpoints(t *testing.T) {
+	b, l := splitBench(t, Disabled{RetryBudget: true}, wholePrompt)
+	l.crashes = true
+	assert.Contains(t, b.chat(t, splitChat(1400)).body, `"kind":"prompt_blamed"`)
+	assert.Len(t, l.prefills, 2, "each prefill lost its endpoint")
+	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
+}
+
+// Guards against refusing a prompt that is smaller than an engine, but larger than what the engine gives one request.
+func TestPromptOfNearlyOneEngineIsSplit(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, wholePrompt)
+	got := b.chat(t, splitChat(900)) // 950 tokens with the answer; long requests get 900 of 1000
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	assert.Greater(t, len(l.reserved), 1)
+}
+
 // Guards against reservations that survive a failed decode or a prompt that no fleet can hold.
 func TestSplitFailuresReleaseEverything(t *testing.T) {
 	b, l := splitBench(t, Disabled{}, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
--- a/kvledger/kvledger.go
+++ b/kvledger/kvledger.go
@@ -132,6 +132,10 @@
 	return len(l.held)
 }
 
+// LongCapacity returns the most that one long request can reserve on an engine of the given memory, with the default
+// headroom. Entries split larger prompts over several engines.
+func LongCapacity(capacity int64) int64 { return capacity - int64(float64(capacity)*DefaultHeadroom) }
+
 func (l *Ledger) headroom() int { return int(float64(l.capacity) * l.opts.Headroom) }
 
 // Request grants a reservation at once or makes it wait in FCFS order; a later Request of the same id reports the
--- a/kvledger/kvledger_test.go
+++ b/kvledger/kvledger_test.go
@@ -52,6 +52,15 @@
 	require.ErrorIs(t, err, ErrTooLarge)
 }
 
+// Guards against entries that send one engine a prompt that its ledger can never grant.
+func TestLongCapacityIsTheLargestLongRequest(t *testing.T) {
+	l := New(Options{})
+	l.SetCapacity(400_000)
+	long := int(LongCapacity(400_000))
+	require.NoError(t, l.Possible(long))
+	require.ErrorIs(t, l.Possible(long+1), ErrTooLarge)
+}
+
 // Guards against memory that stays reserved for a holder that went silent, and against overtaking in the wait.
 func TestLeaseExpiryGrantsTheFirstWaiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
