Use internal/transport for all connections of the entry; name wrong settings

The entry had its own mutual TLS beside internal/transport, with other rules: host names were not verified and a rotated file was noticed only after 10 s. Both sides now share one implementation. A failed handshake counts as not sent, so an order that meets one can go elsewhere.

The 30 s limit for the answer's header in internal/transport would fail prefill calls of split prompts, which answer after minutes. The request's context bounds every call, so the limit is removed.

The daemons exited without a word when they could not start, because the log of fx is off. They now log the cause. Addresses, URLs and token hashes are checked before the start.

--- a/cmd/bilberry-agent/main.go
+++ b/cmd/bilberry-agent/main.go
@@ -5,8 +5,6 @@
 	"os"
 
 	"github.com/alecthomas/kong"
-	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"github.com/bilberrylink/bilberrylink/internal/agent"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
@@ -21,15 +19,24 @@
 	Endpoint    string           `name:"endpoint" required:"" help:"Name of the endpoint, as in the operators' text."`
 	Kind        string           `name:"endpoint-kind" required:"" enum:"model,plain" help:"What the endpoint is (${enum})."`
 	EndpointURL string           `name:"endpoint-url" required:"" help:"Base URL of the engine or plain service beside this process."`
-	Seeds       []string         `name:"seeds" help:"host:port of entries to exchange with first."`
+	Seeds       []string         `name:"seeds" help:"host:port of entries' internal listeners, to exchange with first."`
 	Version     kong.VersionFlag `name:"version" help:"Print the version and exit."`
 }
 
+// Validate checks the addresses. Kong calls it after parsing.
+func (c cli) Validate() error {
+	for _, seed := range c.Seeds {
+		if err := settings.CheckAddr("--seeds", seed); err != nil {
+			return err
+		}
+	}
+	return settings.CheckURL("--endpoint-url", c.EndpointURL)
+}
+
 func main() {
 	var c cli
 	k := settings.Parse(&c, "bilberry-agent", "Sidecar beside a model engine or a plain service.")
 	log, err := c.Logger(os.Stderr)
 	k.FatalIfErrorf(err)
-	quiet := fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger })
-	fx.New(agent.Module(options(c, log)), quiet).Run()
+	os.Exit(settings.Run(log, agent.Module(options(c, log))))
 }
--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -2,16 +2,18 @@
 package main
 
 import (
-	"net/http"
+	"crypto/sha256"
+	"encoding/hex"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
-	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
+	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/internal/entry"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
+	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 type cli struct {
@@ -21,31 +23,49 @@
 	settings.Platform
 	CallersListen       string           `name:"listen" default:":8080" help:"host:port for callers and operators."`
 	OperatorTokenHashes []string         `name:"operator-token-hash" help:"Hex SHA-256 of an operators' token; repeatable."`
-	Seeds               []string         `name:"seed" help:"host:port of another node's internal listener; repeatable."`
+	Seeds               []string         `name:"seeds" aliases:"seed" help:"host:port of other entries' internal listeners, to exchange with first."`
 	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
 	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from a failing /readyz until the load balancer sends nothing more."`
 	DrainTimeout        time.Duration    `name:"drain-timeout" default:"10m" help:"Longest wait for streams to finish at a stop."`
 	Version             kong.VersionFlag `name:"version" help:"Print the version and exit."`
 }
 
+// Validate checks the addresses, the token hashes and the durations. Kong calls it after parsing.
+func (c cli) Validate() error {
+	if err := settings.CheckAddr("--listen", c.CallersListen); err != nil {
+		return err
+	}
+	for _, seed := range c.Seeds {
+		if err := settings.CheckAddr("--seeds", seed); err != nil {
+			return err
+		}
+	}
+	for _, hash := range c.OperatorTokenHashes {
+		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
+			return errors.New("--operator-token-hash must be 64 hex digits, as sha256sum prints")
+		}
+	}
+	if c.BalancerLag < 0 || c.DrainTimeout < 0 {
+		return errors.New("--balancer-lag and --drain-timeout must not be negative")
+	}
+	return nil
+}
+
 func main() {
 	var c cli
 	kctx := settings.Parse(&c, "bilberry-entry", "Entry of a bilberrylink fleet.")
 	log, err := c.Logger(os.Stderr)
 	kctx.FatalIfErrorf(err)
-	fx.New(
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		entry.Module(entry.Options{
-			Node:                c.Node,
-			TLS:                 c.TLS,
-			CallersListen:       c.CallersListen,
-			OperatorTokenHashes: c.OperatorTokenHashes,
-			Services:            platformServices(c.URL, http.DefaultClient),
-			Seeds:               c.Seeds,
-			Log:                 log,
-			Policy:              c.Policy,
-			BalancerLag:         c.BalancerLag,
-			DrainTimeout:        c.DrainTimeout,
-		}),
-	).Run()
+	os.Exit(settings.Run(log, entry.Module(entry.Options{
+		Node:                c.Node,
+		TLS:                 c.TLS,
+		CallersListen:       c.CallersListen,
+		OperatorTokenHashes: c.OperatorTokenHashes,
+		Services:            platformhttp.New(c.URL, transport.HTTPClient(nil, nil)),
+		Seeds:               c.Seeds,
+		Log:                 log,
+		Policy:              c.Policy,
+		BalancerLag:         c.BalancerLag,
+		DrainTimeout:        c.DrainTimeout,
+	})))
 }
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -3,16 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -38,44 +39,30 @@
 	scheme string
 }
 
-// dialFunc is the type of net.Dialer.DialContext.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// Limits of the connections to agents.
-const (
-	dialTimeout     = 2 * time.Second
-	idleConnTimeout = 30 * time.Second
-	idlePerHost     = 32
-)
-
-func newAgents(dial dialFunc, creds *credentials) *agents {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+// newAgents returns the client side. config is the result of transport.Client, nil for plain TCP.
+func newAgents(dial transport.DialFunc, config *tls.Config) *agents {
+	return &agents{
+		pooled: agentClient(dial, config, false),
+		fresh:  agentClient(dial, config, true),
+		scheme: transport.Scheme(config != nil),
 	}
-	transport := &http.Transport{
-		DialContext:         markDialErrors(dial),
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		TLSHandshakeTimeout: dialTimeout,
-		DisableCompression:  true,
-	}
-	a := &agents{scheme: "http"}
-	if creds != nil {
-		a.scheme = "https"
-		transport.TLSClientConfig = creds.client()
+}
+
+func agentClient(dial transport.DialFunc, config *tls.Config, newConnections bool) *http.Client {
+	client := transport.HTTPClient(config, dial)
+	connections := client.Transport.(*http.Transport) // transport.HTTPClient makes no other kind
+	connections.DialContext = markDialErrors(connections.DialContext)
+	if config != nil {
+		connections.DialTLSContext = markDialErrors(connections.DialTLSContext)
 	}
-	once := transport.Clone()
-	once.DisableKeepAlives = true
-	a.pooled = &http.Client{Transport: transport}
-	a.fresh = &http.Client{Transport: once}
-	return a
+	connections.DisableKeepAlives = newConnections
+	return client
 }
 
-// markDialErrors makes failures to connect recognizable: such a request certainly did not reach the agent.
-func markDialErrors(dial dialFunc) dialFunc {
+// markDialErrors makes failures to connect, the TLS handshake included, recognizable: such a request certainly did not
+// reach the agent.
+func markDialErrors(dial transport.DialFunc) transport.DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, &dialError{cause: err}
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/member"
@@ -80,7 +81,6 @@
 	server   *server
 	blames   *blame.Tracker
 	view     *route.View
-	creds    *credentials
 	callers  *http.Server
 	internal *http.Server
 	listener net.Listener
@@ -90,9 +90,9 @@
 }
 
 func newDaemon(opts Options, timing Timing, disabled Disabled) (*daemon, error) {
-	creds, err := newCredentials(opts.TLS)
+	config, err := transport.Client(opts.TLS)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "TLS of the connections to agents")
 	}
 	policy, err := route.New(opts.Policy)
 	if err != nil {
@@ -101,7 +101,7 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
-	d := &daemon{opts: opts, creds: creds, view: route.NewView(route.Options{})}
+	d := &daemon{opts: opts, view: route.NewView(route.Options{})}
 	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, rates: limit.NewRates(limit.RateOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Services.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
 	if err := d.connect(reg); err != nil {
@@ -115,7 +115,7 @@
 		Once:     d.parts.Once,
 		Policy:   policy,
 		View:     d.view,
-		Agents:   newAgents(opts.Dial, creds),
+		Agents:   newAgents(opts.Dial, config),
 		Timing:   timing,
 		Log:      opts.Log,
 		Metrics:  d.server.metrics,
@@ -160,7 +160,7 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	d.listener = callers
-	if err := d.startInternal(ctx, &lc); err != nil {
+	if err := d.startInternal(ctx); err != nil {
 		_ = callers.Close() // the first error is reported
 		return err
 	}
@@ -171,30 +171,25 @@
 	return nil
 }
 
-func (d *daemon) startInternal(ctx context.Context, lc *net.ListenConfig) error {
+func (d *daemon) startInternal(ctx context.Context) error {
 	if d.parts.Internal == nil {
 		return nil
 	}
-	l, err := lc.Listen(ctx, "tcp", d.opts.Node.Listen)
+	config, err := transport.Server(d.opts.TLS)
 	if err != nil {
-		return errors.Wrap(err, "listen for other nodes")
+		return errors.Wrap(err, "TLS of the internal listener")
 	}
-	d.internal = &http.Server{Handler: d.parts.Internal, ReadHeaderTimeout: headerTimeout}
-	if d.creds == nil {
-		go d.serve(d.internal, l, "internal")
-		return nil
+	l, err := transport.Listen(ctx, d.opts.Node.Listen)
+	if err != nil {
+		return errors.Wrap(err, "internal listener")
 	}
-	d.internal.TLSConfig = d.creds.server()
-	go func() {
-		if err := d.internal.ServeTLS(l, "", ""); !errors.Is(err, http.ErrServerClosed) {
-			d.opts.Log.WithError(err).Error("internal listener ended")
-		}
-	}()
+	d.internal = transport.HTTPServer(d.parts.Internal, config)
+	go d.serve(d.internal, l, "internal")
 	return nil
 }
 
 func (d *daemon) serve(s *http.Server, l net.Listener, name string) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := transport.Serve(s, l); err != nil {
 		d.opts.Log.WithError(err).WithField("listener", name).Error("listener ended")
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,10 @@
 import (
 	"io"
 	"net"
+	"net/url"
 	"os"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -50,13 +52,36 @@
 
 // Validate checks the addresses. Kong calls it after parsing.
 func (n Node) Validate() error {
-	for _, addr := range []string{n.Listen, n.Advertise} {
-		if addr == "" {
-			continue
-		}
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return errors.Wrapf(err, "address %q", addr)
-		}
+	if err := CheckAddr("--listen-internal", n.Listen); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(n.Listen) // checked above
+	if n.Advertise != "" {
+		return CheckAddr("--advertise", n.Advertise)
+	}
+	if ip := net.ParseIP(host); host == "" || ip.IsUnspecified() {
+		return errors.Errorf("--listen-internal %s names no address that other nodes can reach; add --advertise", n.Listen)
+	}
+	return nil
+}
+
+// CheckAddr returns an error that names the flag unless addr is host:port with a port number.
+func CheckAddr(flag, addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return errors.Errorf("%s must be host:port, not %q", flag, addr)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return errors.Errorf("%s %q: the port must be a number from 0 to 65535", flag, addr)
+	}
+	return nil
+}
+
+// CheckURL returns an error that names the flag unless raw is an absolute HTTP URL.
+func CheckURL(flag, raw string) error {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return errors.Errorf("%s must be a URL such as http://127.0.0.1:8090, not %q", flag, raw)
 	}
 	return nil
 }
@@ -98,6 +123,9 @@
 	URL string `name:"platform-url" required:"" help:"Base URL of the platform's table, object store, weight store and VM list."`
 }
 
+// Validate checks the URL. Kong calls it after parsing.
+func (p Platform) Validate() error { return CheckURL("--platform-url", p.URL) }
+
 // Parse fills cli from the command line and the environment, or exits with a message.
 func Parse(cli any, name, description string) *kong.Context {
 	return kong.Parse(cli, Options(name, description)...)
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -10,16 +10,16 @@
 	"github.com/pkg/errors"
 )
 
-// Timeouts of internal connections. Answer streams have no total timeout: the request's context bounds them.
+// Timeouts of internal connections. Requests have neither a total timeout nor one for the header of the answer: the
+// request's context bounds them. A prefill call of a split prompt answers after minutes.
 const (
-	dialTimeout         = 2 * time.Second // an address within a region answers in milliseconds
-	handshakeTimeout    = 3 * time.Second
-	readHeaderTimeout   = 5 * time.Second
-	answerHeaderTimeout = 30 * time.Second
-	clientIdleTimeout   = 30 * time.Second // below serverIdleTimeout, so that clients do not reuse a closing connection
-	serverIdleTimeout   = 60 * time.Second
-	maxHeaderBytes      = 64 << 10
-	maxIdlePerHost      = 32
+	dialTimeout       = 2 * time.Second // an address within a region answers in milliseconds
+	handshakeTimeout  = 3 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	clientIdleTimeout = 30 * time.Second // below serverIdleTimeout, so that clients do not reuse a closing connection
+	serverIdleTimeout = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+	maxIdlePerHost    = 32
 )
 
 // keepAlive detects a silent idle connection after about 11 s.
@@ -38,7 +38,6 @@
 	}
 	transport := &http.Transport{
 		DialContext:            dial,
-		ResponseHeaderTimeout:  answerHeaderTimeout,
 		IdleConnTimeout:        clientIdleTimeout,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -16,6 +17,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -211,3 +213,24 @@
 	_, _, err := get(HTTPClient(nil, refused), "http://127.0.0.1:1")
 	require.ErrorIs(t, err, io.ErrClosedPipe)
 }
+
+// A prefill call of a split prompt answers after minutes; a timeout for its header would fail every such prompt.
+func TestLateHeaderIsNotAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+					return // the client sees a closed connection
+				}
+				time.Sleep(5 * time.Minute)
+				_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone")
+				_ = server.Close()
+			}()
+			return client, nil
+		}
+		body, _, err := get(HTTPClient(nil, dial), "http://127.0.0.1:1")
+		require.NoError(t, err)
+		require.Equal(t, "done", body)
+	})
+}
