--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -125,6 +125,16 @@
 	return rules[Internal]
 }
 
+// Transient reports whether a refusal of kind k passes without a change of load or configuration: the process or the
+// engine is starting, stopping or catching up.
+func (k Kind) Transient() bool {
+	switch k {
+	case Draining, NotLoaded, NotReady, Isolated:
+		return true
+	}
+	return false
+}
+
 // Error is a failure with a kind and a run state.
 type Error struct {
 	Kind    Kind
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -38,6 +38,11 @@
 
 func (f *failure) Error() string { return f.err.Error() }
 
+// transient reports whether the agent declined the work at once for a reason that passes by itself.
+func (f *failure) transient() bool {
+	return f.err.Kind.Transient() && f.err.Run == errkind.NotRun && !f.lost && !f.crashed && !f.unreached
+}
+
 // attempt is one execution try at one endpoint.
 type attempt struct {
 	d       *dispatcher
@@ -94,7 +99,11 @@
 	if a.d.opts.Disabled.Cancel || f.unreached || !f.lost {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.d.cancelBudget(a.r))
+	limit := a.d.cancelBudget(a.r)
+	if errors.Is(context.Cause(ctx), errOutrun) {
+		limit = min(limit, outrunCancelTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	reply, err := a.d.agents.unary(a.node.Addr).Cancel(ctx, &wire.CancelRequest{RequestId: a.r.id, AttemptId: a.id})
 	if err != nil {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -307,6 +307,9 @@
 		}
 		return f.err
 	}
+	if f.err.Kind == errkind.PromptTooLarge && f.err.Run == errkind.NotRun && d.tooLarge(r) {
+		return nil // the refusal's load report shows that the prompt must be split
+	}
 	retry := errkind.RuleOf(f.err.Kind).Retryable || f.unreached
 	if !retry || f.own {
 		return f.err
@@ -320,10 +323,10 @@
 	return nil
 }
 
-// spend takes a retry from the workspace's budget. Planned refusals are free: a rolling restart must not use up the
-// budget, and every draining endpoint is asked at most once.
+// spend takes a retry from the workspace's budget. Transient refusals are free: a rolling restart or weights that are
+// still loading must not use up the budget, and the back-off between rounds bounds how often an endpoint is asked.
 func (d *dispatcher) spend(r *request, f *failure) error {
-	if f.err.Kind == errkind.Draining {
+	if f.transient() {
 		return nil
 	}
 	r.retries++
@@ -424,7 +427,7 @@
 	exclude := rd.tried
 	for range len(pool.Endpoints()) {
 		c, ok := rd.d.opts.Policy.Choose(pool, rd.r.routing(exclude, rd.d.confined(rd.r), rd.d.prefixes.cached(rd.r.prefix)))
-		if !ok || rd.attempts == 0 || rd.d.endpointRetries.Spend(c.Endpoint.Name) {
+		if !ok || rd.last == nil || rd.last.transient() || rd.d.endpointRetries.Spend(c.Endpoint.Name) {
 			return c, ok
 		}
 		rd.d.metrics.budgetSpent.Inc()
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -240,10 +240,11 @@
 	lost := func(off Disabled) (int, string) {
 		f := newFleet(t, crashAll)
 		last := ""
-		for range 6 {
+		for i := range 6 {
 			epochs := new(fakeEpochs)
 			epochs.accept(t, 1, "")
 			b := newBenchWith(t, f, epochs, off, route.Random)
+			b.server.dispatch.opts.View = route.NewView(route.Options{IntN: seeded(uint64(i))})
 			b.chat(t, poison, "X-Request-Timeout", "500ms")
 			last = b.chat(t, poison, "X-Request-Timeout", "300ms").body
 		}
@@ -329,3 +330,20 @@
 	_ = c.Write(m) // a counter never fails to write
 	return m.GetCounter().GetValue()
 }
+
+// Guards against requests that fail within milliseconds, with the retry budget spent, while weights are still loading.
+func TestLoadingEnginesAreAwaitedWithoutSpendingTheBudget(t *testing.T) {
+	var refusals atomic.Int32
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
+		if refusals.Add(1) <= 2*int32(limit.DefaultMinimum)+2 {
+			out.fail(&wire.Failure{Kind: "not_loaded", Run: "not_run"})
+			return
+		}
+		out.started().tokens(0, "a").end()
+	})
+	b := newBench(t, f, Disabled{})
+	got := b.chat(t, plainChat)
+	assert.Equal(t, http.StatusOK, got.status, got.body)
+	assert.Zero(t, counted(b.server.metrics.budgetSpent))
+	assert.Zero(t, counted(b.server.metrics.retries))
+}
