--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -55,6 +55,7 @@
 	LoadLagMS           int64      `json:"load_lag_ms" doc:"largest age of an engine's load report"`
 	IgnoreFencing       bool       `json:"ignore_fencing" doc:"engines take orders with an old fencing token"`
 	SlowLookupsMS       int64      `json:"slow_lookups_ms" doc:"added to lookups (GET) of plain services"`
+	SlowCallsMS         int64      `json:"slow_calls_ms" doc:"added to calls of plain services that are not lookups, after they are executed and counted"`
 	SlowLookupEndpoints []string   `json:"slow_lookups_endpoints" doc:"plain-service endpoints that slow_lookups_ms applies to; empty: all"`
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -113,7 +113,7 @@
 func (s *Service) slowness(method string) time.Duration {
 	state := s.p.faults.State()
 	if method != http.MethodGet {
-		return 0
+		return milliseconds(state.SlowCallsMS)
 	}
 	if len(state.SlowLookupEndpoints) > 0 && !slices.Contains(state.SlowLookupEndpoints, s.name) {
 		return 0
--- a/member/table.go
+++ b/member/table.go
@@ -59,7 +59,7 @@
 	byEnd    map[string]string // endpoint name to node name
 	change   uint64
 	cached   view
-	urgent   map[string]bool // names whose leaving is to be pushed at once
+	urgent   map[string]bool // names whose leaving or return is to be pushed at once
 	wakePush chan struct{}
 }
 
@@ -125,8 +125,13 @@
 	}
 	s.leaving = true
 	t.touch(s)
-	t.urgent[name] = true
 	t.cached.at = time.Time{}
+	t.announceLocked(name)
+}
+
+// announceLocked queues the record of a node for an immediate push.
+func (t *Table) announceLocked(name string) {
+	t.urgent[name] = true
 	select {
 	case t.wakePush <- struct{}{}:
 	default:
@@ -161,6 +166,8 @@
 	t.store(s, r, born, direct, restarted)
 	if r.Leaving {
 		t.leaveLocked(r.Name, s)
+	} else if restarted {
+		t.announceLocked(r.Name)
 	}
 }
 
@@ -460,7 +467,7 @@
 // Urgent returns a channel that signals news to push at once.
 func (t *Table) Urgent() <-chan struct{} { return t.wakePush }
 
-// TakeUrgent returns up to limit records of nodes that began to leave since the last call.
+// TakeUrgent returns up to limit records of nodes that began to leave or returned since the last call.
 func (t *Table) TakeUrgent(limit int) []*wire.NodeRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// Guards against an entry that holds a restarted agent for leaving while a rolling restart already stops the next one.
+func TestReturnIsUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(Options{Name: "entry-1"})
+		leaving := agent("i1", 1)
+		leaving.Leaving = true
+		table.Observe(leaving, true)
+		require.Len(t, table.TakeUrgent(10), 1)
+		time.Sleep(time.Second)
+		table.Observe(agent("i2", 1), true)
+		records := table.TakeUrgent(10)
+		require.Len(t, records, 1)
+		require.Equal(t, "i2", records[0].Incarnation)
+		require.False(t, records[0].Leaving)
+		require.True(t, live(t, table))
+	})
+}
+
 // Guards against routing to an agent that stopped answering, and against never using it again.
 func TestFailureUntilHeardAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -380,7 +380,8 @@
 	return p.exchange(ctx, n.Addr, &wire.ExchangeRequest{Change: p.store.ChangeFrom(reply.Epoch), Records: []*wire.NodeRecord{}})
 }
 
-// urgentLoop passes on at once that nodes are leaving.
+// urgentLoop passes on at once that nodes are leaving or have returned. In a rolling restart the next endpoint leaves as
+// soon as the previous one is ready, so an entry that still holds the previous one for leaving would have none.
 func (p *Peer) urgentLoop(ctx context.Context) {
 	for {
 		select {
