--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -83,3 +84,22 @@
 	assert.Zero(t, runs)
 	assert.Equal(t, http.StatusOK, b.chat(t, plainChat).status)
 }
+
+// Guards against the deadline of one request that breaks a later one on the same connection.
+func TestDeadlineEndsWithItsRequest(t *testing.T) {
+	b := newBench(t, newFleet(t, serveTokens), Disabled{})
+	assert.Equal(t, http.StatusOK, b.chat(t, plainChat, "X-Request-Timeout", "300ms").status)
+	time.Sleep(350 * time.Millisecond)
+	assert.Equal(t, http.StatusUnauthorized, b.chat(t, plainChat, "Authorization", "none").status)
+}
+
+// Guards against a connection that is closed without an answer when the deadline is shorter than any attempt.
+func TestImpossibleDeadlineIsAnswered(t *testing.T) {
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) { out.hang() })
+	b := newBench(t, f, Disabled{})
+	for _, timeout := range []string{"1ns", "1us", "1ms", "5ms"} {
+		got := b.do(t, http.MethodGet, "/services/stock/stock/7", "", "X-Request-Timeout", timeout)
+		assert.Equal(t, http.StatusGatewayTimeout, got.status, timeout)
+		assert.Contains(t, got.body, `"kind":"deadline_exceeded"`, timeout)
+	}
+}
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/member"
@@ -73,6 +74,9 @@
 // headerTimeout bounds the headers of a caller's request.
 const headerTimeout = 10 * time.Second
 
+// callerIdleTimeout ends unused kept-alive connections; load balancers reuse theirs more often than that.
+const callerIdleTimeout = 5 * time.Minute
+
 // daemon is one running entry.
 type daemon struct {
 	opts     Options
@@ -80,7 +84,6 @@
 	server   *server
 	blames   *blame.Tracker
 	view     *route.View
-	creds    *credentials
 	callers  *http.Server
 	internal *http.Server
 	listener net.Listener
@@ -90,9 +93,9 @@
 }
 
 func newDaemon(opts Options, timing Timing, disabled Disabled) (*daemon, error) {
-	creds, err := newCredentials(opts.TLS)
+	config, err := transport.Client(opts.TLS)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "TLS of the connections to agents")
 	}
 	policy, err := route.New(opts.Policy)
 	if err != nil {
@@ -101,7 +104,7 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
-	d := &daemon{opts: opts, creds: creds, view: route.NewView(route.Options{})}
+	d := &daemon{opts: opts, view: route.NewView(route.Options{})}
 	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, rates: limit.NewRates(limit.RateOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Services.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
 	if err := d.connect(reg); err != nil {
@@ -115,7 +118,7 @@
 		Once:     d.parts.Once,
 		Policy:   policy,
 		View:     d.view,
-		Agents:   newAgents(opts.Dial, creds),
+		Agents:   newAgents(opts.Dial, config),
 		Timing:   timing,
 		Log:      opts.Log,
 		Metrics:  d.server.metrics,
@@ -152,9 +155,6 @@
 	return snap.Text.Settings.BlameTTL
 }
 
-// listenFunc is the type of net.ListenConfig.Listen.
-type listenFunc = func(ctx context.Context, network, addr string) (net.Listener, error)
-
 // start opens the listeners and starts the background goroutines.
 func (d *daemon) start(ctx context.Context) error {
 	listen := d.opts.Listen
@@ -166,41 +166,44 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	d.listener = callers
-	if err := d.startInternal(ctx, listen); err != nil {
+	if err := d.startInternal(ctx); err != nil {
 		_ = callers.Close() // the first error is reported
 		return err
 	}
-	d.callers = &http.Server{Handler: d.server.router(d.parts.Operators...), ReadHeaderTimeout: headerTimeout}
+	d.callers = &http.Server{
+		Handler:           d.server.router(d.parts.Operators...),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
 	go d.serve(d.callers, callers, "callers")
 	d.startBackground()
 	d.opts.Log.WithField("callers", callers.Addr().String()).WithField("node", d.opts.Node.Name).Info("entry started")
 	return nil
 }
 
-func (d *daemon) startInternal(ctx context.Context, listen listenFunc) error {
+func (d *daemon) startInternal(ctx context.Context) error {
 	if d.parts.Internal == nil {
 		return nil
 	}
-	l, err := listen(ctx, "tcp", d.opts.Node.Listen)
+	config, err := transport.Server(d.opts.TLS)
 	if err != nil {
-		return errors.Wrap(err, "listen for other nodes")
+		return errors.Wrap(err, "TLS of the internal listener")
 	}
-	d.internal = &http.Server{Handler: d.parts.Internal, ReadHeaderTimeout: headerTimeout}
-	if d.creds == nil {
-		go d.serve(d.internal, l, "internal")
-		return nil
+	listen := d.opts.Listen
+	if listen == nil {
+		listen = func(ctx context.Context, _, addr string) (net.Listener, error) { return transport.Listen(ctx, addr) }
 	}
-	d.internal.TLSConfig = d.creds.server()
-	go func() {
-		if err := d.internal.ServeTLS(l, "", ""); !errors.Is(err, http.ErrServerClosed) {
-			d.opts.Log.WithError(err).Error("internal listener ended")
-		}
-	}()
+	l, err := listen(ctx, "tcp", d.opts.Node.Listen)
+	if err != nil {
+		return errors.Wrap(err, "internal listener")
+	}
+	d.internal = transport.HTTPServer(d.parts.Internal, config)
+	go d.serve(d.internal, l, "internal")
 	return nil
 }
 
 func (d *daemon) serve(s *http.Server, l net.Listener, name string) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := transport.Serve(s, l); err != nil {
 		d.opts.Log.WithError(err).WithField("listener", name).Error("listener ended")
 	}
 }
