--- /dev/null
+++ b/blame/example_test.go
@@ -0,0 +1,22 @@
+package blame_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/bilberrylink/bilberrylink/blame"
+)
+
+// A prompt that was running at two crashes is refused; another entry learns of it from the records.
+func ExampleTracker() {
+	here, there := blame.New(blame.Options{}), blame.New(blame.Options{})
+	ctx := context.Background()
+	fmt.Println(here.Crashed(ctx, "prompt", "model-01") == blame.Suspect)
+	fmt.Println(here.Crashed(ctx, "prompt", "model-02") == blame.Blamed)
+	there.Observe(here.Pending())
+	fmt.Println(there.Check("prompt") == blame.Blamed)
+	// Output:
+	// true
+	// true
+	// true
+}
