Ignore engine reports that were asked for before a crash

A report read just before a crash was found set the agent up again, so that it admitted work for the crashed engine and counted the same crash twice.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,6 +72,7 @@
 	report      endpoint.Report
 	reported    time.Time // when report arrived
 	down        bool      // the endpoint does not answer
+	downAt      time.Time // when down was set last
 	fault       string
 	draining    time.Time // zero: not draining
 
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -27,11 +27,12 @@
 	defer ticker.Stop()
 	failures := 0
 	for {
+		asked := time.Now()
 		report, err := a.readReport(ctx, reportTimeout)
 		switch {
 		case err == nil:
 			failures = 0
-			a.acceptReport(report)
+			a.acceptReport(report, asked)
 		case errors.Is(err, endpoint.ErrDown):
 			failures++
 			a.reportFailed(failures)
@@ -46,8 +47,14 @@
 	}
 }
 
-func (a *Agent) acceptReport(report endpoint.Report) {
+// acceptReport takes over a report. One that was asked for before a crash was found says nothing of the engine now: it
+// would bring the crashed engine back and have the next failed report count the same crash again.
+func (a *Agent) acceptReport(report endpoint.Report, asked time.Time) {
 	a.mu.Lock()
+	if a.down && !asked.After(a.downAt) {
+		a.mu.Unlock()
+		return
+	}
 	restarted := a.report.Incarnation != "" && a.report.Incarnation != report.Incarnation
 	wasDown := a.down
 	a.report = report
@@ -94,7 +101,7 @@
 		a.mu.Unlock()
 		return
 	}
-	a.down = true
+	a.down, a.downAt = true, time.Now()
 	var fingerprints []string
 	var victims []*attempt
 	for _, att := range a.attempts {
