Keep the two endpoints of an unproven prompt while others leave or return

Endpoints that left by plan or were down when first heard now count for the same time as failed ones, unless both endpoints of a prompt have left by plan.

--- a/route/pool.go
+++ b/route/pool.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// RecentlyDown is how long a failed endpoint still counts as one of the two endpoints of a fingerprint. Gossip over 360
+// RecentlyDown is how long a failed or leaving endpoint still counts as one of the two endpoints of a fingerprint. Gossip over 360
 // entries at one exchange per second needs about ten rounds; until then an entry may not know that the prompt is a
 // suspect, and must not send it to a third endpoint.
 const RecentlyDown = 15 * time.Second
@@ -108,15 +108,34 @@
 }
 
 // allowed returns the two endpoints that a confined request may reach: the rendezvous choices of its prefix and of its
-// fingerprint over the endpoints that are available or went down recently.
+// fingerprint over the endpoints that are available or went down recently. Entries learn at different times that an
+// endpoint leaves or returns, so that leaving ones count as well, unless both choices are among them: then the request
+// would have to wait for endpoints that are gone by plan.
 func (p *Pool) allowed(r *Request) (a pair, limited bool) {
-	a.prefix = -1
 	if !r.Confined {
-		return a, false
+		return pair{prefix: -1}, false
 	}
 	now := time.Now()
+	if a = p.pairOf(r, now, true); !a.present(now) {
+		a = p.pairOf(r, now, false)
+	}
+	return a, true
+}
+
+// present reports whether an endpoint of the pair is available or has failed recently.
+func (a *pair) present(now time.Time) bool {
+	for _, e := range a.list[:a.n] {
+		if e.Available() || e.recentlyDown(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) pairOf(r *Request, now time.Time, absent bool) (a pair) {
+	a.prefix = -1
 	if r.Prefix != 0 {
-		if e := p.stableRendezvous(r.Prefix, nil, now); e != nil {
+		if e := p.stableRendezvous(r.Prefix, nil, now, absent); e != nil {
 			a.list[0], a.n, a.prefix = e, 1, 0
 		}
 	}
@@ -125,22 +144,23 @@
 		if a.n > 0 {
 			except = a.list[0]
 		}
-		e := p.stableRendezvous(r.Fingerprint, except, now)
+		e := p.stableRendezvous(r.Fingerprint, except, now, absent)
 		if e == nil {
 			break
 		}
 		a.list[a.n] = e
 		a.n++
 	}
-	return a, true
+	return a
 }
 
-// stableRendezvous counts recently failed endpoints as present, so that entries agree on the choice.
-func (p *Pool) stableRendezvous(key uint64, except *Endpoint, now time.Time) *Endpoint {
+// stableRendezvous counts recently failed endpoints as present, so that entries agree on the choice, and with absent
+// also those that left by plan.
+func (p *Pool) stableRendezvous(key uint64, except *Endpoint, now time.Time, absent bool) *Endpoint {
 	var best *Endpoint
 	var top uint64
 	for _, e := range p.endpoints {
-		if e == except || (!e.Available() && !e.recentlyDown(now, RecentlyDown)) {
+		if e == except || !e.counts(now, absent) {
 			continue
 		}
 		if s := mix(key ^ e.hash); best == nil || s > top {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -119,6 +119,42 @@
 	})
 }
 
+// Guards against a third endpoint for an unproven prompt at an entry that knows less of the fleet than the others: one
+// that was restarted, or one that has already heard that an endpoint leaves.
+func TestConfinedRequestsAgreeWithPartialViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Request{Prefix: 11, Fingerprint: 12, Confined: true}
+		v, p := testPool(4, 1)
+		want, _ := p.allowed(r)
+		for i, first := range want.list {
+			v.Endpoint(first.Name).SetAvailable(false, true)
+			got, _ := p.allowed(r)
+			assert.Equal(t, want.list, got.list, "endpoint %d leaves", i)
+			v.Endpoint(first.Name).SetAvailable(false, false)
+			got, _ = p.allowed(r)
+			assert.Equal(t, want.list, got.list, "endpoint %d fails after it left", i)
+			v.Endpoint(first.Name).SetAvailable(true, false)
+
+			restarted := NewView(Options{})
+			var names []string
+			for _, e := range p.endpoints {
+				names = append(names, e.Name)
+				if e != first {
+					restarted.Endpoint(e.Name).SetAvailable(true, false)
+				}
+			}
+			restarted.Endpoint(first.Name).SetAvailable(false, i == 0)
+			got, _ = restarted.Pool(names).allowed(r)
+			assert.Equal(t, []string{want.list[0].Name, want.list[1].Name}, []string{got.list[0].Name, got.list[1].Name}, "endpoint %d is down or leaving when the entry first hears of it", i)
+		}
+		for _, e := range want.list {
+			e.SetAvailable(false, true)
+		}
+		_, ok := leastTTFT{}.Choose(p, r)
+		assert.True(t, ok, "requests do not wait for endpoints that are gone by plan")
+	})
+}
+
 // Guards against allocations that grow with the fleet.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	_, p := testPool(770, 1)
--- a/route/view.go
+++ b/route/view.go
@@ -41,7 +41,9 @@
 
 	available atomic.Bool
 	downSince atomic.Int64 // Unix nanoseconds; 0 while available, leaving or never seen
-	inFlight  atomic.Int64 // requests that this entry has open there
+	// absentSince is the time of a planned leave in Unix nanoseconds; 0 while available or failed, neverHeard at first.
+	absentSince atomic.Int64
+	inFlight    atomic.Int64 // requests that this entry has open there
 
 	mu     sync.Mutex
 	report Report
@@ -86,6 +88,7 @@
 	if e = v.endpoints[name]; e == nil {
 		e = &Endpoint{Name: name, hash: xxhash.Sum64String(name)}
 		e.report.PrefillRate = v.opts.PrefillRate
+		e.absentSince.Store(neverHeard)
 		v.endpoints[name] = e
 	}
 	return e
@@ -141,30 +144,44 @@
 	return e.report, e.sent
 }
 
-// SetAvailable records whether the endpoint may receive work. An endpoint that is leaving or otherwise refuses by plan
-// is skipped at once; one that failed counts as recently down for a while (see RecentlyDown).
+// neverHeard as absentSince marks an endpoint of which only the configuration text is known.
+const neverHeard = -1
+
+// SetAvailable records whether the endpoint may receive work. An endpoint that is leaving or otherwise refuses by plan,
+// and one that failed, still count for the choice of a fingerprint's endpoints for a while (see RecentlyDown).
 func (e *Endpoint) SetAvailable(available, planned bool) {
 	if available {
 		e.available.Store(true)
 		e.downSince.Store(0)
+		e.absentSince.Store(0)
 		return
 	}
 	wasAvailable := e.available.Swap(false)
+	now := time.Now().UnixNano()
 	switch {
-	case planned:
-		e.downSince.Store(0)
-	case wasAvailable:
-		e.downSince.Store(time.Now().UnixNano())
+	case planned && (wasAvailable || e.downSince.Swap(0) != 0 || e.absentSince.Load() == neverHeard):
+		e.absentSince.Store(now)
+	case !planned && (wasAvailable || e.absentSince.Swap(0) != 0):
+		e.downSince.Store(now)
 	}
 }
 
 // Available reports whether the endpoint may receive work.
 func (e *Endpoint) Available() bool { return e.available.Load() }
 
-// recentlyDown reports whether the endpoint failed less than grace ago.
-func (e *Endpoint) recentlyDown(now time.Time, grace time.Duration) bool {
-	since := e.downSince.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) < grace
+// recentlyDown reports whether the endpoint failed less than RecentlyDown ago.
+func (e *Endpoint) recentlyDown(now time.Time) bool { return recent(e.downSince.Load(), now) }
+
+// recentlyAbsent reports whether the endpoint left by plan less than RecentlyDown ago.
+func (e *Endpoint) recentlyAbsent(now time.Time) bool { return recent(e.absentSince.Load(), now) }
+
+// counts reports whether the endpoint takes part in the choice of a fingerprint's endpoints.
+func (e *Endpoint) counts(now time.Time, absent bool) bool {
+	return e.Available() || e.recentlyDown(now) || absent && e.recentlyAbsent(now)
+}
+
+func recent(since int64, now time.Time) bool {
+	return since > 0 && now.Sub(time.Unix(0, since)) < RecentlyDown
 }
 
 // Dispatched adds a request's own prefill tokens to the estimate until a newer report arrives. The returned function
