--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -61,6 +61,8 @@
 
 func (d *dispatcher) newAttempt(r *request, node member.Node, ep *route.Endpoint, remaining time.Duration) *attempt {
 	id := newID()
+	reader := stream.NewReader(r.id, id)
+	reader.Unchecked = d.opts.Disabled.FrameOwner
 	message := r.message(id, remaining)
 	message.Incarnation = incarnationOf(node)
 	return &attempt{
@@ -69,7 +71,7 @@
 		id:      id,
 		node:    node,
 		ep:      ep,
-		reader:  stream.NewReader(r.id, id),
+		reader:  reader,
 		message: message,
 		indexed: int64(len(r.tokens)),
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -62,9 +62,13 @@
 
 func newDispatcher(opts dispatchOptions) *dispatcher {
 	budget := limit.BudgetOptions{Disabled: opts.Disabled.RetryBudget}
+	timing := opts.Timing.withDefaults()
+	if opts.Disabled.Silence {
+		timing.Silence = defaultMaxTimeout
+	}
 	return &dispatcher{
 		opts:             opts,
-		timing:           opts.Timing.withDefaults(),
+		timing:           timing,
 		epochs:           opts.Epochs,
 		members:          opts.Members,
 		agents:           opts.Agents,
@@ -134,8 +138,11 @@
 
 // run executes a request until its answer is complete. The error is an *errkind.Error with the final run state.
 func (d *dispatcher) run(ctx context.Context, r *request) error {
-	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(-d.margin(r)))
-	defer cancel()
+	if !d.opts.Disabled.Deadline {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.deadline.Add(-d.margin(r)))
+		defer cancel()
+	}
 	if err := d.admit(r); err != nil {
 		return r.final(err)
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -74,6 +74,9 @@
 	Settle       bool // a lost non-idempotent call is answered not_run without the row
 	RetryBudget  bool // every retry is allowed
 	TokenIndex   bool // token positions are not checked
+	Silence      bool // silent connections are not noticed
+	FrameOwner   bool // frames of other attempts are taken
+	Deadline     bool // requests run on after their deadline
 	Release      bool // reservations of a split prompt are left to their lease
 	ReserveOrder bool // reservations are taken in the order of free memory
 }
--- a/internal/standin/faultnet/faultnet.go
+++ b/internal/standin/faultnet/faultnet.go
@@ -228,7 +228,7 @@
 		close(c.closed)
 		c.network.forget(c)
 		if c.isSilent() {
-			err = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes a Read in progress
+			err = c.Conn.SetDeadline(time.Unix(1, 0)) // wakes a Read and a Write in progress
 			time.AfterFunc(silentLinger, func() { _ = c.Conn.Close() })
 			return
 		}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -94,6 +94,8 @@
 
 // Reader reads and checks the frames of one attempt over one or more connections.
 type Reader struct {
+	Unchecked bool // tests only: frames of other attempts are delivered
+
 	request, attempt string
 	next             uint64
 	digest           *Digest
@@ -139,7 +141,7 @@
 }
 
 func (r *Reader) check(f *wire.Frame) (duplicate bool, err error) {
-	if f.GetRequestId() != r.request || f.GetAttemptId() != r.attempt {
+	if !r.Unchecked && (f.GetRequestId() != r.request || f.GetAttemptId() != r.attempt) {
 		return false, ErrForeign
 	}
 	switch p := f.GetPayload().(type) {
