--- /dev/null
+++ b/stream/fuzz_test.go
@@ -0,0 +1,68 @@
+package stream
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/bilberrylink/bilberrylink/wire"
+)
+
+// sent returns the frames of a whole answer as an agent writes them.
+func sent(request string, texts ...string) []byte {
+	var out bytes.Buffer
+	digest := NewDigest()
+	write := func(f *wire.Frame) {
+		f.RequestId, f.AttemptId, f.Sequence = request, "a", digest.Frames()
+		_, _ = protodelim.MarshalTo(&out, f) // a buffer takes everything
+	}
+	for i, text := range texts {
+		f := &wire.Frame{Payload: &wire.Frame_Token{Token: &wire.Token{Index: int64(i), Text: text}}}
+		write(f)
+		_ = digest.Add(f) // a token always marshals
+	}
+	write(&wire.Frame{Payload: &wire.Frame_End{End: &wire.End{Frames: digest.Frames(), Hash: digest.Sum()}}})
+	return out.Bytes()
+}
+
+// Guards against a crash, an endless read and a frame of another request for any bytes on a connection, and against an
+// answer that is accepted as complete although its bytes were changed.
+func FuzzReader(f *testing.F) {
+	whole := sent("r", "air", "bag", "bee")
+	f.Add(whole)
+	f.Add(whole[:len(whole)-3])
+	f.Add(append(sent("other", "air"), whole...))
+	f.Add(bytes.Repeat(whole, 2))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := NewReader("r", "a")
+		r.Attach(bytes.NewReader(data))
+		digest := NewDigest()
+		for range len(data) + 1 {
+			frame, err := r.Recv()
+			if err != nil {
+				return
+			}
+			if frame.GetRequestId() != "r" || frame.GetAttemptId() != "a" {
+				t.Fatalf("frame of request %q", frame.GetRequestId())
+			}
+			switch p := frame.GetPayload().(type) {
+			case *wire.Frame_End:
+				if p.End.GetFrames() != digest.Frames() || p.End.GetHash() != digest.Sum() {
+					t.Fatalf("answer of %d frames was accepted as complete", digest.Frames())
+				}
+				return
+			case *wire.Frame_Heartbeat, *wire.Frame_Failure:
+			default:
+				if frame.GetSequence() != digest.Frames() {
+					t.Fatalf("frame %d after %d frames", frame.GetSequence(), digest.Frames())
+				}
+				if err := digest.Add(frame); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		t.Fatal("more frames than bytes")
+	})
+}
