Keep a frame that arrives as its connection is given up; never complete a short answer

When this hit the last token, the caller got an answer without it that ended in [DONE]; the check entry_answer_complete counted the violation but let the answer pass. Such an answer now fails.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -200,8 +200,8 @@
 
 // connection reads one connection until the End frame (nil), a *failure, or an error of the connection. Silence ends
 // the connection.
-func (a *attempt) connection(ctx context.Context, resume bool) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (a *attempt) connection(attemptCtx context.Context, resume bool) error {
+	ctx, cancel := context.WithCancelCause(attemptCtx)
 	defer cancel(nil)
 	silence := time.AfterFunc(a.d.timing.Silence, func() { cancel(errSilent) })
 	defer silence.Stop()
@@ -217,7 +217,9 @@
 			return err
 		}
 		silence.Reset(a.d.timing.Silence)
-		finished, err := a.handle(ctx, frame)
+		// The reader has counted the frame, so it is handled even if the connection was given up as silent meanwhile:
+		// the resume begins after it.
+		finished, err := a.handle(attemptCtx, frame)
 		if finished || err != nil {
 			return err
 		}
@@ -327,6 +329,9 @@
 		complete := a.started != nil && end.GetCompletionTokens() <= a.indexed
 		invariant.Check(complete, "entry_answer_complete", "request %s: %d tokens received, %d announced",
 			a.r.id, a.indexed, end.GetCompletionTokens())
+		if !complete {
+			return &failure{err: errkind.New(errkind.StreamBroken, "answer is incomplete").WithRun(errkind.Ran), lost: true}
+		}
 		a.r.usage = end
 		return nil
 	}
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/platform"
@@ -42,6 +44,65 @@
 	assert.Greater(t, after, runs+1, "without resume the answer costs further attempts")
 }
 
+// slowReads delays what a connection reads after its first frame, whether or not the connection is given up meanwhile.
+type slowReads struct {
+	next  http.RoundTripper
+	delay time.Duration
+}
+
+func (s slowReads) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := s.next.RoundTrip(req)
+	if err == nil {
+		resp.Body = &slowBody{ReadCloser: resp.Body, delay: s.delay}
+	}
+	return resp, err
+}
+
+type slowBody struct {
+	io.ReadCloser
+	reads int
+	delay time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.reads++; b.reads > 1 {
+		time.Sleep(b.delay)
+	}
+	return n, err
+}
+
+// Guards against the loss of a frame that arrives at the moment at which its connection is given up as silent.
+func TestFrameThatArrivesWithTheSilenceIsKept(t *testing.T) {
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
+		out.started()
+		time.Sleep(testTiming.Silence / 3)
+		out.tokens(0, "a").hang()
+	})
+	f.resume = func(_ *fakeAgent, r *wire.ResumeRequest, out *frames) {
+		out.next, out.skip = 0, r.GetNextSequence()
+		out.started().tokens(0, "a").end()
+	}
+	b := newBench(t, f, Disabled{})
+	pooled := b.server.dispatch.agents.pooled
+	pooled.Transport = slowReads{next: pooled.Transport, delay: testTiming.Silence + 50*time.Millisecond}
+	got := b.chat(t, streamChat)
+	assert.Equal(t, 1, strings.Count(got.body, `"content":"a"`), got.body)
+	assert.Contains(t, got.body, "[DONE]")
+}
+
+// Guards against an answer that lacks tokens and yet looks complete.
+func TestIncompleteAnswerIsNotDone(t *testing.T) {
+	defer invariant.SetHandler(nil)() // the violation is counted
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
+		out.started().tokens(0, "a").raw(&wire.Frame{Payload: &wire.Frame_End{End: &wire.End{
+			Frames: out.digest.Frames(), Hash: out.digest.Sum(), CompletionTokens: 2}}})
+	})
+	got := newBench(t, f, Disabled{}).chat(t, streamChat, "X-Request-Timeout", "500ms")
+	assert.NotContains(t, got.body, "[DONE]")
+	assert.Contains(t, got.body, `"kind":"stream_broken"`)
+}
+
 // Guards against frames of other attempts, gaps and truncation that reach the caller.
 func TestDamagedFramesNeverReachTheCaller(t *testing.T) {
 	damages := map[string]func(out *frames){
