Carry the adapter's version and batch in every version; serve the replaced version until its turn in a rollout

A new version of an adapter alone was invisible to engines and to the agent's check of what is loaded, and a recall of adapter@version was judged by the text's version instead of the version that runs. During a rollout the old version stayed loaded, but nobody could ask for it, so that a changed model answered nothing until the first step was loaded. Unloading now waits for the ticket of the replacement, later steps wait until the earlier ones are healthy for 5 s, and a failed order no longer takes an endpoint that serves other versions out of routing. Operator tokens have names; the status shows loaded and missing versions, faults, recalled names and blamed prompts.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
 	"github.com/bilberrylink/bilberrylink/internal/entry"
+	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 )
 
@@ -20,7 +22,7 @@
 	settings.TLS
 	settings.Platform
 	CallersListen       string           `name:"listen" default:":8080" help:"host:port for callers and operators."`
-	OperatorTokenHashes []string         `name:"operator-token-hash" help:"Hex SHA-256 of an operators' token; repeatable."`
+	OperatorTokenHashes []string         `name:"operator-token-hash" help:"NAME=HASH or HASH of an operators' token; HASH is hex SHA-256, NAME goes into the audit trail; repeatable."`
 	Seeds               []string         `name:"seed" help:"host:port of another node's internal listener; repeatable."`
 	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
 	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from a failing /readyz until the load balancer sends nothing more."`
@@ -28,6 +30,16 @@
 	Version             kong.VersionFlag `name:"version" help:"Print the version and exit."`
 }
 
+// Validate implements kong's hook.
+func (c *cli) Validate() error {
+	for _, text := range c.OperatorTokenHashes {
+		if _, _, err := operator.ParseToken(text); err != nil {
+			return errors.Wrap(err, "--operator-token-hash")
+		}
+	}
+	return nil
+}
+
 func main() {
 	var c cli
 	kctx := settings.Parse(&c, "bilberry-entry", "Entry of a bilberrylink fleet.")
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -39,12 +39,15 @@
 	PriorityBulk        Priority = 2
 )
 
-// Version names exactly what produces an answer.
+// Version names exactly what produces an answer. The adapter's version and batch belong to it, because an adapter may
+// be recalled or replaced alone.
 type Version struct {
-	Model   string `json:"model"`
-	Version string `json:"version"`
-	Adapter string `json:"adapter,omitempty"`
-	Batch   string `json:"batch,omitempty"`
+	Model          string `json:"model"`
+	Version        string `json:"version"`
+	Adapter        string `json:"adapter,omitempty"`
+	Batch          string `json:"batch,omitempty"` // of the model
+	AdapterVersion string `json:"adapter_version,omitempty"`
+	AdapterBatch   string `json:"adapter_batch,omitempty"`
 }
 
 // KVHandle names KV cache held by an engine for a range of prompt tokens.
@@ -174,5 +177,5 @@
 	if v.Adapter == "" {
 		return v.Model + "@" + v.Version
 	}
-	return v.Model + "@" + v.Version + "+" + v.Adapter
+	return v.Model + "@" + v.Version + "+" + v.Adapter + "@" + v.AdapterVersion
 }
--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -57,7 +57,8 @@
 // Submission is one text that an operator wants to be accepted.
 type Submission struct {
 	ID       string // resolves lost answers; empty: chosen by the acceptor
-	Operator string // for the audit trail
+	Operator string // name of the verified token, for the audit trail; empty: the token has no name
+	Remark   string // unverified name that the operator gave, for the audit trail
 	Base     int64  // epoch of If-Match; 0: no text yet
 	Raw      []byte
 }
@@ -87,7 +88,8 @@
 type AuditRecord struct {
 	Time       time.Time `json:"time"`
 	Node       string    `json:"node"`
-	Operator   string    `json:"operator"`
+	Operator   string    `json:"operator"`         // name of the token, verified
+	Remark     string    `json:"remark,omitempty"` // Operator-Name header, unverified
 	Submission string    `json:"submission"`
 	Outcome    string    `json:"outcome"` // accepted, or the error kind
 	Base       int64     `json:"base"`
@@ -313,7 +315,7 @@
 }
 
 func (a *Acceptor) record(sub Submission, outcome, hash string) AuditRecord {
-	return AuditRecord{Time: time.Now().UTC(), Node: a.options.Node, Operator: sub.Operator, Submission: sub.ID,
+	return AuditRecord{Time: time.Now().UTC(), Node: a.options.Node, Operator: sub.Operator, Remark: sub.Remark, Submission: sub.ID,
 		Outcome: outcome, Base: sub.Base, Hash: hash}
 }
 
--- a/epoch/force.go
+++ b/epoch/force.go
@@ -1,9 +1,11 @@
 package epoch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/member"
 )
@@ -16,6 +18,22 @@
 	Epoch         int64  `json:"epoch"`
 	Confirmed     bool   `json:"confirmed"` // holds the current epoch
 	HeardMs       int64  `json:"heard_ms"`  // age of the newest evidence; -1: never heard
+
+	Endpoint   string             `json:"endpoint,omitempty"` // agent: endpoint name
+	Live       bool               `json:"live"`               // may receive new work
+	Leaving    bool               `json:"leaving,omitempty"`
+	Fault      string             `json:"fault,omitempty"`       // why the endpoint cannot serve
+	OrderFault string             `json:"order_fault,omitempty"` // why the engine does not hold what the text derives
+	Loaded     []endpoint.Version `json:"loaded,omitempty"`
+	Missing    []endpoint.Version `json:"missing,omitempty"` // versions of the text that the engine does not report
+}
+
+// RecallStatus is the state of one recalled name.
+type RecallStatus struct {
+	Name string `json:"name"`
+	// Stopped says that no node can start an answer from the name any more. Until the epoch is in force it is false.
+	Stopped bool     `json:"stopped"`
+	Loaded  []string `json:"loaded,omitempty"` // endpoints whose engines still report weights that the name covers
 }
 
 // Status is the answer to GET /v1/fleet/status.
@@ -28,6 +46,8 @@
 	InDoubt     []string     `json:"in_doubt"`
 	Nodes       []NodeStatus `json:"nodes"`
 	Warnings    []string     `json:"warnings,omitempty"`
+
+	Recalls []RecallStatus `json:"recalls,omitempty"`
 }
 
 // forceTracker decides when an epoch is in force. A node without the epoch may judge its evidence by any text since the
@@ -184,16 +204,54 @@
 		a.wantCollect()
 	}
 	now := time.Now()
-	for _, h := range a.options.Fleet.Nodes(current.Text.Settings.FreshnessBound) {
-		n := NodeStatus{Name: h.Name, FailureDomain: h.FailureDomain, Role: string(h.Role), Epoch: h.Epoch,
-			Confirmed: h.Epoch >= current.Epoch, HeardMs: -1}
-		if !h.Heard.IsZero() {
-			n.HeardMs = now.Sub(h.Heard).Milliseconds()
-		}
+	holders := a.options.Fleet.Nodes(current.Text.Settings.FreshnessBound)
+	for _, h := range holders {
+		n := nodeStatus(current, h, now)
 		if !n.Confirmed {
 			st.Unconfirmed = append(st.Unconfirmed, h.Name)
 		}
 		st.Nodes = append(st.Nodes, n)
 	}
+	st.Recalls = recallStatus(current, a.force.settled(), holders)
 	return st
 }
+
+func nodeStatus(current *fleet.Snapshot, h member.Holder, now time.Time) NodeStatus {
+	n := NodeStatus{Name: h.Name, FailureDomain: h.FailureDomain, Role: string(h.Role), Epoch: h.Epoch,
+		Confirmed: h.Epoch >= current.Epoch, HeardMs: -1, Endpoint: h.Endpoint, Live: h.Live, Leaving: h.Leaving,
+		Fault: h.Fault, OrderFault: h.OrderFault, Loaded: h.Loaded}
+	if !h.Heard.IsZero() {
+		n.HeardMs = now.Sub(h.Heard).Milliseconds()
+	}
+	for _, v := range current.Duties(h.Endpoint) {
+		if !slices.Contains(h.Loaded, v) {
+			n.Missing = append(n.Missing, v)
+		}
+	}
+	return n
+}
+
+// settled returns the snapshot of the epoch last in force, nil if none is known.
+func (f *forceTracker) settled() *fleet.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.texts) > 0 && f.texts[0].Epoch == f.inForce {
+		return f.texts[0]
+	}
+	return nil
+}
+
+// recallStatus describes the recalled names of current. A name that the epoch last in force recalled already is stopped.
+func recallStatus(current, settled *fleet.Snapshot, holders []member.Holder) []RecallStatus {
+	var list []RecallStatus
+	for _, name := range current.Text.Recalled {
+		r := RecallStatus{Name: name, Stopped: settled != nil && slices.Contains(settled.Text.Recalled, name)}
+		for _, h := range holders {
+			if slices.ContainsFunc(h.Loaded, func(v endpoint.Version) bool { return fleet.Covers(name, v) }) {
+				r.Loaded = append(r.Loaded, h.Endpoint)
+			}
+		}
+		list = append(list, r)
+	}
+	return list
+}
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -109,7 +109,11 @@
 	if m == nil {
 		return endpoint.Version{}
 	}
-	return endpoint.Version{Model: model, Version: m.Version, Adapter: adapter, Batch: m.Batch}
+	v := endpoint.Version{Model: model, Version: m.Version, Adapter: adapter, Batch: m.Batch}
+	if a := s.Text.Adapters[adapter]; a != nil {
+		v.AdapterVersion, v.AdapterBatch = a.Version, a.Batch
+	}
+	return v
 }
 
 func (s *Snapshot) indexServices() error {
@@ -239,14 +243,7 @@
 
 // Recalled returns the recalled name that covers v: its model, model@version, adapter, adapter@version or a batch.
 func (s *Snapshot) Recalled(v endpoint.Version) (item string, recalled bool) {
-	names := []string{v.Model, v.Model + "@" + v.Version, v.Batch}
-	if v.Adapter != "" {
-		names = append(names, v.Adapter)
-		if a := s.Text.Adapters[v.Adapter]; a != nil {
-			names = append(names, v.Adapter+"@"+a.Version, a.Batch)
-		}
-	}
-	for _, n := range names {
+	for _, n := range recallNames(v) {
 		if n != "" && s.recalled[n] {
 			return n, true
 		}
@@ -254,6 +251,20 @@
 	return "", false
 }
 
+// Covers reports whether the recall of a name concerns v.
+func Covers(name string, v endpoint.Version) bool {
+	return name != "" && slices.Contains(recallNames(v), name)
+}
+
+// recallNames returns the names whose recall concerns v; some may be empty.
+func recallNames(v endpoint.Version) []string {
+	names := []string{v.Model, v.Model + "@" + v.Version, v.Batch}
+	if v.Adapter != "" {
+		names = append(names, v.Adapter, v.Adapter+"@"+v.AdapterVersion, v.AdapterBatch)
+	}
+	return names
+}
+
 // Duties returns the versions that the engine of an endpoint holds.
 func (s *Snapshot) Duties(endpointName string) []endpoint.Version { return s.duties[endpointName] }
 
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -114,17 +114,17 @@
 	if s == nil {
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
-	if err := a.resolveService(s, att); err != nil {
-		return err
-	}
-	if err := a.mayAnswer(att); err != nil {
-		return err
-	}
 	a.mu.Lock()
 	down := a.down
 	loaded := a.report.Loaded
 	silent := a.isModel() && time.Since(a.reported) > reportPatience
 	a.mu.Unlock()
+	if err := a.resolveService(s, att, loaded); err != nil {
+		return err
+	}
+	if err := a.mayAnswer(att); err != nil {
+		return err
+	}
 	if down || silent {
 		return errkind.New(errkind.EndpointFailed, "endpoint does not answer")
 	}
@@ -134,11 +134,12 @@
 	return nil
 }
 
-// resolveService finds the service in the text and checks that this endpoint serves it.
-func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt) error {
+// resolveService finds the service in the text and checks that this endpoint serves it. Until its turn in a rollout, an
+// engine serves the loaded version that the text replaces.
+func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt, loaded []endpoint.Version) error {
 	att.service = s.Text.Services[att.request.GetService()]
 	if att.hasVersion() {
-		if !holds(s.Duties(a.opts.Endpoint), att.version()) {
+		if !holds(s.Duties(a.opts.Endpoint), att.version()) && !holds(a.wanted(s, loaded), att.version()) {
 			if item, recalled := s.Recalled(att.version()); recalled {
 				return errkind.New(errkind.Recalled, item+" is recalled")
 			}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -248,6 +248,7 @@
 	defer a.mu.Unlock()
 	record.Leaving = !a.draining.IsZero()
 	record.Fault = a.faultLocked()
+	record.OrderFault = a.orderState.fault
 	record.Loaded = nil
 	for _, v := range a.report.Loaded {
 		record.Loaded = append(record.Loaded, toWire(v))
@@ -286,11 +287,13 @@
 }
 
 func toWire(v endpoint.Version) *wire.Version {
-	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch}
+	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+		AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch}
 }
 
 func fromWire(v *wire.Version) endpoint.Version {
-	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch()}
+	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch(),
+		AdapterVersion: v.GetAdapterVersion(), AdapterBatch: v.GetAdapterBatch()}
 }
 
 func handlesFromWire(handles []*wire.KVHandle) []endpoint.KVHandle {
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -54,7 +54,7 @@
 	a.reported = time.Now()
 	a.down = false
 	if !restarted {
-		a.fault = a.orderState.fault
+		a.fault = ""
 	}
 	a.mu.Unlock()
 	if restarted && !wasDown {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -20,11 +20,15 @@
 	roleServe        = "serve"
 	// loadPatience is how long an accepted load may take before it is ordered again with a new ticket.
 	loadPatience = 2 * time.Minute
+	// rolloutSoak is how long the earlier steps of a rollout must be healthy before the next one begins. An engine that a
+	// new version crashes is seen to be down within it: two failed reports and one exchange.
+	rolloutSoak = 5 * time.Second
 )
 
-// orderState is what the order duty knows. The fault is guarded by Agent.mu, the rest belongs to the duty.
+// orderState is what the order duty knows. The fault and healthy are guarded by Agent.mu, the rest belongs to the duty.
 type orderState struct {
 	fault   string
+	healthy map[endpoint.Version]time.Time // since when the earlier steps of the rollout to a version are healthy
 	backoff time.Duration
 	next    time.Time                      // no ticket is asked for earlier
 	loading map[endpoint.Version]time.Time // when the engine accepted the order to load
@@ -104,17 +108,17 @@
 		return // the reporter handles it
 	}
 	wanted := a.wanted(s, report.Loaded)
-	kept := intersect(report.Loaded, wanted)
 	a.forgetLoading(report, wanted)
 	loading := a.loadingVersions(wanted)
+	missing := without(wanted, slices.Concat(report.Loaded, loading))
+	kept := append(intersect(report.Loaded, wanted), a.awaitingReplacement(s, report.Loaded, missing)...)
 	if len(kept) < len(report.Loaded) {
 		// Unloading needs no ticket and does not wait for the weight store. What is loading stays ordered.
 		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(kept, loading), Role: roleServe})
 	}
-	missing := without(wanted, slices.Concat(kept, loading))
 	switch {
 	case len(missing) > 0:
-		a.loadMissing(ctx, s.Epoch, slices.Concat(kept, loading), missing)
+		a.loadMissing(ctx, s, slices.Concat(kept, loading), missing)
 	case len(loading) == 0:
 		a.setOrderFault("")
 	}
@@ -128,7 +132,11 @@
 		o.loading = make(map[endpoint.Version]time.Time)
 	}
 	for v, since := range o.loading {
-		if holds(report.Loaded, v) || !holds(wanted, v) || time.Since(since) > loadPatience {
+		late := time.Since(since) > loadPatience
+		if late {
+			a.setOrderFault(v.WeightName() + " is not loaded " + loadPatience.String() + " after its order")
+		}
+		if holds(report.Loaded, v) || !holds(wanted, v) || late {
 			delete(o.loading, v)
 		}
 	}
@@ -144,8 +152,19 @@
 	return loading
 }
 
-// loadMissing orders the missing versions for which the weight store grants a ticket, on top of held.
-func (a *Agent) loadMissing(ctx context.Context, fence int64, held, missing []endpoint.Version) {
+// awaitingReplacement returns the loaded versions that missing ones replace. They serve on until the weight store grants
+// the tickets, because it may refuse for a long time. Recalled versions are not among them.
+func (a *Agent) awaitingReplacement(s *fleet.Snapshot, loaded, missing []endpoint.Version) []endpoint.Version {
+	var old []endpoint.Version
+	for _, v := range missing {
+		old = append(old, replacedBy(s, loaded, v)...)
+	}
+	return without(old, a.wanted(s, loaded))
+}
+
+// loadMissing orders the missing versions for which the weight store grants a ticket, on top of held. What they replace
+// is unloaded by the same order.
+func (a *Agent) loadMissing(ctx context.Context, s *fleet.Snapshot, held, missing []endpoint.Version) {
 	if time.Now().Before(a.orderState.next) {
 		return
 	}
@@ -156,7 +175,10 @@
 	if len(granted) == 0 {
 		return
 	}
-	if !a.send(ctx, endpoint.Order{Fence: fence, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
+	for _, v := range granted {
+		held = without(held, replacedBy(s, held, v))
+	}
+	if !a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
 		return
 	}
 	for _, v := range granted {
@@ -259,8 +281,8 @@
 	return old
 }
 
-// turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it. A fault on one of them
-// stops the rollout. Endpoints that are not live do not hold it up.
+// turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it and have been healthy for
+// rolloutSoak. A fault on one of them stops the rollout. Endpoints that are not live do not hold it up.
 func (a *Agent) turn(s *fleet.Snapshot, v endpoint.Version) bool {
 	names, err := fleet.ExpandNames(s.Text.Models[v.Model].Endpoints)
 	if err != nil {
@@ -268,18 +290,45 @@
 	}
 	rank := slices.Index(names, a.opts.Endpoint)
 	step := max(s.Text.Settings.RolloutBatchSize, 1)
-	for _, name := range names[:rank/step*step] {
+	earlier := names[:rank/step*step]
+	return len(earlier) == 0 || a.soaked(v, a.changed(earlier, v))
+}
+
+// changed reports whether the live endpoints among names hold v without a fault.
+func (a *Agent) changed(names []string, v endpoint.Version) bool {
+	for _, name := range names {
 		node, ok := a.peer.Members().Endpoint(name)
 		if !ok || !node.Live {
 			continue
 		}
-		if node.Fault != "" || !holds(node.Loaded, v) {
+		if node.Fault != "" || node.OrderFault != "" || !holds(node.Loaded, v) {
 			return false
 		}
 	}
 	return true
 }
 
+// soaked records whether the earlier steps of the rollout to v are healthy, and reports whether they have been so for
+// rolloutSoak.
+func (a *Agent) soaked(v endpoint.Version, healthy bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := &a.orderState
+	if !healthy {
+		delete(o.healthy, v)
+		return false
+	}
+	if o.healthy == nil {
+		o.healthy = make(map[endpoint.Version]time.Time)
+	}
+	since, known := o.healthy[v]
+	if !known {
+		since = time.Now()
+		o.healthy[v] = since
+	}
+	return time.Since(since) >= rolloutSoak
+}
+
 func intersect(versions, with []endpoint.Version) []endpoint.Version {
 	kept := make([]endpoint.Version, 0, len(versions))
 	for _, v := range versions {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -19,6 +20,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
@@ -151,7 +153,7 @@
 type ApplyCmd struct {
 	File       string        `arg:"" type:"existingfile" help:"Configuration text."`
 	Submission string        `help:"Submission id of an earlier attempt whose outcome is not known."`
-	Operator   string        `help:"Name for the audit trail." env:"USER"`
+	Operator   string        `help:"Remark for the audit trail, beside the verified name of the token." env:"USER"`
 	IfMatch    int64         `name:"if-match" default:"-1" help:"Epoch that the text was made for; -1 takes the current one."`
 	Wait       time.Duration `help:"Time to wait until the text is in force."`
 }
@@ -242,28 +244,99 @@
 	if x.CLI.JSON {
 		return x.json(st)
 	}
+	x.printSummary(st)
+	if err := x.printNodes(st.Nodes); err != nil {
+		return err
+	}
+	return x.printEngines(st.Nodes)
+}
+
+func (x *Context) printSummary(st operator.Status) {
 	fmt.Fprintf(x.Out, "epoch %d, in force: %t, evidence fresh: %t\n", st.Epoch, st.InForce, st.Fresh)
 	if len(st.Unconfirmed) > 0 {
 		fmt.Fprintf(x.Out, "unconfirmed: %s\n", strings.Join(st.Unconfirmed, ", "))
 	}
+	for _, r := range st.Recalls {
+		state := "some nodes may still start answers from it"
+		if r.Stopped {
+			state = "no node can start an answer from it"
+		}
+		if len(r.Loaded) > 0 {
+			state += "; still loaded at " + strings.Join(r.Loaded, ", ")
+		}
+		fmt.Fprintf(x.Out, "recalled %s: %s\n", r.Name, state)
+	}
+	for _, b := range st.Blamed {
+		fmt.Fprintf(x.Out, "blamed prompt %s: crashed %s, refused until %s\n", b.Fingerprint, strings.Join(b.Endpoints, ", "),
+			b.Until.Format(time.RFC3339))
+	}
 	for _, id := range st.InDoubt {
 		fmt.Fprintf(x.Out, "in doubt: submission %s\n", id)
 	}
 	for _, w := range st.Warnings {
 		fmt.Fprintf(x.Out, "warning: %s\n", w)
 	}
+}
+
+func (x *Context) printNodes(nodes []epoch.NodeStatus) error {
 	tab := tabwriter.NewWriter(x.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tab, "NODE\tROLE\tFAILURE DOMAIN\tEPOCH\tHEARD")
-	for _, n := range st.Nodes {
+	fmt.Fprintln(tab, "\nNODE\tROLE\tFAILURE DOMAIN\tEPOCH\tHEARD\tSTATE")
+	for _, n := range nodes {
 		heard := "never"
 		if n.HeardMs >= 0 {
 			heard = (time.Duration(n.HeardMs) * time.Millisecond).String()
 		}
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t%s\n", n.Name, n.Role, n.FailureDomain, n.Epoch, heard)
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t%s\t%s\n", n.Name, n.Role, n.FailureDomain, n.Epoch, heard, stateOf(n))
+	}
+	return tab.Flush()
+}
+
+func stateOf(n epoch.NodeStatus) string {
+	var state []string
+	if !n.Confirmed {
+		state = append(state, "unconfirmed")
+	}
+	if n.Leaving {
+		state = append(state, "leaving")
+	}
+	if !n.Live {
+		state = append(state, "not live")
+	}
+	for _, fault := range []string{n.Fault, n.OrderFault} {
+		if fault != "" {
+			state = append(state, fault)
+		}
+	}
+	if len(state) == 0 {
+		return "ok"
+	}
+	return strings.Join(state, "; ")
+}
+
+// printEngines prints what the engines hold and what they lack.
+func (x *Context) printEngines(nodes []epoch.NodeStatus) error {
+	tab := tabwriter.NewWriter(x.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "\nENGINE\tLOADED\tMISSING")
+	for _, n := range nodes {
+		if len(n.Loaded)+len(n.Missing) > 0 {
+			fmt.Fprintf(tab, "%s\t%s\t%s\n", n.Endpoint, weights(n.Loaded), weights(n.Missing))
+		}
 	}
 	return tab.Flush()
 }
 
+func weights(versions []endpoint.Version) string {
+	if len(versions) == 0 {
+		return "-"
+	}
+	names := make([]string, 0, len(versions))
+	for _, v := range versions {
+		names = append(names, v.WeightName())
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
 // AuditCmd is `audit`.
 type AuditCmd struct {
 	Limit int `default:"100" help:"Newest records to show."`
@@ -283,8 +356,8 @@
 		return x.json(records)
 	}
 	for _, r := range records {
-		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %q at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
-			r.Epoch, r.Base, r.Operator, r.Node, r.Submission)
+		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %s at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
+			r.Epoch, r.Base, operatorName(r), r.Node, r.Submission)
 		for _, d := range r.Details {
 			fmt.Fprintf(x.Out, "    %s\n", d)
 		}
@@ -292,14 +365,26 @@
 	return nil
 }
 
+// operatorName returns the verified name and, in quotes, the unverified remark.
+func operatorName(r epoch.AuditRecord) string {
+	name := r.Operator
+	if name == "" {
+		name = "unnamed token"
+	}
+	if r.Remark != "" {
+		name += fmt.Sprintf(" (remark %q)", r.Remark)
+	}
+	return name
+}
+
 func (x *Context) json(v any) error {
 	enc := json.NewEncoder(x.Out)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
 
-func (x *Context) status() (epoch.Status, error) {
-	var st epoch.Status
+func (x *Context) status() (operator.Status, error) {
+	var st operator.Status
 	body, _, err := x.call(http.MethodGet, "/v1/fleet/status", nil, nil)
 	if err != nil {
 		return st, err
--- a/internal/dev/connect.go
+++ b/internal/dev/connect.go
@@ -19,7 +19,7 @@
 type EntryConfig struct {
 	Node                settings.Node
 	CallersListen       string
-	OperatorTokenHashes []string // hex SHA-256
+	OperatorTokenHashes []string // NAME=HASH, see operator.ParseToken
 	Services            platform.Services
 	Seeds               []string
 	Dial                Dial
--- a/internal/dev/text.go
+++ b/internal/dev/text.go
@@ -16,6 +16,7 @@
 const (
 	CallerKey     = "bilberry-dev"
 	OperatorToken = "bilberry-dev-operator"
+	OperatorName  = "dev" // of the token, in the audit trail
 	workspace     = "bilberry-dev"
 )
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -68,7 +68,7 @@
 		node:    node,
 		ep:      ep,
 		reader:  stream.NewReader(r.id, id),
-		message: r.message(id, remaining),
+		message: r.message(id, remaining, r.versionAt(node)),
 		indexed: int64(len(r.tokens)),
 	}
 }
@@ -254,7 +254,7 @@
 	if !a.r.isChat() {
 		return nil
 	}
-	if err := a.d.mayAnswer(a.r, s.GetVersion()); err != nil {
+	if err := a.d.mayAnswer(a.r, a.message.GetModel().GetVersion(), s.GetVersion()); err != nil {
 		return &failure{err: err.WithRun(errkind.Ran), lost: true, own: err.Kind == errkind.Isolated}
 	}
 	if a.r.version == nil {
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -36,6 +36,7 @@
 type ConnectParams struct {
 	Options    Options
 	Blames     blame.Sink
+	Blamed     func() []blame.Record // blamed prompts known to the entry
 	Registerer prometheus.Registerer
 	Leaving    func() bool // true once the entry is stopping; its node record says so
 	Log        *logrus.Logger
@@ -135,6 +136,7 @@
 	parts, err := connect(ConnectParams{
 		Options:    d.opts,
 		Blames:     d.blames,
+		Blamed:     d.blames.Blamed,
 		Registerer: reg,
 		Leaving:    d.server.draining.Load,
 		Log:        d.opts.Log,
--- a/internal/entry/connect.go
+++ b/internal/entry/connect.go
@@ -34,7 +34,8 @@
 		Table: o.Services.Table, Objects: o.Services.Objects, TTL: recordTTL(exchange.Epochs()),
 		Log: params.Log, Registerer: params.Registerer,
 	})
-	operators := operator.New(operator.Options{Acceptor: acceptor, TokenHashes: o.OperatorTokenHashes, Log: params.Log})
+	operators := operator.New(operator.Options{Acceptor: acceptor, TokenHashes: o.OperatorTokenHashes,
+		Blamed: params.Blamed, Log: params.Log})
 	return Parts{
 		Epochs:    exchange.Epochs(),
 		Members:   exchange.Members(),
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -214,13 +215,42 @@
 	if err != nil {
 		return err
 	}
-	if r.begun() && !sameVersion(wireVersion(target.Version), r.version) {
+	if r.begun() && !sameVersion(wireVersion(target.Version), r.version) && !d.stillServed(snap, target, r.version) {
 		return errkind.New(errkind.StreamBroken, "the version of the started answer is no longer served")
 	}
 	r.snap, r.target = snap, target
 	return nil
 }
 
+// stillServed reports whether an endpoint of the target holds v, which a rollout is replacing.
+func (d *dispatcher) stillServed(snap *fleet.Snapshot, target fleet.Target, v *wire.Version) bool {
+	if _, recalled := snap.Recalled(versionOf(v)); recalled {
+		return false
+	}
+	return slices.ContainsFunc(target.Endpoints, func(name string) bool {
+		node, ok := d.members.Endpoint(name)
+		return ok && node.Live && slices.ContainsFunc(node.Loaded, func(l endpoint.Version) bool { return sameVersion(wireVersion(l), v) })
+	})
+}
+
+// versionAt returns the version to ask of a node: the target's, or, until the node's turn in a rollout, the loaded one
+// that the target's replaces. A started answer keeps its version.
+func (r *request) versionAt(node member.Node) endpoint.Version {
+	if r.version != nil {
+		return versionOf(r.version)
+	}
+	want := r.target.Version
+	if slices.Contains(node.Loaded, want) {
+		return want
+	}
+	for _, l := range node.Loaded {
+		if _, recalled := r.snap.Recalled(l); !recalled && l.Model == want.Model && l.Adapter == want.Adapter {
+			return l
+		}
+	}
+	return want
+}
+
 // attemptOnce runs one attempt at the chosen endpoint.
 func (d *dispatcher) attemptOnce(ctx context.Context, r *request, ep *route.Endpoint) (*attempt, *failure) {
 	node, ok := d.members.Endpoint(ep.Name)
@@ -245,7 +275,7 @@
 		return nil
 	}
 	if r.buffered {
-		if err := d.mayAnswer(r, a.started.GetVersion()); err != nil {
+		if err := d.mayAnswer(r, a.message.GetModel().GetVersion(), a.started.GetVersion()); err != nil {
 			return &failure{err: err.WithRun(errkind.Ran), own: err.Kind == errkind.Isolated}
 		}
 	}
@@ -355,13 +385,13 @@
 
 // mayAnswer checks, immediately before the first byte, that the version is not recalled and that this entry's evidence
 // of the configuration is fresh.
-func (d *dispatcher) mayAnswer(r *request, v *wire.Version) *errkind.Error {
+func (d *dispatcher) mayAnswer(r *request, want, v *wire.Version) *errkind.Error {
 	snap := d.epochs.Snapshot()
 	if !d.opts.Disabled.RecallCheck {
 		if item, recalled := snap.Recalled(versionOf(v)); recalled {
 			return errkind.New(errkind.Recalled, item+" is recalled")
 		}
-		if want := wireVersion(r.target.Version); !sameVersion(want, v) {
+		if !sameVersion(want, v) {
 			return errkind.New(errkind.NotLoaded, "the endpoint answered with another version than "+want.GetModel()+"@"+want.GetVersion())
 		}
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -18,7 +18,7 @@
 	Node                settings.Node
 	TLS                 settings.TLS
 	CallersListen       string            // host:port for callers and operators
-	OperatorTokenHashes []string          // hex SHA-256
+	OperatorTokenHashes []string          // NAME=HASH or HASH, see operator.ParseToken
 	Services            platform.Services // the platform
 	Seeds               []string          // internal addresses of some other nodes
 	Dial                func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -70,7 +70,7 @@
 
 func prefixOf(v endpoint.Version, prompt string) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(v.Model + "\x00" + v.Version + "\x00" + v.Adapter + "\x00")
+	_, _ = h.WriteString(v.Model + "\x00" + v.Version + "\x00" + v.Adapter + "\x00" + v.AdapterVersion + "\x00")
 	_, _ = h.WriteString(prompt[:min(len(prompt), prefixBytes)])
 	return h.Sum64()
 }
@@ -132,7 +132,7 @@
 }
 
 // message returns the wire form of one attempt.
-func (r *request) message(attempt string, remaining time.Duration) *wire.RunRequest {
+func (r *request) message(attempt string, remaining time.Duration, v endpoint.Version) *wire.RunRequest {
 	m := &wire.RunRequest{
 		RequestId:   r.id,
 		AttemptId:   attempt,
@@ -147,7 +147,7 @@
 	}
 	if r.isChat() {
 		m.Work = &wire.RunRequest_Model{Model: &wire.ModelWork{
-			Version:      wireVersion(r.target.Version),
+			Version:      wireVersion(v),
 			Prompt:       r.prompt,
 			PromptTokens: r.promptTokens,
 			MaxTokens:    r.maxTokens,
@@ -169,14 +169,17 @@
 }
 
 func wireVersion(v endpoint.Version) *wire.Version {
-	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch}
+	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+		AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch}
 }
 
 func versionOf(v *wire.Version) endpoint.Version {
-	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch()}
+	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch(),
+		AdapterVersion: v.GetAdapterVersion(), AdapterBatch: v.GetAdapterBatch()}
 }
 
 // sameVersion ignores the batch, which names a delivery of the same weights.
 func sameVersion(a, b *wire.Version) bool {
-	return a.GetModel() == b.GetModel() && a.GetVersion() == b.GetVersion() && a.GetAdapter() == b.GetAdapter()
+	return a.GetModel() == b.GetModel() && a.GetVersion() == b.GetVersion() && a.GetAdapter() == b.GetAdapter() &&
+		a.GetAdapterVersion() == b.GetAdapterVersion()
 }
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -351,6 +351,7 @@
 	last := segments[len(segments)-1]
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
 	work := a.message.GetModel()
+	work.Version = wireVersion(s.r.target.Version) // that of the other segments
 	work.Prompt = last.text
 	work.PromptTokens = int64(endpoint.CountTokens(last.text))
 	work.Imported = handles(segments[:len(segments)-1])
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,13 +9,16 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
@@ -24,11 +27,12 @@
 // Headers of a submission.
 const (
 	SubmissionHeader = "Submission-Id" // optional: a repeated PUT with the same value is accepted once
-	OperatorHeader   = "Operator-Name" // optional: shown in the audit trail
+	OperatorHeader   = "Operator-Name" // optional: an unverified remark in the audit trail
 )
 
 const (
 	maxIDLength       = 64
+	maxRemarkLength   = 256 // bytes
 	defaultAuditLimit = 100
 	maxAuditLimit     = 10000
 )
@@ -44,14 +48,53 @@
 // Options configure a Handler.
 type Options struct {
 	Acceptor    Acceptor
-	TokenHashes []string       // hex SHA-256 of the operators' tokens
-	Log         *logrus.Logger // may be nil
+	TokenHashes []string              // of the operators' tokens, see ParseToken
+	Blamed      func() []blame.Record // blamed prompts known to this entry; may be nil
+	Log         *logrus.Logger        // may be nil
 }
 
+// Status is the answer to GET /v1/fleet/status.
+type Status struct {
+	epoch.Status
+	Blamed []BlamedPrompt `json:"blamed,omitempty"`
+}
+
+// BlamedPrompt is a prompt that is refused because it crashed endpoints.
+type BlamedPrompt struct {
+	Fingerprint string    `json:"fingerprint"`
+	Crashes     int       `json:"crashes"`
+	Endpoints   []string  `json:"endpoints"`
+	Until       time.Time `json:"until"` // refused until then, unless it crashes again
+}
+
+// token is one operators' token.
+type token struct {
+	name string
+	hash []byte // SHA-256
+}
+
+// ParseToken parses NAME=HASH or a bare HASH, where HASH is the hex SHA-256 of an operators' token.
+func ParseToken(text string) (name string, hash []byte, err error) {
+	name, digits, named := strings.Cut(text, "=")
+	if !named {
+		name, digits = "", text
+	}
+	if named && !validName.MatchString(name) {
+		return "", nil, errors.Errorf("operator name %q must be 1 to 64 letters, digits, dots, hyphens or underscores", name)
+	}
+	hash, err = hex.DecodeString(digits)
+	if err != nil || len(hash) != sha256.Size {
+		return "", nil, errors.New("operator token hash must be hex SHA-256")
+	}
+	return name, hash, nil
+}
+
+var validName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
 // Handler serves the operators' interface.
 type Handler struct {
 	options Options
-	hashes  [][]byte
+	tokens  []token
 }
 
 // New returns a handler. A token hash that is not hex SHA-256 matches no token.
@@ -62,9 +105,12 @@
 	}
 	h := &Handler{options: o}
 	for _, text := range o.TokenHashes {
-		if sum, err := hex.DecodeString(text); err == nil && len(sum) == sha256.Size {
-			h.hashes = append(h.hashes, sum)
+		name, hash, err := ParseToken(text)
+		if err != nil {
+			o.Log.WithError(err).Error("operator token ignored")
+			continue
 		}
+		h.tokens = append(h.tokens, token{name: name, hash: hash})
 	}
 	return h
 }
@@ -77,23 +123,34 @@
 	r.HandleFunc("/v1/audit", h.authorized(h.audit)).Methods(http.MethodGet)
 }
 
+// operatorKey is the context key of the name of the request's token.
+type operatorKey struct{}
+
 // authorized calls next for requests with an operator's token. Every hash is compared in constant time.
 func (h *Handler) authorized(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(token))
-		match := 0
-		for _, want := range h.hashes {
-			match |= subtle.ConstantTimeCompare(sum[:], want)
+		given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(given))
+		match, name := false, ""
+		for _, t := range h.tokens {
+			if subtle.ConstantTimeCompare(sum[:], t.hash) == 1 {
+				match, name = true, t.name
+			}
 		}
-		if !found || match != 1 {
+		if !found || !match {
 			h.fail(w, errkind.New(errkind.Unauthorized, "missing or wrong operator token"))
 			return
 		}
-		next(w, r)
+		next(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
 	}
 }
 
+// operatorOf returns the name of the request's token, empty if it has none.
+func operatorOf(r *http.Request) string {
+	name, _ := r.Context().Value(operatorKey{}).(string)
+	return name
+}
+
 func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
 	s, err := h.options.Acceptor.Current(r.Context())
 	if err != nil {
@@ -143,7 +200,7 @@
 		h.fail(w, readError(err))
 		return
 	}
-	accepted, err := h.options.Acceptor.Submit(r.Context(), epoch.Submission{ID: id, Operator: r.Header.Get(OperatorHeader), Base: base, Raw: raw})
+	accepted, err := h.options.Acceptor.Submit(r.Context(), epoch.Submission{ID: id, Operator: operatorOf(r), Remark: remarkOf(r), Base: base, Raw: raw})
 	if err != nil {
 		h.fail(w, err)
 		return
@@ -152,6 +209,12 @@
 	h.answer(w, http.StatusOK, accepted)
 }
 
+// remarkOf returns the operator's own remark, bounded because it is kept for good.
+func remarkOf(r *http.Request) string {
+	remark := strings.ToValidUTF8(r.Header.Get(OperatorHeader), "")
+	return remark[:min(len(remark), maxRemarkLength)]
+}
+
 func readError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -161,7 +224,13 @@
 }
 
 func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
-	h.answer(w, http.StatusOK, h.options.Acceptor.Status())
+	st := Status{Status: h.options.Acceptor.Status()}
+	if h.options.Blamed != nil {
+		for _, b := range h.options.Blamed() {
+			st.Blamed = append(st.Blamed, BlamedPrompt{Fingerprint: b.Fingerprint, Crashes: b.Crashes, Endpoints: b.Endpoints, Until: b.Expires})
+		}
+	}
+	h.answer(w, http.StatusOK, st)
 }
 
 func (h *Handler) audit(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -16,7 +16,7 @@
 	ram ray rib row rye sap saw sea sky tea tin toe yew`)
 
 // AnswerToken returns token i of the answer that an engine gives to a prompt, split over engines or not. It depends on
-// model, version, adapter, prompt and i, and names neither the version nor its batch.
+// model, version, adapter, its version, prompt and i, and names neither the version nor its batch.
 func AnswerToken(v endpoint.Version, prompt string, i int) string {
 	return answerToken(v, xxhash.Sum64String(prompt), i)
 }
@@ -33,7 +33,7 @@
 
 func answerToken(v endpoint.Version, promptSum uint64, i int) string {
 	buf := make([]byte, 0, 128)
-	for _, s := range []string{v.Model, v.Version, v.Adapter} {
+	for _, s := range []string{v.Model, v.Version, v.Adapter, v.AdapterVersion} {
 		buf = append(buf, s...)
 		buf = append(buf, 0)
 	}
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
 )
 
 // maxTimes bounds the times kept per counter; the count goes on. It covers an hour at three events a second.
@@ -23,10 +25,7 @@
 
 // AnswerCount counts the model answers of one version on one endpoint.
 type AnswerCount struct {
-	Batch    string      `json:"batch"`
-	Model    string      `json:"model"`
-	Version  string      `json:"version"`
-	Adapter  string      `json:"adapter,omitempty"`
+	endpoint.Version
 	Endpoint string      `json:"endpoint"`
 	Started  int         `json:"started"`  // answers whose first token was produced
 	Finished int         `json:"finished"` // answers whose last token was produced
@@ -42,7 +41,10 @@
 
 type callKey struct{ key, endpoint, method, path string }
 
-type answerKey struct{ batch, model, version, adapter, endpoint string }
+type answerKey struct {
+	version  endpoint.Version
+	endpoint string
+}
 
 // Counters record what was actually executed. They are safe for concurrent use.
 type Counters struct {
@@ -86,7 +88,7 @@
 func (c *Counters) answer(k answerKey) *AnswerCount {
 	a := c.answers[k]
 	if a == nil {
-		a = &AnswerCount{Batch: k.batch, Model: k.model, Version: k.version, Adapter: k.adapter, Endpoint: k.endpoint}
+		a = &AnswerCount{Version: k.version, Endpoint: k.endpoint}
 		c.answers[k] = a
 	}
 	return a
@@ -132,7 +134,8 @@
 		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Method, b.Method))
 	})
 	slices.SortFunc(counts.Answers, func(a, b AnswerCount) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Batch, b.Batch), cmp.Compare(a.Endpoint, b.Endpoint))
+		return cmp.Or(cmp.Compare(a.WeightName(), b.WeightName()), cmp.Compare(a.Batch, b.Batch),
+			cmp.Compare(a.AdapterBatch, b.AdapterBatch), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
 	return counts
 }
--- a/internal/standin/scheduler.go
+++ b/internal/standin/scheduler.go
@@ -184,7 +184,7 @@
 		return
 	}
 	i := t.first + len(t.tokens)
-	key := answerKey{batch: t.version.Batch, model: t.version.Model, version: t.version.Version, adapter: t.version.Adapter, endpoint: e.name}
+	key := answerKey{version: t.version, endpoint: e.name}
 	if len(t.tokens) == 0 {
 		e.p.counters.started(key)
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -306,9 +306,10 @@
 	if r := s.record; r != nil {
 		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, platform.VMRole(r.Role)
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
-		n.Epoch, n.Fault, n.Load = r.Epoch, r.Fault, r.Load
+		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
-			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch})
+			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+				AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch})
 		}
 	}
 	return n
@@ -376,6 +377,12 @@
 	Role          platform.VMRole
 	Epoch         int64
 	Heard         time.Time
+	Endpoint      string // agent: endpoint name
+	Live          bool   // may receive new work
+	Leaving       bool
+	Fault         string
+	OrderFault    string
+	Loaded        []endpoint.Version
 }
 
 // ToldEpoch returns the names of the nodes that told this node themselves that they hold epoch or a later one.
@@ -405,7 +412,8 @@
 			continue
 		}
 		n := t.describe(name, s, now)
-		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard})
+		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard,
+			Endpoint: n.Endpoint, Live: n.Live, Leaving: n.Leaving, Fault: n.Fault, OrderFault: n.OrderFault, Loaded: n.Loaded})
 	}
 	return holders
 }
--- a/member/view.go
+++ b/member/view.go
@@ -22,6 +22,7 @@
 	Live          bool // may receive new work
 	Leaving       bool
 	Fault         string    // why the endpoint cannot serve, empty if it can
+	OrderFault    string    // why the engine does not hold what the text derives; it still serves what it holds
 	Heard         time.Time // newest evidence, zero if never heard
 	Load          *wire.Load
 	Loaded        []endpoint.Version
