--- a/cmd/bilberry-load/main.go
+++ b/cmd/bilberry-load/main.go
@@ -6,11 +6,13 @@
 
 	"github.com/bilberrylink/bilberrylink/internal/load"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
+	"github.com/bilberrylink/bilberrylink/internal/trial"
 )
 
 type cli struct {
 	load.Commands
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Recall  trial.RecallCommand `cmd:"" help:"Recall a name on a running development fleet and report when the last answer from it began."`
+	Version kong.VersionFlag    `help:"Print the version and exit."`
 }
 
 func main() {
