--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -84,7 +84,7 @@
 	}
 	hash, err = hex.DecodeString(digits)
 	if err != nil || len(hash) != sha256.Size {
-		return "", nil, errors.New("operator token hash must be hex SHA-256")
+		return "", nil, errors.New("hash must be 64 hex digits, as sha256sum prints")
 	}
 	return name, hash, nil
 }
