Test recalls by every kind of name and rollouts that keep the replaced version; measure rollouts

Ticket back-off starts again after a grant and is bounded by 4 s: 24 engines of the workshop's text took more than 30 s to load with the 80 tickets that the emulated store grants in 8 s.

--- /dev/null
+++ b/epoch/status_test.go
@@ -0,0 +1,27 @@
+package epoch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/member"
+)
+
+// Guards against a recall that the status calls stopped before the epoch that recalled it was in force, and against
+// engines that keep recalled weights unseen.
+func TestRecallStatusFollowsTheEpochInForce(t *testing.T) {
+	const text = "models: {m: {version: \"1\", batch: b1, endpoints: [e1]}}\nbatches: {b1: {supplier: s}, b2: {supplier: s}}\n"
+	first, faults := fleet.NewSnapshot(1, []byte(text+"recalled: [b1]\n"))
+	require.Empty(t, faults)
+	second, faults := fleet.NewSnapshot(2, []byte(text+"recalled: [b1, m@1]\n"))
+	require.Empty(t, faults)
+	old := endpoint.Version{Model: "m", Version: "1", Batch: "b1"}
+	holders := []member.Holder{{Name: "n1", Endpoint: "e1", Loaded: []endpoint.Version{old}}, {Name: "n2", Endpoint: "e2"}}
+	require.Equal(t, []RecallStatus{{Name: "b1", Stopped: true, Loaded: []string{"e1"}}, {Name: "m@1", Loaded: []string{"e1"}}},
+		recallStatus(second, first, holders))
+	require.Equal(t, []RecallStatus{{Name: "b1"}, {Name: "m@1"}}, recallStatus(second, nil, nil))
+	require.Equal(t, []RecallStatus{{Name: "b1", Stopped: true}, {Name: "m@1", Stopped: true}}, recallStatus(second, second, nil))
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -223,3 +223,30 @@
 		}
 	})
 }
+
+// Guards against a recall that is judged by the text's version instead of the running one: a text that recalls
+// adapter@version and names the next version in the same change must stop exactly the old one.
+func TestRecallOfAReplacedVersion(t *testing.T) {
+	const text = `
+models: {m: {version: "1", batch: b1, endpoints: [e1]}}
+adapters: {a: {model: m, version: "VERSION", batch: bVERSION}}
+batches: {b1: {supplier: s}, b7: {supplier: s}, b8: {supplier: s}}
+`
+	at := func(epoch int64, version, recalled string) *Snapshot {
+		s, faults := NewSnapshot(epoch, []byte(strings.ReplaceAll(text, "VERSION", version)+"recalled: ["+recalled+"]\n"))
+		require.Empty(t, faults)
+		return s
+	}
+	v7, v8 := at(1, "7", "").version("m", "a"), at(1, "8", "").version("m", "a")
+	require.NotEqual(t, v7.WeightName(), v8.WeightName())
+	for _, name := range []string{"a@7", "b7"} {
+		s := at(2, "8", name)
+		item, recalled := s.Recalled(v7)
+		require.True(t, recalled)
+		require.Equal(t, name, item)
+		_, recalled = s.Recalled(v8)
+		require.False(t, recalled)
+		require.Contains(t, s.Duties("e1"), v8)
+		require.NotContains(t, at(3, "7", name).Duties("e1"), v7)
+	}
+}
--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -134,12 +134,11 @@
 	return nil
 }
 
-// resolveService finds the service in the text and checks that this endpoint serves it. Until its turn in a rollout, an
-// engine serves the loaded version that the text replaces.
+// resolveService finds the service in the text and checks that this endpoint serves it.
 func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt, loaded []endpoint.Version) error {
 	att.service = s.Text.Services[att.request.GetService()]
 	if att.hasVersion() {
-		if !holds(s.Duties(a.opts.Endpoint), att.version()) && !holds(a.wanted(s, loaded), att.version()) {
+		if !a.serves(s, loaded, att.version()) {
 			if item, recalled := s.Recalled(att.version()); recalled {
 				return errkind.New(errkind.Recalled, item+" is recalled")
 			}
@@ -158,6 +157,12 @@
 	return errkind.New(errkind.UnknownService, "endpoint does not run service "+att.request.GetService())
 }
 
+// serves reports whether the text gives v to this endpoint, or this endpoint still holds v in a rollout that replaces it:
+// its turn or the ticket has not come.
+func (a *Agent) serves(s *fleet.Snapshot, loaded []endpoint.Version, v endpoint.Version) bool {
+	return holds(s.Duties(a.opts.Endpoint), v) || holds(a.wanted(s, loaded), v) || holds(a.waiting(), v)
+}
+
 // mayAnswer checks freshness and recall against the snapshot in force now.
 func (a *Agent) mayAnswer(att *attempt) error {
 	epochs := a.peer.Epochs()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -356,12 +356,16 @@
 type fakeWeights struct {
 	mu      sync.Mutex
 	refuse  int
+	missing string // name without weights
 	fetched []string
 }
 
 func (w *fakeWeights) Fetch(_ context.Context, name string) (string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if name == w.missing {
+		return "", platform.ErrNotFound
+	}
 	if w.refuse > 0 {
 		w.refuse--
 		return "", platform.ErrRateLimited
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -15,7 +15,8 @@
 
 const (
 	ticketBackoffMin = 200 * time.Millisecond
-	ticketBackoffMax = 10 * time.Second
+	// ticketBackoffMax bounds how long the last engines of a mass start wait while the weight store is idle again.
+	ticketBackoffMax = 4 * time.Second
 	orderTimeout     = 5 * time.Second
 	roleServe        = "serve"
 	// loadPatience is how long an accepted load may take before it is ordered again with a new ticket.
@@ -25,10 +26,12 @@
 	rolloutSoak = 5 * time.Second
 )
 
-// orderState is what the order duty knows. The fault and healthy are guarded by Agent.mu, the rest belongs to the duty.
+// orderState is what the order duty knows. The fault, healthy and waiting are guarded by Agent.mu, the rest
+// belongs to the duty.
 type orderState struct {
 	fault   string
 	healthy map[endpoint.Version]time.Time // since when the earlier steps of the rollout to a version are healthy
+	waiting []endpoint.Version             // loaded versions whose replacements wait for tickets
 	backoff time.Duration
 	next    time.Time                      // no ticket is asked for earlier
 	loading map[endpoint.Version]time.Time // when the engine accepted the order to load
@@ -111,7 +114,9 @@
 	a.forgetLoading(report, wanted)
 	loading := a.loadingVersions(wanted)
 	missing := without(wanted, slices.Concat(report.Loaded, loading))
-	kept := append(intersect(report.Loaded, wanted), a.awaitingReplacement(s, report.Loaded, missing)...)
+	waiting := a.awaitingReplacement(s, report.Loaded, missing)
+	a.setWaiting(waiting)
+	kept := append(intersect(report.Loaded, wanted), waiting...)
 	if len(kept) < len(report.Loaded) {
 		// Unloading needs no ticket and does not wait for the weight store. What is loading stays ordered.
 		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(kept, loading), Role: roleServe})
@@ -162,6 +167,18 @@
 	return without(old, a.wanted(s, loaded))
 }
 
+func (a *Agent) setWaiting(versions []endpoint.Version) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.orderState.waiting = versions
+}
+
+func (a *Agent) waiting() []endpoint.Version {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.orderState.waiting
+}
+
 // loadMissing orders the missing versions for which the weight store grants a ticket, on top of held. What they replace
 // is unloaded by the same order.
 func (a *Agent) loadMissing(ctx context.Context, s *fleet.Snapshot, held, missing []endpoint.Version) {
@@ -169,6 +186,9 @@
 		return
 	}
 	granted, tickets, err := a.tickets(ctx, missing)
+	if len(granted) > 0 {
+		a.orderState.backoff = 0 // the store grants: an engine that keeps doubling would leave it idle
+	}
 	if err != nil {
 		a.backOff(err)
 	}
@@ -178,15 +198,13 @@
 	for _, v := range granted {
 		held = without(held, replacedBy(s, held, v))
 	}
+	a.setWaiting(intersect(a.waiting(), held))
 	if !a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
 		return
 	}
 	for _, v := range granted {
 		a.orderState.loading[v] = time.Now()
 	}
-	if err == nil {
-		a.orderState.backoff = 0
-	}
 }
 
 // tickets fetches tickets until the first error and returns the versions that have one.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -339,7 +339,8 @@
 
 // AuditCmd is `audit`.
 type AuditCmd struct {
-	Limit int `default:"100" help:"Newest records to show."`
+	Limit   int `default:"100" help:"Newest records to show."`
+	Details int `default:"20" help:"Most details to show of each record; 0 shows all. JSON always has all."`
 }
 
 // Run prints the audit trail, oldest first.
@@ -358,9 +359,16 @@
 	for _, r := range records {
 		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %s at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
 			r.Epoch, r.Base, operatorName(r), r.Node, r.Submission)
-		for _, d := range r.Details {
+		shown := r.Details
+		if c.Details > 0 {
+			shown = shown[:min(len(shown), c.Details)]
+		}
+		for _, d := range shown {
 			fmt.Fprintf(x.Out, "    %s\n", d)
 		}
+		if hidden := len(r.Details) - len(shown); hidden > 0 {
+			fmt.Fprintf(x.Out, "    and %d more\n", hidden)
+		}
 	}
 	return nil
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -41,7 +41,7 @@
 // Times of starting and stopping.
 const (
 	readyTimeout = 10 * time.Second
-	loadTimeout  = 30 * time.Second // weights are loaded in steps of a few engines, each after an exchange of 1 s
+	loadTimeout  = 2 * time.Minute // tickets of all engines of an example text at the emulated rate, with refusals
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
 )
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/member"
@@ -347,3 +348,24 @@
 	assert.Zero(t, counted(b.server.metrics.budgetSpent))
 	assert.Zero(t, counted(b.server.metrics.retries))
 }
+
+// Guards against a rollout during which nobody is asked: until an endpoint's turn the entry asks it for the version that
+// it still holds, and never for a recalled one.
+func TestRolloutAsksEachEndpointForWhatItHolds(t *testing.T) {
+	epochs := new(fakeEpochs)
+	epochs.accept(t, 1, "")
+	f := newFleet(t, func(_ *fakeAgent, r *wire.RunRequest, out *frames) {
+		out.version = r.GetModel().GetVersion().GetVersion()
+		out.started().tokens(0, out.version).end()
+	})
+	old := endpoint.Version{Model: "lark", Version: "v0", Batch: "b1"}
+	for _, name := range []string{"model-1", "model-2", "model-3"} {
+		f.members.update(name, func(n *member.Node) { n.Loaded = []endpoint.Version{old} })
+	}
+	b := newBenchWith(t, f, epochs, Disabled{}, "")
+	assert.Contains(t, b.chat(t, streamChat).body, `"content":"v0"`)
+	epochs.accept(t, 2, "recalled: [\"lark@v0\"]")
+	got := b.chat(t, streamChat).body
+	assert.Contains(t, got, `"content":"v1"`)
+	assert.NotContains(t, got, "v0")
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/blame"
+	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/fleet"
+)
+
+// fakeAcceptor keeps the submissions.
+type fakeAcceptor struct{ seen []epoch.Submission }
+
+func (f *fakeAcceptor) Submit(_ context.Context, s epoch.Submission) (epoch.Accepted, error) {
+	f.seen = append(f.seen, s)
+	return epoch.Accepted{Epoch: 1}, nil
+}
+func (f *fakeAcceptor) Current(context.Context) (*fleet.Snapshot, error) { return nil, nil }
+func (f *fakeAcceptor) Status() epoch.Status                             { return epoch.Status{Epoch: 1} }
+func (f *fakeAcceptor) Audit(context.Context, int) ([]epoch.AuditRecord, error) {
+	return nil, nil
+}
+
+func serve(o Options, method, path, token, remark string) *httptest.ResponseRecorder {
+	router := mux.NewRouter()
+	New(o).Register(router)
+	r := httptest.NewRequest(method, path, strings.NewReader("services: {}\n"))
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("If-Match", `"0"`)
+	r.Header.Set(OperatorHeader, remark)
+	w := httptest.NewRecorder()
+	router.ServeHTTP(w, r)
+	return w
+}
+
+// Guards against an audit trail whose name the caller can choose: the name comes from the token alone.
+func TestOperatorNameComesFromTheToken(t *testing.T) {
+	f := new(fakeAcceptor)
+	o := Options{Acceptor: f, TokenHashes: []string{"anna=" + fleet.Hash([]byte("a")), "bela=" + fleet.Hash([]byte("b")), fleet.Hash([]byte("c"))}}
+	for _, c := range []struct{ token, name string }{{"a", "anna"}, {"b", "bela"}, {"c", ""}} {
+		require.Equal(t, http.StatusOK, serve(o, http.MethodPut, "/v1/fleet", c.token, "anna").Code)
+		last := f.seen[len(f.seen)-1]
+		require.Equal(t, c.name, last.Operator)
+		require.Equal(t, "anna", last.Remark)
+	}
+	require.Equal(t, http.StatusUnauthorized, serve(o, http.MethodPut, "/v1/fleet", "d", "anna").Code)
+	require.Equal(t, http.StatusUnauthorized, serve(o, http.MethodPut, "/v1/fleet", "anna="+fleet.Hash([]byte("a")), "").Code)
+	require.Len(t, f.seen, 3)
+	serve(o, http.MethodPut, "/v1/fleet", "a", strings.Repeat("x", 1000))
+	require.Len(t, f.seen[3].Remark, maxRemarkLength)
+}
+
+// Guards against a token that is accepted under an odd name or with a truncated hash.
+func TestParseTokenRefusesOddInput(t *testing.T) {
+	hash := fleet.Hash([]byte("a"))
+	for _, bad := range []string{"", "anna=", "=" + hash, "an na=" + hash, hash[:62], "anna=" + hash + "00", "anna=bela=" + hash, strings.Repeat("a", 65) + "=" + hash} {
+		_, _, err := ParseToken(bad)
+		require.Error(t, err, bad)
+	}
+	name, _, err := ParseToken("anna=" + strings.ToUpper(hash))
+	require.NoError(t, err)
+	require.Equal(t, "anna", name)
+}
+
+// Guards against a status that hides the prompts that are refused.
+func TestStatusShowsBlamedPrompts(t *testing.T) {
+	o := Options{Acceptor: new(fakeAcceptor), TokenHashes: []string{fleet.Hash([]byte("a"))}, Blamed: func() []blame.Record {
+		return []blame.Record{{Fingerprint: "f1", Crashes: 2, Endpoints: []string{"e1", "e2"}, Expires: time.Unix(1000, 0)}}
+	}}
+	var st Status
+	require.NoError(t, json.Unmarshal(serve(o, http.MethodGet, "/v1/fleet/status", "a", "").Body.Bytes(), &st))
+	require.EqualValues(t, 1, st.Epoch)
+	require.Len(t, st.Blamed, 1)
+	require.Equal(t, "f1", st.Blamed[0].Fingerprint)
+	require.True(t, st.Blamed[0].Until.Equal(time.Unix(1000, 0)))
+}
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -37,6 +37,13 @@
 type Counts struct {
 	Calls   []CallCount   `json:"calls"`
 	Answers []AnswerCount `json:"answers"`
+	Tickets TicketCount   `json:"tickets"`
+}
+
+// TicketCount counts the answers of the weight store.
+type TicketCount struct {
+	Issued  int `json:"issued"`
+	Refused int `json:"refused"` // over the rate limit
 }
 
 type callKey struct{ key, endpoint, method, path string }
@@ -51,6 +58,7 @@
 	mu      sync.Mutex
 	calls   map[callKey]*CallCount
 	answers map[answerKey]*AnswerCount
+	tickets TicketCount
 }
 
 func newCounters() *Counters {
@@ -101,6 +109,16 @@
 	return append(times, time.Now())
 }
 
+func (c *Counters) ticket(issued bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if issued {
+		c.tickets.Issued++
+	} else {
+		c.tickets.Refused++
+	}
+}
+
 // Executions returns how often calls with an idempotency key ran, over all endpoints.
 func (c *Counters) Executions(key string) int {
 	c.mu.Lock()
@@ -118,7 +136,7 @@
 func (c *Counters) Snapshot() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := Counts{Calls: []CallCount{}, Answers: []AnswerCount{}}
+	counts := Counts{Calls: []CallCount{}, Answers: []AnswerCount{}, Tickets: c.tickets}
 	for _, count := range slices.Collect(maps.Values(c.calls)) {
 		copied := *count
 		copied.Times = slices.Clone(count.Times)
