--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -33,7 +33,7 @@
 	ExitFailure  = 1 // the server or a file could not be read, or the request was refused for another reason
 	ExitInvalid  = 2 // the text has faults
 	ExitConflict = 3 // another change came first
-	ExitDoubt    = 4 // the outcome is not known; repeat with the printed --submission
+	ExitDoubt    = 4 // the outcome is not known; repeat with the printed flags
 	ExitPending  = 5 // accepted, but not in force within the time of --wait
 	ExitDiffers  = 6 // diff found differences
 )
@@ -164,6 +164,10 @@
 	if err != nil {
 		return err
 	}
+	if c.Submission != "" && c.IfMatch < 0 {
+		// Against the epoch of now, the repetition would be a new change that undoes those made since.
+		return &ExitError{Code: ExitFailure, Message: "--submission needs the --if-match of the first attempt"}
+	}
 	tag := `"` + strconv.FormatInt(c.IfMatch, 10) + `"`
 	if c.IfMatch < 0 {
 		if _, tag, err = x.fetch(); err != nil {
@@ -176,7 +180,7 @@
 	header := http.Header{"If-Match": {tag}, operator.SubmissionHeader: {c.Submission}, operator.OperatorHeader: {c.Operator}}
 	body, _, err := x.call(http.MethodPut, "/v1/fleet", header, raw)
 	if err != nil {
-		return c.explain(err)
+		return c.explain(err, tag)
 	}
 	var accepted epoch.Accepted
 	if err := json.Unmarshal(body, &accepted); err != nil {
@@ -189,15 +193,16 @@
 }
 
 // explain adds how to repeat a submission whose outcome is not known.
-func (c *ApplyCmd) explain(err error) error {
+func (c *ApplyCmd) explain(err error, tag string) error {
+	repeat := "\nrepeat with --submission " + c.Submission + " --if-match " + strings.Trim(tag, `"`)
 	var exit *ExitError
 	if errors.As(err, &exit) {
 		if exit.Code == ExitDoubt {
-			exit.Message += "\nrepeat with --submission " + c.Submission
+			exit.Message += repeat
 		}
 		return err
 	}
-	return &ExitError{Code: ExitDoubt, Message: err.Error() + "\nrepeat with --submission " + c.Submission}
+	return &ExitError{Code: ExitDoubt, Message: err.Error() + repeat}
 }
 
 func (c *ApplyCmd) report(x *Context, accepted epoch.Accepted) error {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// Guards against a repeated submission that is applied again, over a change that came in between.
+func TestRepeatedSubmissionUndoesNothing(t *testing.T) {
+	x := newTool(t)
+	first, second := x.file(experiment.Text(2, 3, 1)), x.file(experiment.Text(2, 3, 2))
+	out, code := x.run("apply", "--submission", "one", "--if-match", "0", first)
+	require.Equal(t, ExitOK, code, out)
+	out, code = x.run("apply", second)
+	require.Equal(t, ExitOK, code, out)
+	out, code = x.run("apply", "--submission", "one", first)
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, out, "--if-match")
+	out, code = x.run("apply", "--submission", "one", "--if-match", "0", first)
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "epoch 1 accepted")
+	_, code = x.run("diff", second)
+	require.Equal(t, ExitOK, code, "the second text is still the current one")
+}
+
 // Guards against a server failure that a script takes for an answer.
 func TestUnreachableServerIsFailure(t *testing.T) {
 	x := &tool{t: t, server: "http://127.0.0.1:1", client: http.DefaultClient}
