--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -154,3 +154,38 @@
 		require.Contains(t, record.GetOrderFault(), platform.ErrNotFound.Error())
 	})
 }
+
+// Guards against exported KV of a recalled version that stays held or serves a decode.
+func TestRecallReleasesExportedKV(t *testing.T) {
+	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		require.True(t, reserve(f, "held", 1000, 0).GetGranted())
+		reply, err := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: toWire(v1), DeadlineMs: 5000, Epoch: 1})
+		require.NoError(t, err)
+		require.NotNil(t, reply.GetHandle())
+		f.peer.set(snapshot(t, 2, textOf("1", "finish", "b1")))
+		time.Sleep(time.Second)
+		require.Zero(t, f.ledger.Reserved())
+		require.Contains(t, f.engine.state().cancelled, "held")
+		decode := modelRequest("decode")
+		decode.GetModel().Imported, decode.GetModel().Reservation = []*wire.KVHandle{reply.GetHandle()}, "held"
+		requireFailure(t, f.submit(t.Context(), decode), errkind.Recalled, errkind.NotRun)
+		require.Empty(t, f.engine.state().generated)
+	})
+}
+
+// Guards against an order from before a pause that an engine without fencing obeys: what it loaded answers nothing and is
+// unloaded again.
+func TestLateOrderAtAnEngineWithoutFencing(t *testing.T) {
+	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		f.peer.set(snapshot(t, 2, textOf("2", "finish", "m@1")))
+		time.Sleep(3 * time.Second)
+		v2 := endpoint.Version{Model: "m", Version: "2", Batch: "b1"}
+		require.Equal(t, []endpoint.Version{v2}, f.engine.state().loaded)
+		require.NoError(t, f.engine.Order(t.Context(), endpoint.Order{Fence: 1, Versions: []endpoint.Version{v1}}))
+		requireFailure(t, f.submit(t.Context(), requestOf("old", v1)), errkind.Recalled, errkind.NotRun)
+		require.Equal(t, string(errkind.NotLoaded), wait(f.submit(t.Context(), requestOf("new", v2))).GetFailure().GetKind())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []endpoint.Version{v2}, f.engine.state().loaded)
+		require.NotNil(t, wait(f.submit(t.Context(), requestOf("again", v2))).GetEnd())
+	})
+}
--- a/internal/trial/recall.go
+++ b/internal/trial/recall.go
@@ -46,8 +46,8 @@
 type RecallTrial struct {
 	AnsweredMs   float64        `json:"answered_ms"`    // from sending the text to the answer of its acceptance
 	InForceMs    float64        `json:"in_force_ms"`    // from the answer to the status that says in force
-	LastStartMs  float64        `json:"last_start_ms"`  // from the answer to the last first token that an engine computed from the name
-	LastSeenMs   float64        `json:"last_seen_ms"`   // from the answer to the last first token from the name that a caller received
+	LastStartMs  float64        `json:"last_start_ms"`  // from sending the text to the last first token that an engine computed from the name
+	LastSeenMs   float64        `json:"last_seen_ms"`   // from sending the text to the last first token from the name that a caller received
 	WholeAgainMs float64        `json:"whole_again_ms"` // from the reinstatement to all engines holding their versions
 	LateStarts   int            `json:"late_starts"`    // first tokens that engines computed from the name after in force
 	LateSeen     int            `json:"late_seen"`      // first tokens from the name that callers received after in force
@@ -124,7 +124,7 @@
 	t = evaluate(s, force, c.Name, recalled, answers)
 	for _, a := range counts.Answers {
 		if fleet.Covers(c.Name, a.Version) {
-			t.engineStarts(a.Starts, s.answered, force)
+			t.engineStarts(a.Starts, s.sent, force)
 		}
 	}
 	t.WholeAgainMs, err = c.restore(ctx, client)
@@ -221,8 +221,8 @@
 		Outcomes: make(map[string]int)}
 	for _, a := range answers {
 		isRecalled := slices.ContainsFunc(recalled, a.from)
-		if isRecalled && a.first.After(s.answered) {
-			t.LastSeenMs = max(t.LastSeenMs, millis(a.first.Sub(s.answered)))
+		if isRecalled && a.first.After(s.sent) {
+			t.LastSeenMs = max(t.LastSeenMs, millis(a.first.Sub(s.sent)))
 			if a.first.After(force) {
 				t.LateSeen++
 			}
@@ -244,10 +244,10 @@
 }
 
 // engineStarts adds the times at which an engine computed first tokens of a recalled version.
-func (t *RecallTrial) engineStarts(starts []time.Time, answered, force time.Time) {
+func (t *RecallTrial) engineStarts(starts []time.Time, sent, force time.Time) {
 	for _, at := range starts {
-		if at.After(answered) {
-			t.LastStartMs = max(t.LastStartMs, millis(at.Sub(answered)))
+		if at.After(sent) {
+			t.LastStartMs = max(t.LastStartMs, millis(at.Sub(sent)))
 		}
 		if at.After(force) {
 			t.LateStarts++
@@ -264,8 +264,8 @@
 		get  func(RecallTrial) float64
 	}{
 		{"text sent to acceptance", func(t RecallTrial) float64 { return t.AnsweredMs }},
-		{"acceptance to last first token at an engine", func(t RecallTrial) float64 { return t.LastStartMs }},
-		{"acceptance to last first token at a caller", func(t RecallTrial) float64 { return t.LastSeenMs }},
+		{"text sent to last first token at an engine", func(t RecallTrial) float64 { return t.LastStartMs }},
+		{"text sent to last first token at a caller", func(t RecallTrial) float64 { return t.LastSeenMs }},
 		{"acceptance to in force", func(t RecallTrial) float64 { return t.InForceMs }},
 		{"reinstatement to all engines loaded", func(t RecallTrial) float64 { return t.WholeAgainMs }},
 	} {
