Tell agents of the endpoints before them in a rollout

An agent that waits for its turn now names the endpoints before it, and the entry's reply carries their records.

--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -265,6 +265,9 @@
 	return names
 }
 
+// Holders returns the endpoints of a model in the order of the text. The slice is shared; callers must not change it.
+func (s *Snapshot) Holders(model string) []string { return s.endpoints["model:"+model] }
+
 // Duties returns the versions that the engine of an endpoint holds.
 func (s *Snapshot) Duties(endpointName string) []endpoint.Version { return s.duties[endpointName] }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -135,7 +135,7 @@
 }
 
 func (a *Agent) connect() error {
-	peer, err := a.opts.Peer(PeerParams{Options: a.opts, Incarnation: a.incarnation, Self: a.describe})
+	peer, err := a.opts.Peer(PeerParams{Options: a.opts, Incarnation: a.incarnation, Self: a.describe, Watch: a.watch})
 	a.peer = peer
 	return errors.Wrap(err, "connect to the exchange")
 }
--- a/internal/agent/compose.go
+++ b/internal/agent/compose.go
@@ -50,6 +50,7 @@
 		Services:      o.Services,
 		Client:        transport.PeerClients(transport.HTTPClient(config, o.Dial), o.TLS.Enabled()),
 		Self:          params.Self,
+		Watch:         params.Watch,
 		Log:           o.Log,
 		Registerer:    o.Registry,
 	})
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -62,6 +62,7 @@
 	Options     Options
 	Incarnation string
 	Self        func(*wire.NodeRecord) // fills load, loaded versions, leaving and fault
+	Watch       func() []string        // endpoints whose records the agent needs now
 }
 
 // NewPeer constructs the agent's part of the exchange.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -24,6 +24,9 @@
 	// rolloutSoak is how long the earlier steps of a rollout must be healthy before the next one begins. An engine that a
 	// new version crashes is seen to be down within it: two failed reports and one exchange.
 	rolloutSoak = 5 * time.Second
+	// rolloutWatch is the number of endpoints of earlier steps whose records an agent asks for. They waited for those before
+	// them, so that a fault further back stops the rollout within as many endpoints.
+	rolloutWatch = 24
 )
 
 // orderState is what the order duty knows. The fault, healthy and waiting are guarded by Agent.mu, the rest
@@ -300,16 +303,44 @@
 }
 
 // turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it and have been healthy for
-// rolloutSoak. A fault on one of them stops the rollout. Endpoints that are not live do not hold it up.
+// rolloutSoak. A fault on one of them stops the rollout. Endpoints that are not live do not hold it up. Nor do those that
+// are not known, but several exchanges that could tell of them take place within rolloutSoak.
 func (a *Agent) turn(s *fleet.Snapshot, v endpoint.Version) bool {
-	names, err := fleet.ExpandNames(s.Text.Models[v.Model].Endpoints)
-	if err != nil {
-		return false // the text was validated
-	}
+	earlier := a.earlier(s, v)
+	return len(earlier) == 0 || a.soaked(v, a.changed(earlier, v))
+}
+
+// earlier returns the last rolloutWatch endpoints of the steps before this endpoint's one.
+func (a *Agent) earlier(s *fleet.Snapshot, v endpoint.Version) []string {
+	names := s.Holders(v.Model)
 	rank := slices.Index(names, a.opts.Endpoint)
 	step := max(s.Text.Settings.RolloutBatchSize, 1)
-	earlier := names[:rank/step*step]
-	return len(earlier) == 0 || a.soaked(v, a.changed(earlier, v))
+	end := rank / step * step
+	return names[max(0, end-rolloutWatch):end]
+}
+
+// watch returns the endpoints whose records the agent needs now: those of earlier steps while it waits for its turn. The
+// exchange does not tell agents of other agents otherwise.
+func (a *Agent) watch() []string {
+	s := a.peer.Epochs().Snapshot()
+	if s == nil {
+		return nil
+	}
+	a.mu.Lock()
+	loaded := a.report.Loaded
+	a.mu.Unlock()
+	var names []string
+	for _, v := range s.Duties(a.opts.Endpoint) {
+		if holds(loaded, v) || len(replacedBy(s, loaded, v)) == 0 {
+			continue
+		}
+		for _, name := range a.earlier(s, v) {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
 }
 
 // changed reports whether the live endpoints among names hold v without a fault.
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -120,8 +120,10 @@
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		v2 := endpoint.Version{Model: "m", Version: "2", Batch: "b1"}
 		f.peer.setNode(member.Node{Endpoint: "e0", Live: true, Loaded: []endpoint.Version{v1}})
+		require.Empty(t, f.watch())
 		f.peer.set(snapshot(t, 2, textOf("2", "finish", "")))
 		time.Sleep(time.Second)
+		require.Equal(t, []string{"e0"}, f.watch(), "the exchange must tell of the earlier steps")
 		require.NotNil(t, wait(f.submit(t.Context(), requestOf("a", v1))).GetEnd())
 		requireFailure(t, f.submit(t.Context(), requestOf("b", v2)), errkind.NotLoaded, errkind.NotRun)
 
@@ -136,6 +138,7 @@
 		time.Sleep(time.Minute)
 		require.Equal(t, []endpoint.Version{v2}, f.engine.state().loaded)
 		require.NotNil(t, wait(f.submit(t.Context(), requestOf("d", v2))).GetEnd())
+		require.Empty(t, f.watch())
 	})
 }
 
@@ -178,7 +181,7 @@
 func TestLateOrderAtAnEngineWithoutFencing(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		f.peer.set(snapshot(t, 2, textOf("2", "finish", "m@1")))
-		time.Sleep(3 * time.Second)
+		time.Sleep(3*time.Second + reportInterval/2) // between two reports, which would correct the engine at once
 		v2 := endpoint.Version{Model: "m", Version: "2", Batch: "b1"}
 		require.Equal(t, []endpoint.Version{v2}, f.engine.state().loaded)
 		require.NoError(t, f.engine.Order(t.Context(), endpoint.Order{Fence: 1, Versions: []endpoint.Version{v1}}))
--- a/member/table.go
+++ b/member/table.go
@@ -472,6 +472,19 @@
 	return nil
 }
 
+// EndpointRecords returns the records of the agents beside the named endpoints, as far as known.
+func (t *Table) EndpointRecords(endpoints []string) []*wire.NodeRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for _, e := range endpoints {
+		if name, ok := t.byEnd[e]; ok && t.nodes[name].record != nil {
+			names = append(names, name)
+		}
+	}
+	return t.recordsLocked(names)
+}
+
 // Urgent returns a channel that signals news to push at once.
 func (t *Table) Urgent() <-chan struct{} { return t.wakePush }
 
--- a/peer/options.go
+++ b/peer/options.go
@@ -22,6 +22,7 @@
 	maxUrgent        = 64 // leaving nodes per push
 	maxBlames        = 16 // blame records per message
 	maxKnown         = 8  // entry addresses in a reply to an agent
+	maxWatch         = 48 // endpoints that an agent watches in a rollout
 	maxAsks          = 64 // pending requests for a newer text
 	exchangeTries    = 3  // targets tried per interval while exchanges fail
 	collectParallel  = 16
@@ -53,6 +54,7 @@
 	Client        func(addr string) wire.Peer
 	Interval      time.Duration          // between exchanges; 0: DefaultInterval
 	Self          func(*wire.NodeRecord) // fills load, loaded versions, leaving and fault; may be nil
+	Watch         func() []string        // agent: endpoints whose records it needs now, for rollouts; may be nil
 	Blames        BlameSink              // may be nil
 	Log           *logrus.Logger         // may be nil
 	Registerer    prometheus.Registerer  // may be nil
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -184,6 +184,9 @@
 	if p.options.Role == platform.RoleEntry && req.Records == nil && req.CollectEpoch == 0 {
 		req.Records = p.members.Records(maxRecords, "")
 	}
+	if p.options.Watch != nil {
+		req.Watch = p.options.Watch()
+	}
 	if p.options.Blames != nil {
 		req.Blames = p.options.Blames.Outgoing(maxBlames)
 	}
@@ -286,7 +289,7 @@
 	switch {
 	case platform.VMRole(req.Sender.Role) == platform.RoleAgent:
 		reply.KnownEntries = p.someEntries()
-		reply.Records = p.members.LeavingRecord(req.Sender.Name)
+		reply.Records = append(p.members.LeavingRecord(req.Sender.Name), p.members.EndpointRecords(req.Watch[:min(len(req.Watch), maxWatch)])...)
 	case req.CollectEpoch != 0:
 		reply.Holders = hashes(p.members.ToldEpoch(req.CollectEpoch))
 	default:
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -179,3 +179,30 @@
 		Evidence: []*wire.Evidence{{Domain: "b"}, {Domain: "c"}}})
 	require.True(t, a.Epochs().Fresh())
 }
+
+// Guards against an agent that learns nothing of the endpoints before it in a rollout, or is told of all others at all times.
+func TestAgentLearnsOfWatchedEndpointsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		a := newPeer(t, n, "entry-1", platform.RoleEntry, nil)
+		for i := range 500 {
+			a.Members().Observe(&wire.NodeRecord{Name: fmt.Sprint("agent-", i), Endpoint: fmt.Sprint("e-", i), Role: "agent", Incarnation: "i", Sequence: 1}, true)
+		}
+		var watch []string
+		b := newPeer(t, n, "agent", platform.RoleAgent, func(o *Options) { o.Watch = func() []string { return watch } })
+		_, err := b.exchange(t.Context(), "entry-1", &wire.ExchangeRequest{})
+		require.NoError(t, err)
+		require.Len(t, b.Members().Agents(), 1, "itself")
+		watch = []string{"e-3", "unknown"}
+		_, err = b.exchange(t.Context(), "entry-1", &wire.ExchangeRequest{})
+		require.NoError(t, err)
+		node, ok := b.Members().Endpoint("e-3")
+		require.True(t, ok && node.Live)
+		for i := range 100 {
+			watch = append(watch, fmt.Sprint("e-", i+10))
+		}
+		reply, err := b.exchange(t.Context(), "entry-1", &wire.ExchangeRequest{})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(reply.Records), maxWatch)
+	})
+}
