--- a/internal/trial/recall.go
+++ b/internal/trial/recall.go
@@ -70,6 +70,9 @@
 	report := RecallReport{Name: c.Name, Fault: c.Fault, Seed: c.Seed, Rate: c.Rate}
 	rng := rand.New(rand.NewPCG(c.Seed, 0))
 	client := newClient(c.Flags)
+	if err := client.await(context.Background(), settleLimit, whole); err != nil {
+		return errors.Wrap(err, "fleet is not whole")
+	}
 	for i := range c.Trials {
 		t, err := c.trial(context.Background(), client, rng, i)
 		if err != nil {
--- a/internal/trial/rollout.go
+++ b/internal/trial/rollout.go
@@ -42,6 +42,9 @@
 func (c *RolloutCommand) Run(k *kong.Kong) error {
 	ctx := context.Background()
 	client := newClient(c.Flags)
+	if err := client.await(ctx, settleLimit, whole); err != nil {
+		return errors.Wrap(err, "fleet is not whole")
+	}
 	before, err := client.counts(ctx)
 	if err != nil {
 		return err
