--- a/internal/processes/callers_test.go
+++ b/internal/processes/callers_test.go
@@ -75,6 +75,8 @@
 	chats   []outcome
 	lookups []outcome
 	orders  map[string][]outcome
+
+	orderGate sync.RWMutex // held for reading during an order
 }
 
 // startTraffic starts callers of chats, lookups and orders. They use the entries whose /readyz succeeds.
@@ -99,6 +101,13 @@
 	t.wg.Wait()
 }
 
+// betweenOrders runs do while no order is in flight.
+func (t *traffic) betweenOrders(do func()) {
+	t.orderGate.Lock()
+	defer t.orderGate.Unlock()
+	do()
+}
+
 func (t *traffic) stopped() bool {
 	select {
 	case <-t.stop:
@@ -156,7 +165,9 @@
 func (t *traffic) oneOrder(worker, n int) {
 	key := fmt.Sprintf("%s-%d-%d", t.f.prefix, worker, n)
 	for try := range keyTries {
+		t.orderGate.RLock()
 		o := t.f.order(t.entry(worker+n+try), key)
+		t.orderGate.RUnlock()
 		t.mu.Lock()
 		t.orders[key] = append(t.orders[key], o)
 		t.mu.Unlock()
--- a/internal/processes/harness_test.go
+++ b/internal/processes/harness_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -177,6 +178,7 @@
 }
 
 type fleetOptions struct {
+	ip        string // of all listeners; empty: a new one
 	tls       func(node string) settings.TLS
 	advertise func(node, addr string) string // address that others use for a node; nil: its own
 }
@@ -185,7 +187,9 @@
 func startFleet(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
 	f := &fleet{t: t, agents: make(map[string]*process), internal: make(map[string]string), client: newClient(t)}
-	f.ip = fleetIP()
+	if f.ip = o.ip; f.ip == "" {
+		f.ip = fleetIP()
+	}
 	f.prefix = strings.ReplaceAll(t.Name(), "/", "-")
 	addrs := freeAddrs(t, f.ip, 1+2*2+len(engines)+len(services))
 	next := func() string {
@@ -351,6 +355,22 @@
 	return counts
 }
 
+// resumes returns how many streams the entries resumed.
+func (f *fleet) resumes() (total float64) {
+	f.t.Helper()
+	for _, url := range f.callers {
+		_, body := f.get(url + "/metrics")
+		for line := range strings.Lines(body) {
+			if value, ok := strings.CutPrefix(line, "bilberry_entry_resumes_total "); ok {
+				n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+				require.NoError(f.t, err)
+				total += n
+			}
+		}
+	}
+	return total
+}
+
 // executions returns how often each key ran.
 func (f *fleet) executions() map[string]int {
 	f.t.Helper()
