--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,8 +35,16 @@
 	Finishes []time.Time `json:"finishes"`
 }
 
+// TableCount counts the calls of the table that were admitted, by the first element of the row's key.
+type TableCount struct {
+	Prefix string `json:"prefix"`
+	Reads  int    `json:"reads"`  // rows read, and scans
+	Writes int    `json:"writes"` // rows written, or refused by their condition
+}
+
 // Counts is a copy of the counters.
 type Counts struct {
+	Table   []TableCount  `json:"table"`
 	Calls   []CallCount   `json:"calls"`
 	Answers []AnswerCount `json:"answers"`
 }
@@ -49,10 +58,25 @@
 	mu      sync.Mutex
 	calls   map[callKey]*CallCount
 	answers map[answerKey]*AnswerCount
+	table   map[string]*TableCount
 }
 
 func newCounters() *Counters {
-	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount)}
+	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount),
+		table: make(map[string]*TableCount)}
+}
+
+func (c *Counters) tableCall(key string, reads, writes int) {
+	prefix, _, _ := strings.Cut(key, "/")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := c.table[prefix]
+	if count == nil {
+		count = &TableCount{Prefix: prefix}
+		c.table[prefix] = count
+	}
+	count.Reads += reads
+	count.Writes += writes
 }
 
 func (c *Counters) call(k callKey) {
@@ -116,7 +140,10 @@
 func (c *Counters) Snapshot() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := Counts{Calls: []CallCount{}, Answers: []AnswerCount{}}
+	counts := Counts{Table: []TableCount{}, Calls: []CallCount{}, Answers: []AnswerCount{}}
+	for _, prefix := range slices.Sorted(maps.Keys(c.table)) {
+		counts.Table = append(counts.Table, *c.table[prefix])
+	}
 	for _, count := range slices.Collect(maps.Values(c.calls)) {
 		copied := *count
 		copied.Times = slices.Clone(count.Times)
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -13,17 +13,19 @@
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/endpoint/endpointhttp"
+	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 // Paths of the controls, and of the endpoints below the listener's base URL.
 const (
-	PathFaults   = "/faults"    // GET, PUT
-	PathCounters = "/counters"  // GET
-	PathVM       = "/vms"       // PUT: add or replace platform.VMs; DELETE ?name=
-	PathEngine   = "/engines/"  // followed by the endpoint's name
-	PathService  = "/services/" // followed by the endpoint's name
+	PathFaults    = "/faults"    // GET, PUT
+	PathCounters  = "/counters"  // GET
+	PathEndpoints = "/endpoints" // GET
+	PathVM        = "/vms"       // PUT: add or replace platform.VMs; DELETE ?name=
+	PathEngine    = "/engines/"  // followed by the endpoint's name
+	PathService   = "/services/" // followed by the endpoint's name
 )
 
 // Handler serves the platform, the endpoints and the controls over HTTP.
@@ -43,6 +45,7 @@
 	r.HandleFunc(PathCounters, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, p.counters.Snapshot())
 	}).Methods(http.MethodGet)
+	r.HandleFunc(PathEndpoints, p.getEndpoints).Methods(http.MethodGet)
 	r.HandleFunc(PathVM, p.putVMs).Methods(http.MethodPut)
 	r.HandleFunc(PathVM, func(w http.ResponseWriter, req *http.Request) {
 		p.RemoveVM(req.URL.Query().Get("name"))
@@ -50,6 +53,24 @@
 	}).Methods(http.MethodDelete)
 }
 
+// EndpointInfo names an emulated endpoint.
+type EndpointInfo struct {
+	Name string `json:"name"`
+	Kind string `json:"kind"` // fleet.KindModel or fleet.KindPlain
+}
+
+func (p *Platform) getEndpoints(w http.ResponseWriter, _ *http.Request) {
+	infos := []EndpointInfo{}
+	for _, name := range p.Endpoints() {
+		kind := fleet.KindPlain
+		if p.Engine(name) != nil {
+			kind = fleet.KindModel
+		}
+		infos = append(infos, EndpointInfo{Name: name, Kind: kind})
+	}
+	writeJSON(w, http.StatusOK, infos)
+}
+
 func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, p.faults.Describe())
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -81,8 +81,9 @@
 	o = o.withDefaults()
 	f := newFaults(FaultState{VMListLagMS: o.scaled(o.VMListLag).Milliseconds(), LoadLagMS: o.scaled(o.Engine.LoadLag).Milliseconds(),
 		IgnoreFencing: o.Engine.IgnoreFencing})
+	counters := newCounters()
 	p := &Platform{
-		opts: o, faults: f, counters: newCounters(), table: newTable(o, f),
+		opts: o, faults: f, counters: counters, table: newTable(o, f, counters),
 		objects:  &objectStore{faults: f, objects: make(map[string][]byte)},
 		weights:  &weightStore{faults: f, limit: limiter(o.WeightsPerSecond * o.TimeScale), tickets: make(map[string]string)},
 		vms:      &vmList{faults: f, vms: make(map[string]platform.VM)},
@@ -175,7 +176,7 @@
 			return errors.Errorf("unknown endpoint %q", name)
 		}
 	}
-	for _, ms := range []int64{s.TableDelayMS, s.VMListLagMS, s.LoadLagMS, s.SlowLookupsMS} {
+	for _, ms := range []int64{s.TableDelayMS, s.VMListLagMS, s.LoadLagMS, s.SlowLookupsMS, s.SlowCallsMS} {
 		if ms < 0 {
 			return errors.New("durations must not be negative")
 		}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -38,6 +38,7 @@
 
 type table struct {
 	faults *Faults
+	counts *Counters
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	delay  time.Duration
@@ -46,8 +47,8 @@
 	rows map[string]platform.Row
 }
 
-func newTable(o Options, f *Faults) *table {
-	return &table{faults: f, reads: limiter(o.TableReadsPerSecond * o.TimeScale),
+func newTable(o Options, f *Faults, c *Counters) *table {
+	return &table{faults: f, counts: c, reads: limiter(o.TableReadsPerSecond * o.TimeScale),
 		writes: limiter(o.TableWritesPerSecond * o.TimeScale), delay: o.scaled(o.TableDelay),
 		rows: make(map[string]platform.Row)}
 }
@@ -68,6 +69,7 @@
 	if err := t.enter(ctx, t.reads, 1); err != nil {
 		return platform.Row{}, err
 	}
+	t.counts.tableCall(key, 1, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.live(key, time.Now())
@@ -100,6 +102,9 @@
 		}
 		return nil, err
 	}
+	for _, w := range writes {
+		t.counts.tableCall(w.Key, 0, 1)
+	}
 	rows, err := t.apply(writes)
 	if err == nil && t.faults.loseAnswer() {
 		return nil, platform.ErrInDoubt
@@ -144,6 +149,7 @@
 	if err := t.enter(ctx, t.reads, 1); err != nil {
 		return nil, err
 	}
+	t.counts.tableCall(prefix, 1, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
