Serve shorter prompts first within a class

Cause: within a class the agent stopped at the first prompt that did not fit the engine's window, and the engine served in order of arrival, so that a prompt of 2,000 tokens waited up to 2 s for one of 30,000.

The engine's priority now grows with the length of the prompt in steps of two, and at the agent a shorter prompt may overtake a longer one that waits, by at most 32,768 tokens over the weight of its workspace. Virtual time does not pass the overtaken item, without which its workspace lost its share (found by the new test).

Prompts above 32k still wait for KV memory.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -32,11 +32,14 @@
 // Priority orders work inside an engine; a lower value is served first.
 type Priority int
 
-// Priorities, by class of service.
+// PrioritySteps is the number of priorities of a class. Within a class, shorter prompts get the lower values.
+const PrioritySteps = 8
+
+// First priorities of each class of service.
 const (
 	PriorityUrgent      Priority = 0
-	PriorityInteractive Priority = 1
-	PriorityBulk        Priority = 2
+	PriorityInteractive Priority = PrioritySteps
+	PriorityBulk        Priority = 2 * PrioritySteps
 )
 
 // Version names exactly what produces an answer.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,8 +67,8 @@
 	refused     *tombstones         // answered not_run; a later run is refused
 	past        *tombstones         // may have run; a later run is refused without a statement
 	segments    map[string]hold     // reservations for segments of long prompts
-	outstanding [3]int              // prefill tokens at the engine before their first token, by class rank
-	kvWaiters   [2]*attempt         // queued attempts that wait in the ledger: long, short
+	outstanding outstanding
+	kvWaiters   [2]*attempt // queued attempts that wait in the ledger: long, short
 	report      endpoint.Report
 	reported    time.Time // when report arrived
 	down        bool      // the endpoint does not answer
@@ -110,7 +110,7 @@
 		log:         opts.Log.WithFields(logrus.Fields{"node": opts.Node.Name, "endpoint": opts.Endpoint}),
 		registry:    opts.Registry,
 		metrics:     newMetrics(opts.Registry),
-		queue:       fairqueue.New[*attempt](fairqueue.Options{Capacity: queueCapacity}),
+		queue:       fairqueue.New[*attempt](fairqueue.Options{Capacity: queueCapacity, Slack: overtakeTokens}),
 		kick:        make(chan struct{}, 1),
 		reorder:     make(chan struct{}, 1),
 		cancels:     ring.New[string](cancelCapacity),
@@ -264,12 +264,12 @@
 // load returns the fresh load, as carried by every reply.
 func (a *Agent) load() *wire.Load {
 	a.mu.Lock()
-	outstanding := a.outstanding
+	sent := a.outstanding.byClass()
 	report := a.report
 	a.mu.Unlock()
-	urgent := int64(a.queue.Ahead(fleet.ClassUrgent)) + int64(outstanding[0])
-	interactive := int64(a.queue.Ahead(fleet.ClassInteractive)) + int64(outstanding[0]+outstanding[1]) - urgent
-	all := int64(a.queue.Ahead(fleet.ClassBulk)) + int64(outstanding[0]+outstanding[1]+outstanding[2])
+	urgent := int64(a.queue.Ahead(fleet.ClassUrgent)) + int64(sent[0])
+	interactive := int64(a.queue.Ahead(fleet.ClassInteractive)) + int64(sent[0]+sent[1]) - urgent
+	all := int64(a.queue.Ahead(fleet.ClassBulk)) + int64(sent[0]+sent[1]+sent[2])
 	return &wire.Load{
 		Endpoint:          a.opts.Endpoint,
 		Sequence:          a.sequence.Add(1),
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -157,6 +157,26 @@
 	})
 }
 
+// Guards against the members of a split prompt that keep their memory after its entry has failed.
+func TestEntryFailsWhileItHoldsThreeEngines(t *testing.T) {
+	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		members := []*fixture{f, newFixture(t, fleet.KindModel, nil), newFixture(t, fleet.KindModel, nil)}
+		defer members[1].close()
+		defer members[2].close()
+		for _, m := range members {
+			require.True(t, reserve(m, "seg", 60000, 0).GetGranted())
+			require.False(t, reserve(m, "next", 60000, 0).GetGranted())
+		}
+		failed := time.Now()
+		for _, m := range members {
+			require.True(t, reserve(m, "next", 60000, 30000).GetGranted())
+			_, _ = m.Release(t.Context(), &wire.ReleaseRequest{Reservations: []string{"next"}})
+			require.Zero(t, m.ledger.Reserved())
+		}
+		require.Less(t, time.Since(failed), 10*time.Second, "the lease of 5 s and the sweep")
+	})
+}
+
 // Guards against two prompts that hold one member each and wait for the other's forever: the bounded wait ends one.
 func TestReservationsInOppositeOrder(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
@@ -287,6 +307,26 @@
 	})
 }
 
+// Guards against a short prompt that waits behind a long one of its class, and against long prompts that are all given to
+// the engine at once.
+func TestShortPromptOvertakesLongOneOfItsClass(t *testing.T) {
+	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		f.engine.set(func(e *fakeEngine) { e.pace = time.Second }) // nothing has its first token yet
+		request := func(id string, tokens int64) *attempt {
+			r := modelRequest(id)
+			r.GetModel().PromptTokens = tokens
+			return f.submit(t.Context(), r)
+		}
+		long, short := request("long", 20_000), request("short", 3000)
+		require.Greater(t, long.priority(), short.priority())
+		require.Less(t, long.priority(), endpoint.PriorityBulk)
+		request("long2", 20_000)
+		request("short2", 1000)
+		time.Sleep(10 * time.Millisecond)
+		require.ElementsMatch(t, []string{"long", "short", "short2"}, f.engine.state().generated, "the second long prompt waits")
+	})
+}
+
 // Guards against the whole fleet changing version at once, going on after a fault, or asking the weight store in step.
 func TestRolloutByRank(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/bits"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,19 +53,30 @@
 		Generated: m.GetGenerated(),
 		Imported:  handlesFromWire(m.GetImported()),
 		MaxTokens: int(m.GetMaxTokens()),
-		Priority:  priorityOf(att.class),
+		Priority:  att.priority(),
 	}
 	return a.read(att, func(ctx context.Context) (endpoint.TokenStream, error) { return a.opts.Engine.Generate(ctx, g) })
 }
 
-func priorityOf(c fleet.Class) endpoint.Priority {
-	switch c {
+// priority orders work inside the engine: by class, and within a class by the length of the prompt, because a short
+// prompt behind a long one waits many times its own prefill, while a long one hardly notices the short one.
+func (att *attempt) priority() endpoint.Priority {
+	first := endpoint.PriorityInteractive
+	switch att.class {
 	case fleet.ClassUrgent:
-		return endpoint.PriorityUrgent
+		first = endpoint.PriorityUrgent
 	case fleet.ClassBulk:
-		return endpoint.PriorityBulk
+		first = endpoint.PriorityBulk
 	}
-	return endpoint.PriorityInteractive
+	return first + endpoint.Priority(att.grade())
+}
+
+// shortestGrade is the length in tokens below which prompts are served alike; each further grade doubles it.
+const shortestGrade = 4096
+
+// grade is the logarithmic length of the prompt, below endpoint.PrioritySteps.
+func (att *attempt) grade() int {
+	return min(bits.Len(uint(att.prefill/shortestGrade)), endpoint.PrioritySteps-1)
 }
 
 // read opens a stream and reads it in its own goroutine, because an engine that hangs may ignore the context.
@@ -264,7 +276,7 @@
 	results := make(chan result, 1)
 	go func() {
 		h, err := a.opts.Engine.Prefill(att.ctx, endpoint.Segment{ID: att.reservation, Version: att.version(), Prompt: p.GetPrompt(),
-			Imported: handlesFromWire(p.GetImported()), Priority: priorityOf(att.class)})
+			Imported: handlesFromWire(p.GetImported()), Priority: att.priority()})
 		results <- result{h, err}
 	}()
 	select {
--- a/internal/agent/schedule.go
+++ b/internal/agent/schedule.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
-	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/limit/fairqueue"
 )
 
@@ -16,8 +16,44 @@
 	// token of each class. More would take the order of service out of the fair queue's hands; less would let the
 	// engine idle between two dispatches.
 	prefillWindow = 500 * time.Millisecond
+	// overtakeTokens bounds by how much shorter prompts may overtake a longer one of their class that waits for the
+	// engine, as prefill tokens over the weight of their workspace: about 2 s, so that shares hold over longer times.
+	overtakeTokens = 32_768
 )
 
+// classes is the number of classes of service.
+const classes = 3
+
+// outstanding counts the prefill tokens at the engine before their first token, by class rank and grade.
+type outstanding [classes][endpoint.PrioritySteps]int
+
+// ahead returns the tokens that the engine serves before a new attempt.
+func (o *outstanding) ahead(att *attempt) int {
+	rank, sum := fairqueue.Rank(att.class), 0
+	for r := range rank {
+		sum += o.class(r)
+	}
+	for _, tokens := range o[rank][:att.grade()+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+func (o *outstanding) class(rank int) int {
+	sum := 0
+	for _, tokens := range o[rank] {
+		sum += tokens
+	}
+	return sum
+}
+
+func (o *outstanding) byClass() (sums [classes]int) {
+	for r := range sums {
+		sums[r] = o.class(r)
+	}
+	return sums
+}
+
 // schedule wakes the scheduler.
 func (a *Agent) schedule() {
 	select {
@@ -49,9 +85,12 @@
 		}
 		return fairqueue.Fits
 	}
-	if running >= maxStreams || !a.fitsWindow(att) {
+	if running >= maxStreams {
 		return fairqueue.Stop
 	}
+	if !a.fitsWindow(att) {
+		return fairqueue.Yield
+	}
 	if att.reservation != att.id {
 		return fairqueue.Fits
 	}
@@ -59,7 +98,7 @@
 }
 
 func (a *Agent) fitsWindow(att *attempt) bool {
-	ahead := a.outstandingAhead(att.class)
+	ahead := a.outstandingAhead(att)
 	if ahead == 0 {
 		return true
 	}
@@ -92,21 +131,17 @@
 	return fairqueue.Skip
 }
 
-func (a *Agent) outstandingAhead(class fleet.Class) int {
+func (a *Agent) outstandingAhead(att *attempt) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	sum := 0
-	for r := 0; r <= fairqueue.Rank(class); r++ {
-		sum += a.outstanding[r]
-	}
-	return sum
+	return a.outstanding.ahead(att)
 }
 
 // start runs an attempt that the queue released, in its own goroutine.
 func (a *Agent) start(att *attempt) {
 	att.waiting.Store(true)
 	a.mu.Lock()
-	a.outstanding[fairqueue.Rank(att.class)] += att.prefill
+	a.outstanding[fairqueue.Rank(att.class)][att.grade()] += att.prefill
 	a.mu.Unlock()
 	a.duties.Go(func() {
 		err := a.execute(att)
@@ -123,7 +158,7 @@
 		return
 	}
 	a.mu.Lock()
-	a.outstanding[fairqueue.Rank(att.class)] -= att.prefill
+	a.outstanding[fairqueue.Rank(att.class)][att.grade()] -= att.prefill
 	a.mu.Unlock()
 	a.schedule()
 }
--- a/limit/fairqueue/fairqueue.go
+++ b/limit/fairqueue/fairqueue.go
@@ -7,6 +7,7 @@
 package fairqueue
 
 import (
+	"math"
 	"slices"
 	"sync"
 
@@ -48,7 +49,8 @@
 
 // Options of a Queue.
 type Options struct {
-	Capacity int // items over all classes
+	Capacity int     // items over all classes
+	Slack    float64 // cost over weight by which others of the class may overtake an item that yields
 
 	allowRemoved bool // tests only: lets an item that was removed run
 }
@@ -185,9 +187,10 @@
 
 // Values of Fit.
 const (
-	Fits Fit = iota
-	Skip     // cannot start; later items of the class may
-	Stop     // cannot start, and neither may later or less urgent items
+	Fits  Fit = iota
+	Skip      // cannot start; later items of the class may
+	Stop      // cannot start, and neither may later or less urgent items
+	Yield     // cannot start; later items of the class may if their start tag is within Options.Slack of its own
 )
 
 // Next returns the first item in fair order for which fit returns Fits, or nil. fit gets the number of running items and
@@ -200,26 +203,42 @@
 		return nil
 	}
 	for r := range q.lanes {
-		for _, it := range q.lanes[r].items {
-			if it.Alone && q.running > 0 {
-				return nil
-			}
-			switch fit(it, q.running) {
-			case Fits:
-				q.take(&q.lanes[r], it)
-				return it
-			case Stop:
-				return nil
-			}
+		it, more := q.nextOf(&q.lanes[r], fit)
+		if it != nil || !more {
+			return it
 		}
 	}
 	return nil
 }
 
-func (q *Queue[T]) take(l *lane[T], it *Item[T]) {
+// nextOf returns the first item of a class that can start; more is false if less urgent classes may not start.
+func (q *Queue[T]) nextOf(l *lane[T], fit func(it *Item[T], running int) Fit) (it *Item[T], more bool) {
+	limit := math.Inf(1) // start tag up to which items may overtake
+	first := math.Inf(1) // start tag of the first item that yields
+	for _, it := range l.items {
+		if it.start > limit || it.Alone && q.running > 0 {
+			return nil, false
+		}
+		switch fit(it, q.running) {
+		case Fits:
+			q.take(l, it, min(it.start, first))
+			return it, false
+		case Stop:
+			return nil, false
+		case Yield:
+			first = min(first, it.start)
+			limit = first + q.opts.Slack
+		}
+	}
+	return nil, math.IsInf(limit, 1)
+}
+
+// take starts an item. virtual is the new virtual time; it does not pass an item that yields, whose workspace would
+// otherwise lose what others took while it waited.
+func (q *Queue[T]) take(l *lane[T], it *Item[T], virtual float64) {
 	invariant.Check(it.state == queued, "queue_removed_item_runs", "item of %s runs after its removal", it.Workspace)
 	q.unlink(l, it)
-	l.virtual = max(l.virtual, it.start)
+	l.virtual = max(l.virtual, virtual)
 	it.state = taken
 	q.running++
 	q.alone = it.Alone
--- a/limit/fairqueue/fairqueue_test.go
+++ b/limit/fairqueue/fairqueue_test.go
@@ -47,6 +47,57 @@
 	require.GreaterOrEqual(t, served["quiet"], 270) // 90% of its own share of 300
 }
 
+// Guards against a workspace whose short items overtake the long ones of others without bound, so that these lose their
+// share. A long item can start only at every fortieth try.
+func TestOvertakingKeepsTheShareUnderTenfoldLoad(t *testing.T) {
+	const long, short, slack = 100, 10, 200
+	q := New[int](Options{Capacity: 500, Slack: slack})
+	served := map[string]float64{}
+	starts, waiting := 0, 0
+	busy := func(it *Item[int], _ int) Fit {
+		if it.Cost == long && starts%40 != 0 {
+			return Yield
+		}
+		return Fits
+	}
+	for range 4000 {
+		for range 10 {
+			_, _ = q.Push(&Item[int]{Workspace: "flood", Class: fleet.ClassInteractive, Cost: short}) // may be full
+		}
+		if waiting == 0 {
+			push(t, q, "quiet", fleet.ClassInteractive, long)
+			waiting++
+		}
+		if it := q.Next(busy); it != nil {
+			served[it.Workspace] += it.Cost
+			q.Done(it)
+			if it.Workspace == "quiet" {
+				waiting--
+			}
+		}
+		starts++
+	}
+	require.GreaterOrEqual(t, served["quiet"], 0.9*served["flood"], "equal weights")
+}
+
+// Guards against items that overtake a yielding one beyond the slack, or from a less urgent class.
+func TestYieldLetsOnlyNearItemsOvertake(t *testing.T) {
+	q := New[int](Options{Capacity: 10, Slack: 15})
+	yielding, _ := push(t, q, "a", fleet.ClassInteractive, 100)
+	fit := func(it *Item[int], _ int) Fit {
+		if it == yielding {
+			return Yield
+		}
+		return Fits
+	}
+	near, _ := push(t, q, "b", fleet.ClassInteractive, 20)
+	push(t, q, "b", fleet.ClassInteractive, 20) // starts at 20
+	push(t, q, "c", fleet.ClassBulk, 1)
+	require.Same(t, near, q.Next(fit))
+	require.Nil(t, q.Next(fit))
+	require.Same(t, yielding, q.Next(always))
+}
+
 // Guards against shedding urgent work before bulk, and against a flooding workspace pushing out others.
 func TestBulkIsShedFirst(t *testing.T) {
 	q := New[int](Options{Capacity: 3})
