--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -102,12 +102,24 @@
 	p := d.pools[key]
 	if p == nil {
 		p = d.opts.View.Pool(t.Endpoints)
+		assumeRate(snap, t, p)
 		d.pools[key] = p
 		d.refreshPool(p)
 	}
 	return p
 }
 
+// assumeRate takes the prefill rate of the configuration text for endpoints that have not reported yet.
+func assumeRate(snap *fleet.Snapshot, t *fleet.Target, p *route.Pool) {
+	model := snap.Text.Models[t.Version.Model]
+	if model == nil {
+		return
+	}
+	for _, e := range p.Endpoints() {
+		e.AssumePrefillRate(int64(model.PrefillRate))
+	}
+}
+
 // refresh copies liveness and gossiped load of the membership into the load view.
 func (d *dispatcher) refresh() {
 	for _, n := range d.members.Agents() {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -89,6 +89,76 @@
 	assert.Less(t, most, 2000/10)
 }
 
+// Guards against many entries that meet on the one endpoint that the same stale report shows as idle: it is a candidate
+// of three in n decisions, of two where first runs are confined.
+func TestEntriesWithOneStaleReportDoNotMeet(t *testing.T) {
+	const endpoints, entries, decisions, deviation = 24, 360, 20, 0.0039 // of a share of 3/24 over 7,200 decisions
+	for _, confined := range []bool{false, true} {
+		counts := make(map[string]int)
+		for entry := range entries {
+			v, p := testPool(endpoints, uint64(entry+1))
+			for i := 1; i < endpoints; i++ {
+				v.Observe(&wire.Load{Endpoint: fmt.Sprintf("model-%03d", i), Sequence: 2, PrefillRate: 1000,
+					QueuedPrefill: 90_000, QueuedInteractive: 90_000, KvFree: 50_000, KvCapacity: 100_000})
+			}
+			for i := range decisions {
+				key := uint64(entry*decisions+i+1) * 0x9e3779b97f4a7c15
+				c, _ := leastTTFT{}.Choose(p, &Request{PromptTokens: 100, Prefix: key, Fingerprint: key * 31, Confined: confined})
+				counts[c.Endpoint.Name]++
+			}
+		}
+		candidates := 3.0
+		if confined {
+			candidates = confinedEndpoints
+		}
+		for name, n := range counts {
+			assert.LessOrEqual(t, float64(n)/(entries*decisions), candidates/endpoints+3*deviation, "%s, confined %t", name, confined)
+		}
+	}
+}
+
+// Guards against a burst of one entry that stays on one endpoint while no report arrives, and against endpoints without
+// any report that get no work or all of it.
+func TestStaleAndMissingReports(t *testing.T) {
+	v, p := testPool(2, 5)
+	for range 100 {
+		c, _ := leastTTFT{}.Choose(p, &Request{PromptTokens: 100})
+		c.Endpoint.Dispatched(fleet.ClassInteractive, 100)()
+	}
+	_, sent := v.Endpoint("model-000").Report()
+	assert.InDelta(t, 5000, sent[1], 100, "equal work at equal reports")
+
+	v, _ = testPool(4, 6)
+	names := []string{"model-000", "model-001", "model-002", "model-003", "new-1", "new-2", "new-3", "new-4"}
+	p = v.Pool(names)
+	for _, name := range names {
+		v.Endpoint(name).SetAvailable(true, false)
+	}
+	for range 800 {
+		c, ok := leastTTFT{}.Choose(p, &Request{PromptTokens: 1000})
+		assert.True(t, ok)
+		c.Endpoint.Dispatched(fleet.ClassInteractive, 1000)()
+	}
+	for _, name := range names {
+		_, sent := v.Endpoint(name).Report()
+		assert.Greater(t, sent[1], int64(0), name)
+		assert.Less(t, sent[1], int64(400_000), name)
+	}
+}
+
+// Guards against a configured rate that replaces a reported one, and against estimates without either.
+func TestConfiguredPrefillRateHoldsUntilTheFirstReport(t *testing.T) {
+	v := NewView(Options{})
+	e := v.Endpoint("model-1")
+	r := &Request{PromptTokens: 20_000}
+	assert.Equal(t, 2*time.Second, estimate(e, r, false), "default")
+	e.AssumePrefillRate(5000)
+	assert.Equal(t, 4*time.Second, estimate(e, r, false))
+	v.Observe(&wire.Load{Endpoint: "model-1", Sequence: 1, PrefillRate: 1000})
+	e.AssumePrefillRate(5000)
+	assert.Equal(t, 20*time.Second, estimate(e, r, false))
+}
+
 // Guards against entries that send an unproven prompt to more than two endpoints.
 func TestConfinedRequestsAgreeOverEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/route/view.go
+++ b/route/view.go
@@ -141,6 +141,15 @@
 	return e.report, e.sent
 }
 
+// AssumePrefillRate sets the prefill rate, in tokens per second, that is assumed until a report states one.
+func (e *Endpoint) AssumePrefillRate(rate int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rate > 0 && e.report.Sequence == 0 {
+		e.report.PrefillRate = rate
+	}
+}
+
 // SetAvailable records whether the endpoint may receive work. An endpoint that is leaving or otherwise refuses by plan
 // is skipped at once; one that failed counts as recently down for a while (see RecentlyDown).
 func (e *Endpoint) SetAvailable(available, planned bool) {
