Reserve the members of a split prompt one after another

Cause: all members were reserved before the first prefill, so that a prompt of 1,000,000 tokens held the memory of four engines for the minute in which they are prefilled in turn. At half of the fleet's prefill capacity the long prompts of the routing mixes need more memory than the fleet has, and everything above 8,000 tokens waited for it.

A member is now reserved when its turn comes. If its memory is taken, an endpoint that grants at once replaces it; the wait itself stays in ascending order of names. Concurrent split prompts over real ledgers are tested.

--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -50,8 +50,10 @@
 	excluded map[*route.Endpoint]bool
 	tries    int
 
+	planned []*segment // not reserved yet, in the order of the prompt
+
 	mu       sync.Mutex
-	segments []*segment // in the order of the prompt, which is that of the endpoint names
+	segments []*segment // reserved, in the order of the prompt
 }
 
 // tooLarge reports whether a prompt and its answer exceed what the largest known engine of the pool gives one request.
@@ -86,20 +88,32 @@
 	}
 }
 
-// once goes on from what is held: it plans and reserves if nothing is, prefills what is missing, and decodes.
+// once goes on from what is held: it plans if nothing is, reserves and prefills one member after another, and decodes at
+// the last one. A member is reserved only when its turn comes, because the prefill of the earlier segments takes up to a
+// minute in which its memory would lie idle.
 func (s *splitRun) once(ctx context.Context) (*failure, *route.Endpoint) {
 	if len(s.held()) == 0 {
-		if f, ep := s.reserveAll(ctx); f != nil {
-			return f, ep
+		planned, err := s.plan()
+		if err != nil {
+			return &failure{err: err}, nil
 		}
+		s.planned = planned
 	}
 	if f, ep := s.replaceLost(ctx); f != nil {
 		return f, ep
 	}
-	if f, ep := s.prefill(ctx); f != nil {
-		return f, ep
+	for {
+		if f, ep := s.prefill(ctx); f != nil {
+			return f, ep
+		}
+		if len(s.planned) == 0 {
+			return s.decode(ctx)
+		}
+		if f, ep := s.reserveNext(ctx); f != nil {
+			s.release()
+			return f, ep
+		}
 	}
-	return s.decode(ctx)
 }
 
 func (s *splitRun) held() []*segment {
@@ -187,23 +201,43 @@
 	return text[:low]
 }
 
-// reserveAll reserves the members one after another in ascending order of their names, so that concurrent prompts
-// cannot wait for each other in a circle. A failure releases everything.
-func (s *splitRun) reserveAll(ctx context.Context) (*failure, *route.Endpoint) {
-	segments, err := s.plan()
-	if err != nil {
-		return &failure{err: err}, nil
+// reserveNext reserves the next planned member. While others hold its memory, an endpoint that grants at once takes its
+// place. If there is none either, it waits: members are awaited in ascending order of their names only, so that
+// concurrent prompts cannot wait for each other in a circle.
+func (s *splitRun) reserveNext(ctx context.Context) (*failure, *route.Endpoint) {
+	seg := s.planned[0]
+	s.planned = s.planned[1:]
+	s.hold(len(s.held()), seg) // before the call: a lost reply may hide a grant
+	f := s.reserve(ctx, seg, 0)
+	if f == nil {
+		return nil, nil
 	}
-	for _, seg := range segments {
-		s.mu.Lock()
-		s.segments = append(s.segments, seg) // before the call: a lost reply may hide a grant
-		s.mu.Unlock()
-		if f := s.reserve(ctx, seg, s.d.timing.ReserveWait); f != nil {
-			s.release()
-			return f, seg.ep
+	if next, ok := s.replacement(ctx, seg); ok {
+		s.hold(len(s.held())-1, next)
+		s.releaseSegments([]*segment{seg})
+		return nil, nil
+	}
+	if f.err.Kind != errkind.Overloaded || !s.inOrder(seg) {
+		return f, seg.ep
+	}
+	return s.reserve(ctx, seg, s.d.timing.ReserveWait), seg.ep
+}
+
+// hold puts a segment at an index of the reserved ones.
+func (s *splitRun) hold(i int, seg *segment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.segments = append(s.segments[:i:i], append([]*segment{seg}, s.segments[min(i+1, len(s.segments)):]...)...)
+}
+
+// inOrder reports whether no other held member has a later name, so that a wait for seg is in the global order.
+func (s *splitRun) inOrder(seg *segment) bool {
+	for _, other := range s.held() {
+		if other.ep.Name > seg.ep.Name {
+			return false
 		}
 	}
-	return nil, nil
+	return true
 }
 
 // reserve takes one member's memory, waiting in its queue for up to wait.
@@ -253,11 +287,11 @@
 	}
 }
 
-// prefill computes the segments before the last whose KV is not held.
+// prefill computes the reserved segments whose KV is not held. The last segment of the prompt is left to the decode.
 func (s *splitRun) prefill(ctx context.Context) (*failure, *route.Endpoint) {
 	segments := s.held()
-	for i, seg := range segments[:len(segments)-1] {
-		if seg.handle != nil {
+	for i, seg := range segments {
+		if seg.handle != nil || i == len(segments)-1 && len(s.planned) == 0 {
 			continue
 		}
 		if f := s.prefillOne(ctx, seg, handles(segments[:i])); f != nil {
@@ -427,9 +461,7 @@
 			s.release()
 			return &failure{err: errkind.New(errkind.Overloaded, "no replacement for a failed member")}, nil
 		}
-		s.mu.Lock()
-		s.segments[i] = next
-		s.mu.Unlock()
+		s.hold(i, next)
 		s.releaseSegments([]*segment{seg})
 	}
 	return nil, nil
@@ -437,7 +469,7 @@
 
 func (s *splitRun) replacement(ctx context.Context, lost *segment) (*segment, bool) {
 	used := make(map[*route.Endpoint]bool)
-	for _, seg := range s.held() {
+	for _, seg := range append(s.held(), s.planned...) {
 		used[seg.ep] = true
 	}
 	for _, e := range s.candidates() {
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -13,18 +13,21 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/kvledger"
 	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
 // ledger records what the members of split prompts were asked, over all agents.
 type ledger struct {
-	mu       sync.Mutex
-	reserved []string          // endpoints in the order of Reserve
-	held     map[string]string // reservation to endpoint
-	prefills []string
-	fail     string // endpoint whose first Prefill fails
-	crashes  bool   // every Prefill crashes its endpoint
+	mu          sync.Mutex
+	reserved    []string          // endpoints in the order of Reserve
+	held        map[string]string // reservation to endpoint
+	prefills    []string
+	prefillTime time.Duration
+	fail        string                      // endpoint whose first Prefill fails
+	crashes     bool                        // every Prefill crashes its endpoint
+	memory      map[string]*kvledger.Ledger // by endpoint; nil: every reservation is granted
 }
 
 // splitAgent is the unary side of a fakeAgent.
@@ -33,7 +36,13 @@
 	l *ledger
 }
 
-func (s splitAgent) Reserve(_ context.Context, r *wire.ReserveRequest) (*wire.ReserveReply, error) {
+func (s splitAgent) Reserve(ctx context.Context, r *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	if m := s.l.memory[s.name]; m != nil {
+		wait := time.Duration(r.GetWaitMs()) * time.Millisecond
+		if err := m.Reserve(ctx, r.GetReservation(), int(r.GetTokens()), time.Minute, wait); err != nil {
+			return &wire.ReserveReply{Refusal: &wire.Failure{Kind: "overloaded", Run: "not_run"}}, nil
+		}
+	}
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
 	s.l.reserved = append(s.l.reserved, s.name)
@@ -59,10 +68,14 @@
 	for _, id := range r.GetReservations() {
 		delete(s.l.held, id)
 	}
+	if m := s.l.memory[s.name]; m != nil {
+		m.Release(r.GetReservations()...)
+	}
 	return new(wire.ReleaseReply), nil
 }
 
 func (s splitAgent) Prefill(_ context.Context, r *wire.PrefillRequest) (*wire.PrefillReply, error) {
+	time.Sleep(s.l.prefillTime)
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
 	s.l.prefills = append(s.l.prefills, s.name)
@@ -155,6 +168,31 @@
 	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
 }
 
+// Guards against concurrent split prompts that wait for each other's memory until they fail, or that leak it: five of
+// them need more than the engines have together, and each needs more than one engine has.
+func TestConcurrentSplitPromptsAllComplete(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, wholePrompt)
+	l.memory, l.prefillTime = make(map[string]*kvledger.Ledger), 20*time.Millisecond
+	for i := range 6 {
+		m := kvledger.New(kvledger.Options{ShortTokens: 10})
+		m.SetCapacity(1000)
+		l.memory[fmt.Sprintf("model-%d", i+1)] = m
+	}
+	var all sync.WaitGroup
+	for i := range 5 {
+		body := strings.Replace(splitChat(1400), "ledger", fmt.Sprintf("book%02d", i), 1)
+		all.Go(func() {
+			got := b.chat(t, body)
+			assert.Equal(t, http.StatusOK, got.status, got.body)
+		})
+	}
+	all.Wait()
+	assert.Eventually(t, l.empty, time.Second, 5*time.Millisecond)
+	for name, m := range l.memory {
+		assert.Zero(t, m.Reserved(), name)
+	}
+}
+
 // Guards against refusing a prompt that is smaller than an engine, but larger than what the engine gives one request.
 func TestPromptOfNearlyOneEngineIsSplit(t *testing.T) {
 	b, l := splitBench(t, Disabled{}, wholePrompt)
