--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -2,8 +2,6 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"os"
 	"time"
 
@@ -11,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/internal/entry"
+	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
@@ -22,7 +21,7 @@
 	settings.TLS
 	settings.Platform
 	CallersListen       string           `name:"listen" default:":8080" help:"host:port for callers and operators."`
-	OperatorTokenHashes []string         `name:"operator-token-hash" help:"Hex SHA-256 of an operators' token; repeatable."`
+	OperatorTokenHashes []string         `name:"operator-token-hash" help:"NAME=HASH or HASH of an operators' token; HASH is hex SHA-256, NAME goes into the audit trail; repeatable."`
 	Seeds               []string         `name:"seeds" aliases:"seed" help:"host:port of other entries' internal listeners, to exchange with first."`
 	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
 	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from a failing /readyz until the load balancer sends nothing more."`
@@ -40,9 +39,9 @@
 			return err
 		}
 	}
-	for _, hash := range c.OperatorTokenHashes {
-		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256.Size {
-			return errors.New("--operator-token-hash must be 64 hex digits, as sha256sum prints")
+	for _, text := range c.OperatorTokenHashes {
+		if _, _, err := operator.ParseToken(text); err != nil {
+			return errors.Wrap(err, "--operator-token-hash")
 		}
 	}
 	if c.BalancerLag < 0 || c.DrainTimeout < 0 {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -41,7 +41,7 @@
 // Times of starting and stopping.
 const (
 	readyTimeout = 10 * time.Second
-	loadTimeout  = 30 * time.Second // weights are loaded in steps of a few engines, each after an exchange of 1 s
+	loadTimeout  = 2 * time.Minute // tickets of all engines of an example text at the emulated rate, with refusals
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
 )
@@ -205,7 +205,7 @@
 	}
 	for i, node := range entries {
 		option := f.o.Daemons.Entry(EntryConfig{Node: node, CallersListen: f.o.Listen[i],
-			OperatorTokenHashes: []string{hexSHA256(OperatorToken)}, Services: f.platform.ServicesFrom(node.FailureDomain),
+			OperatorTokenHashes: []string{OperatorName + "=" + hexSHA256(OperatorToken)}, Services: f.platform.ServicesFrom(node.FailureDomain),
 			Seeds: seeds, Dial: f.network.Dialer(node.FailureDomain, node.Name), Log: f.o.Log})
 		if err := f.startApp(ctx, option); err != nil {
 			return errors.Wrap(err, node.Name)
