--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -71,6 +71,14 @@
 		return
 	}
 	cut := s.Text.Settings.RecallStreams == fleet.RecallCut
+	held := a.cancelRecalled(s, cut)
+	// The segments are forgotten after their memory is free: without a segment, reserved memory counts as leaked.
+	a.cancelOnEngine(a.ledger.Release(held...)...)
+	a.forgetSegments(held)
+}
+
+// cancelRecalled cancels the attempts and returns the reservations that hold KV of recalled versions.
+func (a *Agent) cancelRecalled(s *fleet.Snapshot, cut bool) (held []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, att := range a.attempts {
@@ -82,10 +90,10 @@
 	}
 	for id, h := range a.segments {
 		if _, recalled := s.Recalled(h.version); recalled {
-			delete(a.segments, id)
-			go func() { a.cancelOnEngine(a.ledger.Release(id)...) }() // the ledger calls back without a.mu
+			held = append(held, id)
 		}
 	}
+	return held
 }
 
 // runOrders keeps what the engine holds equal to what the configuration text derives for this endpoint.
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -181,7 +181,7 @@
 func TestLateOrderAtAnEngineWithoutFencing(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		f.peer.set(snapshot(t, 2, textOf("2", "finish", "m@1")))
-		time.Sleep(3*time.Second + reportInterval/2) // between two reports, which would correct the engine at once
+		time.Sleep(3*time.Second + 100*time.Millisecond) // between two ticks of the agent's own orders and reports
 		v2 := endpoint.Version{Model: "m", Version: "2", Batch: "b1"}
 		require.Equal(t, []endpoint.Version{v2}, f.engine.state().loaded)
 		require.NoError(t, f.engine.Order(t.Context(), endpoint.Order{Fence: 1, Versions: []endpoint.Version{v1}}))
