--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -362,8 +362,12 @@
 		return x.json(records)
 	}
 	for _, r := range records {
-		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %s at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
-			r.Epoch, r.Base, operatorName(r), r.Node, r.Submission)
+		outcome := r.Outcome
+		if r.Epoch > 0 {
+			outcome += fmt.Sprintf("  epoch %d", r.Epoch)
+		}
+		fmt.Fprintf(x.Out, "%s  %s  base %d  by %s at %s  submission %s\n", r.Time.Format(time.RFC3339), outcome, r.Base,
+			operatorName(r), r.Node, r.Submission)
 		shown := r.Details
 		if c.Details > 0 {
 			shown = shown[:min(len(shown), c.Details)]
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -369,3 +369,20 @@
 	assert.Contains(t, got, `"content":"v1"`)
 	assert.NotContains(t, got, "v0")
 }
+
+// Guards against a running answer that goes on at the entry although the text says that recalls cut it, while the agent
+// does not know the recall yet.
+func TestEntryCutsRunningAnswerOfRecalledVersion(t *testing.T) {
+	epochs := new(fakeEpochs)
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
+		out.started().tokens(0, "a")
+		epochs.accept(t, 2, "recalled: [b1]")
+		out.tokens(1, "b").end()
+	})
+	epochs.accept(t, 1, "")
+	got := newBenchWith(t, f, epochs, Disabled{}, "").chat(t, streamChat).body
+	assert.Contains(t, got, `"kind":"recalled"`)
+	assert.NotContains(t, got, `"content":"b"`)
+	epochs.accept(t, 1, "")
+	assert.Contains(t, newBenchWith(t, f, epochs, Disabled{RecallCheck: true}, "").chat(t, streamChat).body, `"content":"b"`)
+}
