--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -48,6 +48,7 @@
 	d        *dispatcher
 	r        *request
 	excluded map[*route.Endpoint]bool
+	version  endpoint.Version // of all members, since later segments import the KV of earlier ones
 	tries    int
 
 	planned []*segment // not reserved yet, in the order of the prompt
@@ -125,6 +126,7 @@
 // plan chooses the members with the most free memory and cuts the prompt in proportion to their memory.
 func (s *splitRun) plan() ([]*segment, *errkind.Error) {
 	total := s.r.promptTokens + s.r.maxTokens
+	s.version = s.chooseVersion()
 	members := s.candidates()
 	sum, n := int64(0), 0
 	for n < len(members) && sum < total {
@@ -146,7 +148,7 @@
 	free := make(map[*route.Endpoint]int64)
 	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
 		report, _ := e.Report()
-		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 {
+		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 && s.versionAt(e) == s.version {
 			members = append(members, e)
 			free[e] = report.KVFree
 		}
@@ -155,6 +157,28 @@
 	return members
 }
 
+// chooseVersion returns the version that all members use. During a rollout it is the one whose endpoints have the most
+// memory together.
+func (s *splitRun) chooseVersion() endpoint.Version {
+	best, memory := s.r.target.Version, make(map[endpoint.Version]int64)
+	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
+		if e.Available() && !s.excluded[e] {
+			memory[s.versionAt(e)] += usable(e)
+		}
+	}
+	for v, sum := range memory {
+		if sum > memory[best] {
+			best = v
+		}
+	}
+	return best
+}
+
+func (s *splitRun) versionAt(e *route.Endpoint) endpoint.Version {
+	node, _ := s.d.members.Endpoint(e.Name) // without a node the target's version
+	return s.r.versionAt(node)
+}
+
 func usable(e *route.Endpoint) int64 {
 	report, _ := e.Report()
 	return int64(float64(report.KVCapacity) * usableShare)
@@ -257,7 +281,7 @@
 		WaitMs:      wait.Milliseconds(),
 		LeaseMs:     s.d.timing.Lease.Milliseconds(),
 		Epoch:       s.r.snap.Epoch,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 	})
 	if err != nil {
 		return unreachable(err)
@@ -325,7 +349,7 @@
 		Reservation: seg.reservation,
 		RequestId:   s.r.id,
 		Prompt:      seg.text,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 		Imported:    imported,
 		Class:       string(s.r.class()),
 		DeadlineMs:  max(remaining.Milliseconds(), 1),
@@ -387,7 +411,7 @@
 	last := segments[len(segments)-1]
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
 	work := a.message.GetModel()
-	work.Version = wireVersion(s.r.target.Version) // that of the other segments
+	work.Version = wireVersion(s.version) // that of the other segments
 	work.Prompt = last.text
 	work.PromptTokens = int64(endpoint.CountTokens(last.text))
 	work.Imported = handles(segments[:len(segments)-1])
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -13,7 +13,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/kvledger"
+	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
@@ -24,6 +26,7 @@
 	reserved    []string          // endpoints in the order of Reserve
 	held        map[string]string // reservation to endpoint
 	prefills    []string
+	versions    []string // of the prefills
 	prefillTime time.Duration
 	fail        string                      // endpoint whose first Prefill fails
 	crashes     bool                        // every Prefill crashes its endpoint
@@ -79,6 +82,7 @@
 	s.l.mu.Lock()
 	defer s.l.mu.Unlock()
 	s.l.prefills = append(s.l.prefills, s.name)
+	s.l.versions = append(s.l.versions, r.GetVersion().GetVersion())
 	if s.l.fail == s.name || s.l.crashes {
 		s.l.fail = ""
 		return &wire.PrefillReply{Failure: &wire.Failure{Kind: "endpoint_failed", EndpointCrashed: true}}, nil
@@ -233,3 +237,29 @@
 	require.Equal(t, http.StatusOK, got.status, got.body)
 	assert.Greater(t, len(l.reserved), 1)
 }
+
+// Guards against members that use different versions during a rollout, and against a prompt that is refused because the
+// first step alone holds the new version.
+func TestSplitPromptUsesOneVersionDuringRollout(t *testing.T) {
+	b, l := splitBench(t, Disabled{}, func(a *fakeAgent, r *wire.RunRequest, out *frames) {
+		out.version = r.GetModel().GetVersion().GetVersion()
+		wholePrompt(a, r, out)
+	})
+	for i := range 6 {
+		version := "v0"
+		if i < 2 {
+			version = "v1"
+		}
+		b.fleet.members.update(fmt.Sprintf("model-%d", i+1), func(n *member.Node) {
+			n.Loaded = []endpoint.Version{{Model: "lark", Version: version, Batch: "b1"}}
+		})
+	}
+	got := b.chat(t, splitChat(2400))
+	require.Equal(t, http.StatusOK, got.status, got.body)
+	require.Greater(t, len(l.versions), 1)
+	for i, v := range l.versions {
+		require.Equal(t, "v0", v, l.prefills[i])
+	}
+	require.NotContains(t, l.reserved, "model-1")
+	require.NotContains(t, l.reserved, "model-2")
+}
