--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -56,6 +56,9 @@
 	if !restarted {
 		a.fault = ""
 	}
+	if len(report.Loaded) == 0 {
+		a.fault = a.orderState.fault // with nothing loaded it serves nothing
+	}
 	a.mu.Unlock()
 	if restarted && !wasDown {
 		a.endpointCrashed()
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -155,6 +155,10 @@
 		f.describe(record)
 		require.Empty(t, record.GetFault())
 		require.Contains(t, record.GetOrderFault(), platform.ErrNotFound.Error())
+		f.engine.set(func(e *fakeEngine) { e.ignoreOrder, e.report.Loaded = true, nil })
+		time.Sleep(2 * time.Second)
+		f.describe(record)
+		require.Contains(t, record.GetFault(), platform.ErrNotFound.Error(), "with nothing loaded it serves nothing")
 	})
 }
 
