--- a/internal/load/commands.go
+++ b/internal/load/commands.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os/signal"
 	"strconv"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -18,6 +20,7 @@
 	Slowdown SlowdownCommand `cmd:"" help:"Run short requests alone and with long ones, and print the ratio of their p95."`
 	Table    TableCommand    `cmd:"" help:"Print reports of slowdown as one Markdown table."`
 	Compare  CompareCommand  `cmd:"" help:"Show two reports side by side."`
+	Paths    PathsCommand    `cmd:"" help:"Measure the paths of a running fleet with stand-ins: added latency, table calls, silence, crashes, restarts, throughput."`
 	Plot     PlotCommand     `cmd:"" help:"Plot the latency distributions of reports."`
 }
 
@@ -217,3 +220,47 @@
 	_, err := io.WriteString(k.Stdout, strconv.Quote(c.Out)+" written\n")
 	return errors.Wrap(err, "write")
 }
+
+// PathsCommand is `bilberry-load paths`.
+type PathsCommand struct {
+	Entries       []string      `name:"entry" required:"" help:"Base URL of an entry; repeat or separate by commas for several."`
+	Standin       string        `required:"" help:"Base URL of the stand-ins' controls."`
+	Key           string        `default:"order-desk-key" help:"Bearer key of a workspace that may use the service and the model."`
+	Service       string        `default:"orders" help:"Plain service with the calls GET /stock/* and POST /orders."`
+	Model         string        `default:"herder-replies" help:"Service that answers chats."`
+	Measure       []string      `default:"latency,crash,throughput" enum:"latency,silence,crash,restart,throughput" help:"What to measure, in this order (${enum}). silence needs a fleet in one process (bilberry-dev); during restart the operator restarts the processes."`
+	Seed          uint64        `default:"1" help:"Seed of contents and order."`
+	KeyPrefix     string        `help:"Part of the idempotency keys; a new one repeats a measurement on a running fleet."`
+	Samples       int           `default:"300" help:"Requests of each kind, or streams of silence."`
+	RestartWindow time.Duration `default:"60s" help:"Length of restart."`
+	JSON          string        `name:"json" type:"path" help:"Write the figures to this file."`
+}
+
+// Validate checks the numbers. Kong calls it after parsing.
+func (c *PathsCommand) Validate() error {
+	if c.Samples <= 0 || c.RestartWindow <= 0 {
+		return errors.New("--samples and --restart-window must be positive")
+	}
+	return nil
+}
+
+// Run takes the measurements and prints the figures, also those before a measurement that failed.
+func (c *PathsCommand) Run(k *kong.Kong) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	figures, runErr := RunPaths(ctx, PathsOptions{Entries: c.Entries, Standin: c.Standin, Key: c.Key, Service: c.Service,
+		Model: c.Model, Seed: c.Seed, Samples: c.Samples, RestartWindow: c.RestartWindow, Salt: c.KeyPrefix}, c.Measure)
+	table := tabwriter.NewWriter(k.Stdout, 0, 0, 2, ' ', 0)
+	for _, f := range figures {
+		fmt.Fprintf(table, "%s\t%s\t%.2f\t%s\n", f.Measurement, f.Name, f.Value, f.Unit)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	if c.JSON != "" {
+		if err := writeJSON(c.JSON, figures); err != nil {
+			return err
+		}
+	}
+	return runErr
+}
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -191,3 +191,23 @@
 	})
 	return endpoint
 }
+
+// Guards the targets of a quiet fleet: two table writes and no read per order, and at most two endpoints lost to one
+// crashing prompt that is repeated through both entries.
+func TestPathTargets(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetOptions{})
+	figures, err := load.RunPaths(t.Context(), load.PathsOptions{Entries: f.callers, Standin: f.standin, Key: callerKey,
+		Service: "orders", Model: "chat", Seed: 1, Samples: 50}, []string{load.PathsLatency, load.PathsCrash})
+	require.NoError(t, err)
+	values := make(map[string]float64)
+	for _, figure := range figures {
+		values[figure.Name] = figure.Value
+	}
+	require.Contains(t, values, "table reads per order")
+	assert.InDelta(t, 2, values["table writes per order"], 0.001)
+	assert.Zero(t, values["table reads per order"])
+	require.Contains(t, values, "engines lost")
+	assert.LessOrEqual(t, values["engines lost"], 2.0)
+	assert.Positive(t, values["engines lost"], "the prompt crashed nothing, so the fault had no effect")
+}
