--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -32,19 +32,25 @@
 // Priority orders work inside an engine; a lower value is served first.
 type Priority int
 
-// Priorities, by class of service.
+// PrioritySteps is the number of priorities of a class. Within a class, shorter prompts get the lower values.
+const PrioritySteps = 8
+
+// First priorities of each class of service.
 const (
 	PriorityUrgent      Priority = 0
-	PriorityInteractive Priority = 1
-	PriorityBulk        Priority = 2
+	PriorityInteractive Priority = PrioritySteps
+	PriorityBulk        Priority = 2 * PrioritySteps
 )
 
-// Version names exactly what produces an answer.
+// Version names exactly what produces an answer. The adapter's version and batch belong to it, because an adapter may
+// be recalled or replaced alone.
 type Version struct {
-	Model   string `json:"model"`
-	Version string `json:"version"`
-	Adapter string `json:"adapter,omitempty"`
-	Batch   string `json:"batch,omitempty"`
+	Model          string `json:"model"`
+	Version        string `json:"version"`
+	Adapter        string `json:"adapter,omitempty"`
+	Batch          string `json:"batch,omitempty"` // of the model
+	AdapterVersion string `json:"adapter_version,omitempty"`
+	AdapterBatch   string `json:"adapter_batch,omitempty"`
 }
 
 // KVHandle names KV cache held by an engine for a range of prompt tokens.
@@ -174,5 +180,5 @@
 	if v.Adapter == "" {
 		return v.Model + "@" + v.Version
 	}
-	return v.Model + "@" + v.Version + "+" + v.Adapter
+	return v.Model + "@" + v.Version + "+" + v.Adapter + "@" + v.AdapterVersion
 }
