--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -374,13 +374,19 @@
 // does not know the recall yet.
 func TestEntryCutsRunningAnswerOfRecalledVersion(t *testing.T) {
 	epochs := new(fakeEpochs)
+	begun := make(chan struct{}) // closed once the caller has the first token; before that the entry may still move the request
 	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) {
 		out.started().tokens(0, "a")
+		<-begun
 		epochs.accept(t, 2, "recalled: [b1]")
 		out.tokens(1, "b").end()
 	})
 	epochs.accept(t, 1, "")
-	got := newBenchWith(t, f, epochs, Disabled{}, "").chat(t, streamChat).body
+	got := newBenchWith(t, f, epochs, Disabled{}, "").stream(t, streamChat, func(line string) {
+		if strings.Contains(line, `"content":"a"`) {
+			close(begun)
+		}
+	})
 	assert.Contains(t, got, `"kind":"recalled"`)
 	assert.NotContains(t, got, `"content":"b"`)
 	epochs.accept(t, 1, "")
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -362,6 +363,24 @@
 	return b.do(t, http.MethodPost, "/v1/chat/completions", body, headers...)
 }
 
+// stream sends a chat and calls seen for each line of the answer as it arrives. It returns the whole answer.
+func (b *bench) stream(t *testing.T, body string, seen func(line string)) string {
+	req, err := http.NewRequest(http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var all strings.Builder
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		seen(lines.Text())
+		all.WriteString(lines.Text() + "\n")
+	}
+	require.NoError(t, lines.Err())
+	return all.String()
+}
+
 // total sums the runs over all agents.
 func (f *fakeFleet) total() (runs, cancels int) {
 	for _, a := range f.agents {
