--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -118,17 +118,17 @@
 	if s == nil {
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
-	if err := a.resolveService(s, att); err != nil {
-		return err
-	}
-	if err := a.mayAnswer(att); err != nil {
-		return err
-	}
 	a.mu.Lock()
 	down := a.down
 	loaded := a.report.Loaded
 	silent := a.isModel() && time.Since(a.reported) > reportPatience
 	a.mu.Unlock()
+	if err := a.resolveService(s, att, loaded); err != nil {
+		return err
+	}
+	if err := a.mayAnswer(att); err != nil {
+		return err
+	}
 	if down || silent {
 		return errkind.New(errkind.EndpointFailed, "endpoint does not answer")
 	}
@@ -139,10 +139,10 @@
 }
 
 // resolveService finds the service in the text and checks that this endpoint serves it.
-func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt) error {
+func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt, loaded []endpoint.Version) error {
 	att.service = s.Text.Services[att.request.GetService()]
 	if att.hasVersion() {
-		if !holds(s.Duties(a.opts.Endpoint), att.version()) {
+		if !a.serves(s, loaded, att.version()) {
 			if item, recalled := s.Recalled(att.version()); recalled {
 				return errkind.New(errkind.Recalled, item+" is recalled")
 			}
@@ -161,6 +161,12 @@
 	return errkind.New(errkind.UnknownService, "endpoint does not run service "+att.request.GetService())
 }
 
+// serves reports whether the text gives v to this endpoint, or this endpoint still holds v in a rollout that replaces it:
+// its turn or the ticket has not come.
+func (a *Agent) serves(s *fleet.Snapshot, loaded []endpoint.Version, v endpoint.Version) bool {
+	return holds(s.Duties(a.opts.Endpoint), v) || holds(a.wanted(s, loaded), v) || holds(a.waiting(), v)
+}
+
 // mayAnswer checks freshness and recall against the snapshot in force now.
 func (a *Agent) mayAnswer(att *attempt) error {
 	epochs := a.peer.Epochs()
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -61,7 +61,10 @@
 	a.reported = time.Now()
 	a.down = false
 	if !restarted {
-		a.fault = a.orderState.fault
+		a.fault = ""
+	}
+	if len(report.Loaded) == 0 {
+		a.fault = a.orderState.fault // with nothing loaded it serves nothing
 	}
 	a.mu.Unlock()
 	if restarted && !wasDown {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -63,7 +63,7 @@
 	id := newID()
 	reader := stream.NewReader(r.id, id)
 	reader.Unchecked = d.opts.Disabled.FrameOwner
-	message := r.message(id, remaining)
+	message := r.message(id, remaining, r.versionAt(node))
 	message.Incarnation = incarnationOf(node)
 	return &attempt{
 		d:       d,
@@ -268,7 +268,7 @@
 	if !a.r.isChat() {
 		return nil
 	}
-	if err := a.d.mayAnswer(a.r, s.GetVersion()); err != nil {
+	if err := a.d.mayAnswer(a.r, a.message.GetModel().GetVersion(), s.GetVersion()); err != nil {
 		return &failure{err: err.WithRun(errkind.Ran), lost: true, own: err.Kind == errkind.Isolated}
 	}
 	if a.r.version == nil {
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -48,10 +48,13 @@
 	d        *dispatcher
 	r        *request
 	excluded map[*route.Endpoint]bool
+	version  endpoint.Version // of all members, since later segments import the KV of earlier ones
 	tries    int
 
+	planned []*segment // not reserved yet, in the order of the prompt
+
 	mu       sync.Mutex
-	segments []*segment // in the order of the prompt, which is that of the endpoint names
+	segments []*segment // reserved, in the order of the prompt
 }
 
 // tooLarge reports whether a prompt and its answer exceed what the largest known engine of the pool gives one request.
@@ -86,20 +89,32 @@
 	}
 }
 
-// once goes on from what is held: it plans and reserves if nothing is, prefills what is missing, and decodes.
+// once goes on from what is held: it plans if nothing is, reserves and prefills one member after another, and decodes at
+// the last one. A member is reserved only when its turn comes, because the prefill of the earlier segments takes up to a
+// minute in which its memory would lie idle.
 func (s *splitRun) once(ctx context.Context) (*failure, *route.Endpoint) {
 	if len(s.held()) == 0 {
-		if f, ep := s.reserveAll(ctx); f != nil {
-			return f, ep
+		planned, err := s.plan()
+		if err != nil {
+			return &failure{err: err}, nil
 		}
+		s.planned = planned
 	}
 	if f, ep := s.replaceLost(ctx); f != nil {
 		return f, ep
 	}
-	if f, ep := s.prefill(ctx); f != nil {
-		return f, ep
+	for {
+		if f, ep := s.prefill(ctx); f != nil {
+			return f, ep
+		}
+		if len(s.planned) == 0 {
+			return s.decode(ctx)
+		}
+		if f, ep := s.reserveNext(ctx); f != nil {
+			s.release()
+			return f, ep
+		}
 	}
-	return s.decode(ctx)
 }
 
 func (s *splitRun) held() []*segment {
@@ -111,6 +126,7 @@
 // plan chooses the members with the most free memory and cuts the prompt in proportion to their memory.
 func (s *splitRun) plan() ([]*segment, *errkind.Error) {
 	total := s.r.promptTokens + s.r.maxTokens
+	s.version = s.chooseVersion()
 	members := s.candidates()
 	sum, n := int64(0), 0
 	for n < len(members) && sum < total {
@@ -132,7 +148,7 @@
 	free := make(map[*route.Endpoint]int64)
 	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
 		report, _ := e.Report()
-		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 {
+		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 && s.versionAt(e) == s.version {
 			members = append(members, e)
 			free[e] = report.KVFree
 		}
@@ -141,6 +157,28 @@
 	return members
 }
 
+// chooseVersion returns the version that all members use. During a rollout it is the one whose endpoints have the most
+// memory together.
+func (s *splitRun) chooseVersion() endpoint.Version {
+	best, memory := s.r.target.Version, make(map[endpoint.Version]int64)
+	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
+		if e.Available() && !s.excluded[e] {
+			memory[s.versionAt(e)] += usable(e)
+		}
+	}
+	for v, sum := range memory {
+		if sum > memory[best] {
+			best = v
+		}
+	}
+	return best
+}
+
+func (s *splitRun) versionAt(e *route.Endpoint) endpoint.Version {
+	node, _ := s.d.members.Endpoint(e.Name) // without a node the target's version
+	return s.r.versionAt(node)
+}
+
 func usable(e *route.Endpoint) int64 {
 	report, _ := e.Report()
 	return int64(float64(report.KVCapacity) * usableShare)
@@ -187,23 +225,43 @@
 	return text[:low]
 }
 
-// reserveAll reserves the members one after another in ascending order of their names, so that concurrent prompts
-// cannot wait for each other in a circle. A failure releases everything.
-func (s *splitRun) reserveAll(ctx context.Context) (*failure, *route.Endpoint) {
-	segments, err := s.plan()
-	if err != nil {
-		return &failure{err: err}, nil
+// reserveNext reserves the next planned member. While others hold its memory, an endpoint that grants at once takes its
+// place. If there is none either, it waits: members are awaited in ascending order of their names only, so that
+// concurrent prompts cannot wait for each other in a circle.
+func (s *splitRun) reserveNext(ctx context.Context) (*failure, *route.Endpoint) {
+	seg := s.planned[0]
+	s.planned = s.planned[1:]
+	s.hold(len(s.held()), seg) // before the call: a lost reply may hide a grant
+	f := s.reserve(ctx, seg, 0)
+	if f == nil {
+		return nil, nil
 	}
-	for _, seg := range segments {
-		s.mu.Lock()
-		s.segments = append(s.segments, seg) // before the call: a lost reply may hide a grant
-		s.mu.Unlock()
-		if f := s.reserve(ctx, seg, s.d.timing.ReserveWait); f != nil {
-			s.release()
-			return f, seg.ep
+	if next, ok := s.replacement(ctx, seg); ok {
+		s.hold(len(s.held())-1, next)
+		s.releaseSegments([]*segment{seg})
+		return nil, nil
+	}
+	if f.err.Kind != errkind.Overloaded || !s.inOrder(seg) {
+		return f, seg.ep
+	}
+	return s.reserve(ctx, seg, s.d.timing.ReserveWait), seg.ep
+}
+
+// hold puts a segment at an index of the reserved ones.
+func (s *splitRun) hold(i int, seg *segment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.segments = append(s.segments[:i:i], append([]*segment{seg}, s.segments[min(i+1, len(s.segments)):]...)...)
+}
+
+// inOrder reports whether no other held member has a later name, so that a wait for seg is in the global order.
+func (s *splitRun) inOrder(seg *segment) bool {
+	for _, other := range s.held() {
+		if other.ep.Name > seg.ep.Name {
+			return false
 		}
 	}
-	return nil, nil
+	return true
 }
 
 // reserve takes one member's memory, waiting in its queue for up to wait.
@@ -223,7 +281,7 @@
 		WaitMs:      wait.Milliseconds(),
 		LeaseMs:     s.d.timing.Lease.Milliseconds(),
 		Epoch:       s.r.snap.Epoch,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 	})
 	if err != nil {
 		return unreachable(err)
@@ -253,11 +311,11 @@
 	}
 }
 
-// prefill computes the segments before the last whose KV is not held.
+// prefill computes the reserved segments whose KV is not held. The last segment of the prompt is left to the decode.
 func (s *splitRun) prefill(ctx context.Context) (*failure, *route.Endpoint) {
 	segments := s.held()
-	for i, seg := range segments[:len(segments)-1] {
-		if seg.handle != nil {
+	for i, seg := range segments {
+		if seg.handle != nil || i == len(segments)-1 && len(s.planned) == 0 {
 			continue
 		}
 		if f := s.prefillOne(ctx, seg, handles(segments[:i])); f != nil {
@@ -291,7 +349,7 @@
 		Reservation: seg.reservation,
 		RequestId:   s.r.id,
 		Prompt:      seg.text,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 		Imported:    imported,
 		Class:       string(s.r.class()),
 		DeadlineMs:  max(remaining.Milliseconds(), 1),
@@ -353,6 +411,7 @@
 	last := segments[len(segments)-1]
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
 	work := a.message.GetModel()
+	work.Version = wireVersion(s.version) // that of the other segments
 	work.Prompt = last.text
 	work.PromptTokens = int64(endpoint.CountTokens(last.text))
 	work.Imported = handles(segments[:len(segments)-1])
@@ -427,9 +486,7 @@
 			s.release()
 			return &failure{err: errkind.New(errkind.Overloaded, "no replacement for a failed member")}, nil
 		}
-		s.mu.Lock()
-		s.segments[i] = next
-		s.mu.Unlock()
+		s.hold(i, next)
 		s.releaseSegments([]*segment{seg})
 	}
 	return nil, nil
@@ -437,7 +494,7 @@
 
 func (s *splitRun) replacement(ctx context.Context, lost *segment) (*segment, bool) {
 	used := make(map[*route.Endpoint]bool)
-	for _, seg := range s.held() {
+	for _, seg := range append(s.held(), s.planned...) {
 		used[seg.ep] = true
 	}
 	for _, e := range s.candidates() {
--- a/member/table.go
+++ b/member/table.go
@@ -313,9 +313,10 @@
 	if r := s.record; r != nil {
 		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, platform.VMRole(r.Role)
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
-		n.Epoch, n.Fault, n.Load = r.Epoch, r.Fault, r.Load
+		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
-			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch})
+			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+				AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch})
 		}
 	}
 	return n
@@ -383,6 +384,12 @@
 	Role          platform.VMRole
 	Epoch         int64
 	Heard         time.Time
+	Endpoint      string // agent: endpoint name
+	Live          bool   // may receive new work
+	Leaving       bool
+	Fault         string
+	OrderFault    string
+	Loaded        []endpoint.Version
 }
 
 // ToldEpoch returns the names of the nodes that told this node themselves that they hold epoch or a later one.
@@ -412,7 +419,8 @@
 			continue
 		}
 		n := t.describe(name, s, now)
-		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard})
+		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard,
+			Endpoint: n.Endpoint, Live: n.Live, Leaving: n.Leaving, Fault: n.Fault, OrderFault: n.OrderFault, Loaded: n.Loaded})
 	}
 	return holders
 }
@@ -464,6 +472,19 @@
 	return nil
 }
 
+// EndpointRecords returns the records of the agents beside the named endpoints, as far as known.
+func (t *Table) EndpointRecords(endpoints []string) []*wire.NodeRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for _, e := range endpoints {
+		if name, ok := t.byEnd[e]; ok && t.nodes[name].record != nil {
+			names = append(names, name)
+		}
+	}
+	return t.recordsLocked(names)
+}
+
 // Urgent returns a channel that signals news to push at once.
 func (t *Table) Urgent() <-chan struct{} { return t.wakePush }
 
--- a/route/view.go
+++ b/route/view.go
@@ -144,6 +144,15 @@
 	return e.report, e.sent
 }
 
+// AssumePrefillRate sets the prefill rate, in tokens per second, that is assumed until a report states one.
+func (e *Endpoint) AssumePrefillRate(rate int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rate > 0 && e.report.Sequence == 0 {
+		e.report.PrefillRate = rate
+	}
+}
+
 // neverHeard as absentSince marks an endpoint of which only the configuration text is known.
 const neverHeard = -1
 
