--- a/epoch/force.go
+++ b/epoch/force.go
@@ -1,6 +1,7 @@
 package epoch
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,14 @@
 	Loaded  []string `json:"loaded,omitempty"` // endpoints whose engines still report weights that the name covers
 }
 
+// RolloutStatus is the state of a version that replaces another one.
+type RolloutStatus struct {
+	Version   string   `json:"version"`   // weight name
+	Holding   int      `json:"holding"`   // endpoints that hold it
+	Endpoints int      `json:"endpoints"` // known endpoints that the text gives it to
+	Faults    []string `json:"faults,omitempty"`
+}
+
 // Status is the answer to GET /v1/fleet/status.
 type Status struct {
 	Epoch       int64        `json:"epoch"`
@@ -47,7 +56,8 @@
 	Nodes       []NodeStatus `json:"nodes"`
 	Warnings    []string     `json:"warnings,omitempty"`
 
-	Recalls []RecallStatus `json:"recalls,omitempty"`
+	Recalls  []RecallStatus  `json:"recalls,omitempty"`
+	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 }
 
 // forceTracker decides when an epoch is in force. A node without the epoch may judge its evidence by any text since the
@@ -213,6 +223,7 @@
 		st.Nodes = append(st.Nodes, n)
 	}
 	st.Recalls = recallStatus(current, a.force.settled(), holders)
+	st.Rollouts = rolloutStatus(current, holders)
 	return st
 }
 
@@ -255,3 +266,34 @@
 	}
 	return list
 }
+
+// rolloutStatus describes the versions of current for which an endpoint still holds another one.
+func rolloutStatus(current *fleet.Snapshot, holders []member.Holder) []RolloutStatus {
+	byName := make(map[string]*RolloutStatus)
+	replacing := make(map[string]bool)
+	for _, h := range holders {
+		for _, v := range current.Duties(h.Endpoint) {
+			name := v.WeightName()
+			if byName[name] == nil {
+				byName[name] = &RolloutStatus{Version: name}
+			}
+			r := byName[name]
+			r.Endpoints++
+			if slices.Contains(h.Loaded, v) {
+				r.Holding++
+			} else if slices.ContainsFunc(h.Loaded, func(l endpoint.Version) bool { return l.Model == v.Model && l.Adapter == v.Adapter }) {
+				replacing[name] = true
+			}
+			for _, fault := range []string{h.Fault, h.OrderFault} {
+				if fault != "" {
+					r.Faults = append(r.Faults, h.Endpoint+": "+fault)
+				}
+			}
+		}
+	}
+	var list []RolloutStatus
+	for _, name := range slices.Sorted(maps.Keys(replacing)) {
+		list = append(list, *byName[name])
+	}
+	return list
+}
--- a/epoch/status_test.go
+++ b/epoch/status_test.go
@@ -25,3 +25,20 @@
 	require.Equal(t, []RecallStatus{{Name: "b1"}, {Name: "m@1"}}, recallStatus(second, nil, nil))
 	require.Equal(t, []RecallStatus{{Name: "b1", Stopped: true}, {Name: "m@1", Stopped: true}}, recallStatus(second, second, nil))
 }
+
+// Guards against a stopped rollout that the status does not show, and against one that is shown after its end.
+func TestRolloutStatusNamesWhatStopsIt(t *testing.T) {
+	s, faults := fleet.NewSnapshot(2, []byte("models: {m: {version: \"2\", endpoints: [e1, e2, e3]}}\n"))
+	require.Empty(t, faults)
+	old, next := endpoint.Version{Model: "m", Version: "1"}, endpoint.Version{Model: "m", Version: "2"}
+	holders := []member.Holder{
+		{Endpoint: "e1", Loaded: []endpoint.Version{next}},
+		{Endpoint: "e2", OrderFault: "weights: not found", Loaded: []endpoint.Version{old}},
+		{Endpoint: "e3", Loaded: []endpoint.Version{old}},
+	}
+	require.Equal(t, []RolloutStatus{{Version: "m@2", Holding: 1, Endpoints: 3, Faults: []string{"e2: weights: not found"}}}, rolloutStatus(s, holders))
+	for i := range holders {
+		holders[i].Loaded = []endpoint.Version{next}
+	}
+	require.Empty(t, rolloutStatus(s, holders))
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -271,6 +271,13 @@
 		}
 		fmt.Fprintf(x.Out, "recalled %s: %s\n", r.Name, state)
 	}
+	for _, r := range st.Rollouts {
+		fmt.Fprintf(x.Out, "rollout of %s: held by %d of %d endpoints", r.Version, r.Holding, r.Endpoints)
+		if len(r.Faults) > 0 {
+			fmt.Fprintf(x.Out, ", faults: %s", strings.Join(r.Faults, ", "))
+		}
+		fmt.Fprintln(x.Out)
+	}
 	for _, b := range st.Blamed {
 		fmt.Fprintf(x.Out, "blamed prompt %s: crashed %s, refused until %s\n", b.Fingerprint, strings.Join(b.Endpoints, ", "),
 			b.Until.Format(time.RFC3339))
