--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/bilberrylink/bilberrylink/internal/entry"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
+	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,15 +3,12 @@
 package settings
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net"
 	"net/url"
 	"os"
 	"runtime/debug"
 	"strconv"
-	"strings"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -126,19 +123,6 @@
 	URL string `name:"platform-url" required:"" help:"Base URL of the platform's table, object store, weight store and VM list."`
 }
 
-// CheckTokenHash returns an error that names the flag unless token is a SHA-256 in hex, or NAME= followed by one.
-func CheckTokenHash(flag, token string) error {
-	name, hash, named := strings.Cut(token, "=")
-	if !named {
-		hash = token
-	}
-	raw, err := hex.DecodeString(hash)
-	if err != nil || len(raw) != sha256.Size || named && name == "" {
-		return errors.Errorf("%s must be HASH or NAME=HASH, where HASH has 64 hex digits as sha256sum prints them", flag)
-	}
-	return nil
-}
-
 // Validate checks the URL. Kong calls it after parsing.
 func (p Platform) Validate() error { return CheckURL("--platform-url", p.URL) }
 
