--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -10,7 +10,6 @@
 
 	"github.com/bilberrylink/bilberrylink/internal/entry"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
-	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
