Reuse the connections to agents

The entry closed the body of an answer right after its last frame. The end of the body is now read in the background.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -24,3 +25,20 @@
 	require.ErrorIs(t, err, errNotSent)
 	require.Zero(t, requests)
 }
+
+// Guards against a new connection, and with mutual TLS a handshake, for each request: an HTTP client keeps a connection
+// only if the end of the previous answer was read.
+func TestConnectionsAreReused(t *testing.T) {
+	const lateEnd = 5 * time.Millisecond // between the last frame and the end of the body, as an agent under load shows
+	f := newFleet(t, func(a *fakeAgent, r *wire.RunRequest, out *frames) {
+		serveTokens(a, r, out)
+		time.Sleep(lateEnd)
+	})
+	b := newBench(t, f, Disabled{})
+	const requests = 20
+	for range requests {
+		require.Equal(t, http.StatusOK, b.chat(t, plainChat).status)
+		time.Sleep(4 * lateEnd)
+	}
+	require.Less(t, int(f.connections.Load()), requests/2, "there are three engines")
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -189,29 +189,56 @@
 // connection reads one connection until the End frame (nil), a *failure, or an error of the connection. Silence ends
 // the connection.
 func (a *attempt) connection(ctx context.Context, resume bool) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, cancel, detach := detachable(ctx)
 	silence := time.AfterFunc(a.d.timing.Silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	body, err := a.open(ctx, resume)
 	if err != nil {
+		cancel(nil)
 		return err
 	}
-	defer func() { _ = body.Close() }() // an unread rest is dropped with the connection
 	a.reader.Attach(body)
 	for {
 		frame, err := a.reader.Recv()
 		if err != nil {
+			cancel(nil)
+			_ = body.Close() // the connection is dropped
 			return err
 		}
 		silence.Reset(a.d.timing.Silence)
 		finished, err := a.handle(ctx, frame)
-		if finished || err != nil {
+		if finished || frame.GetFailure() != nil {
+			detach()
+			go drain(body, cancel)
+			return err
+		}
+		if err != nil {
+			cancel(nil)
+			_ = body.Close() // an unread rest is dropped with the connection
 			return err
 		}
 	}
 }
 
+// detachable returns a context that ends with its parent until detach is called.
+func detachable(parent context.Context) (ctx context.Context, cancel context.CancelCauseFunc, detach func() bool) {
+	ctx, cancel = context.WithCancelCause(context.WithoutCancel(parent))
+	return ctx, cancel, context.AfterFunc(parent, func() { cancel(context.Cause(parent)) })
+}
+
+// drainTimeout bounds the wait for the end of a body after its last frame.
+const drainTimeout = time.Second
+
+// drain reads the end of a body and closes it. The HTTP client keeps the connection for the next request only after the
+// end was read; otherwise each request would pay for a new connection with its TLS handshake.
+func drain(body io.ReadCloser, cancel context.CancelCauseFunc) {
+	timer := time.AfterFunc(drainTimeout, func() { cancel(nil) })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, body) // nothing but the end is expected
+	_ = body.Close()
+	cancel(nil)
+}
+
 func (a *attempt) open(ctx context.Context, resume bool) (io.ReadCloser, error) {
 	if !resume {
 		return a.d.agents.run(ctx, a.node.Addr, a.message)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -117,11 +118,12 @@
 
 // fakeFleet is a set of agents with one behaviour.
 type fakeFleet struct {
-	run     func(a *fakeAgent, r *wire.RunRequest, out *frames)
-	resume  func(a *fakeAgent, r *wire.ResumeRequest, out *frames)
-	agents  map[string]*fakeAgent
-	members *fakeMembers
-	cancel  string // run state of Cancel's answers
+	connections atomic.Int32 // opened by the entry to all agents
+	run         func(a *fakeAgent, r *wire.RunRequest, out *frames)
+	resume      func(a *fakeAgent, r *wire.ResumeRequest, out *frames)
+	agents      map[string]*fakeAgent
+	members     *fakeMembers
+	cancel      string // run state of Cancel's answers
 }
 
 func (a *fakeAgent) Cancel(_ context.Context, r *wire.CancelRequest) (*wire.CancelReply, error) {
@@ -260,7 +262,13 @@
 	mux := http.NewServeMux()
 	mux.Handle("/agent/v1/", a)
 	mux.Handle("/twirp/", wire.NewAgentServer(rpc(a)))
-	srv := httptest.NewServer(mux)
+	srv := httptest.NewUnstartedServer(mux)
+	srv.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			f.connections.Add(1)
+		}
+	}
+	srv.Start()
 	t.Cleanup(srv.CloseClientConnections)
 	t.Cleanup(srv.Close)
 	f.agents[name] = a
