Keep prompts of up to 36,000 tokens out of the wait for memory behind ledgers

Cause: the KV ledger counted prompts above 8,000 tokens as long, so that interactive ones queued first-come first-served behind ledgers of 300,000; and the routing estimate gave a constant 2 s for missing memory.

Prompts of up to 36,000 tokens now count as short and may use the headroom, which grows from 10% to 15% of the memory so that it holds one of them and a dozen small ones. The estimate takes the time to prefill what is missing, at least 2 s. The ledger's test states the headroom of 10% that its figures assume.

--- a/kvledger/kvledger.go
+++ b/kvledger/kvledger.go
@@ -31,8 +31,8 @@
 
 // Defaults of Options.
 const (
-	DefaultShortTokens = 8000
-	DefaultHeadroom    = 0.1 // part of the capacity
+	DefaultShortTokens = 36_000 // interactive prompts have up to 32,000 tokens; they must not queue behind ledgers
+	DefaultHeadroom    = 0.15   // part of the capacity; of 400,000 tokens it holds one such prompt and a dozen small ones
 	DefaultMaxWaiters  = 256
 	DefaultGrace       = 5 * time.Second // engines report with a lag of up to a few seconds
 )
--- a/kvledger/kvledger_test.go
+++ b/kvledger/kvledger_test.go
@@ -24,7 +24,7 @@
 }
 
 func newLedger(opts Options) *Ledger {
-	opts.ShortTokens = 10
+	opts.ShortTokens, opts.Headroom = 10, 0.1
 	l := New(opts)
 	l.SetCapacity(100)
 	return l
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -6,7 +6,7 @@
 	"github.com/bilberrylink/bilberrylink/fleet"
 )
 
-// memoryWait is the penalty when the prompt does not fit into the free KV memory: the request waits for a running
+// memoryWait is the least penalty when the prompt does not fit into the free KV memory: the request waits for a running
 // answer to finish, which takes seconds.
 const memoryWait = 2 * time.Second
 
@@ -39,7 +39,8 @@
 	if free >= r.PromptTokens {
 		return 0
 	}
-	return memoryWait
+	// The memory that is missing is held by prompts that are prefilled first, so it takes about their prefill time.
+	return max(memoryWait, seconds(r.PromptTokens-free, report.PrefillRate))
 }
 
 // cost is the estimate, plus the delay that the request causes to others where the service favors slowdown: a short
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -63,6 +63,7 @@
 	done()
 	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 3, PrefillRate: 1000, KvFree: 100, KvCapacity: 100_000})
 	assert.Equal(t, 500*time.Millisecond+memoryWait, estimate(e, chat, false))
+	assert.Equal(t, 10*time.Second+9900*time.Millisecond, estimate(e, &Request{PromptTokens: 10_000}, false), "missing memory is freed at the rate of prefill")
 	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 4, PrefillRate: 1000, KvFree: 9000, KvCapacity: 9000, QueuedPrefill: 4000})
 	favor := &Request{Class: fleet.ClassInteractive, PromptTokens: 500, Favor: fleet.FavorSlowdown}
 	assert.Greater(t, cost(e, favor, false), cost(e, chat, false), "slowdown counts the work that would be delayed")
