--- a/member/table.go
+++ b/member/table.go
@@ -59,7 +59,7 @@
 	byEnd    map[string]string // endpoint name to node name
 	change   uint64
 	cached   view
-	urgent   map[string]bool // names whose leaving is to be pushed at once
+	urgent   map[string]bool // names whose leaving or return is to be pushed at once
 	wakePush chan struct{}
 }
 
@@ -125,8 +125,13 @@
 	}
 	s.leaving = true
 	t.touch(s)
-	t.urgent[name] = true
 	t.cached.at = time.Time{}
+	t.announceLocked(name)
+}
+
+// announceLocked queues the record of a node for an immediate push.
+func (t *Table) announceLocked(name string) {
+	t.urgent[name] = true
 	select {
 	case t.wakePush <- struct{}{}:
 	default:
@@ -161,6 +166,8 @@
 	t.store(s, r, born, direct, restarted)
 	if r.Leaving {
 		t.leaveLocked(r.Name, s)
+	} else if restarted {
+		t.announceLocked(r.Name)
 	}
 }
 
@@ -306,9 +313,10 @@
 	if r := s.record; r != nil {
 		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, platform.VMRole(r.Role)
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
-		n.Epoch, n.Fault, n.Load = r.Epoch, r.Fault, r.Load
+		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
-			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch})
+			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+				AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch})
 		}
 	}
 	return n
@@ -376,6 +384,12 @@
 	Role          platform.VMRole
 	Epoch         int64
 	Heard         time.Time
+	Endpoint      string // agent: endpoint name
+	Live          bool   // may receive new work
+	Leaving       bool
+	Fault         string
+	OrderFault    string
+	Loaded        []endpoint.Version
 }
 
 // ToldEpoch returns the names of the nodes that told this node themselves that they hold epoch or a later one.
@@ -405,7 +419,8 @@
 			continue
 		}
 		n := t.describe(name, s, now)
-		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard})
+		holders = append(holders, Holder{Name: name, FailureDomain: n.FailureDomain, Role: n.Role, Epoch: s.epoch, Heard: s.heard,
+			Endpoint: n.Endpoint, Live: n.Live, Leaving: n.Leaving, Fault: n.Fault, OrderFault: n.OrderFault, Loaded: n.Loaded})
 	}
 	return holders
 }
@@ -460,7 +475,7 @@
 // Urgent returns a channel that signals news to push at once.
 func (t *Table) Urgent() <-chan struct{} { return t.wakePush }
 
-// TakeUrgent returns up to limit records of nodes that began to leave since the last call.
+// TakeUrgent returns up to limit records of nodes that began to leave or returned since the last call.
 func (t *Table) TakeUrgent(limit int) []*wire.NodeRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
