Finish split prompts before new prompts of their class

Cause: the later segments of a split prompt waited behind every shorter prompt of their class while the prompt held memory on several engines. They are now first in their class.

--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -74,8 +74,12 @@
 // shortestGrade is the length in tokens below which prompts are served alike; each further grade doubles it.
 const shortestGrade = 4096
 
-// grade is the logarithmic length of the prompt, below endpoint.PrioritySteps.
+// grade is the logarithmic length of the prompt, below endpoint.PrioritySteps. A later segment of a split prompt counts as
+// short, because the prompt holds memory on several engines until it is finished.
 func (att *attempt) grade() int {
+	if len(att.segment.GetImported())+len(att.request.GetModel().GetImported()) > 0 {
+		return 0
+	}
 	return min(bits.Len(uint(att.prefill/shortestGrade)), endpoint.PrioritySteps-1)
 }
 
