Cut split prompts into smaller segments, and smaller still where memory is free

Cause: segments of 75% of an engine fitted only on empty engines; a prompt that found none waited up to 30 s with the memory of its earlier members idle, and its wait blocked the first-come first-served order for all prompts above 36,000.

Segments now take 40% of an engine if at most half of the engines are needed, up to 75% otherwise. If no endpoint grants a planned segment at once, a first part of it, 32,000 tokens at least, goes where that much is free.

--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -22,7 +23,10 @@
 
 // Limits of a split prompt.
 const (
-	usableShare    = 0.75            // of a member's KV memory; the rest holds the import window and short requests
+	usableShare    = 0.75 // most of a member's KV memory; the rest holds the import window and short requests
+	wantedShare    = 0.4  // of a member's KV memory, which leaves room for a long prompt beside the segment
+	shareStep      = 0.05
+	smallestPart   = 32_000 // tokens; less is not worth a member of its own
 	splitTries     = 4               // plans, segment re-runs and decodes that may fail
 	releaseTimeout = 2 * time.Second // afterwards the lease ends the reservation
 	renewsPerLease = 3
@@ -126,10 +130,11 @@
 func (s *splitRun) plan() ([]*segment, *errkind.Error) {
 	total := s.r.promptTokens + s.r.maxTokens
 	members := s.candidates()
-	sum, n := int64(0), 0
-	for n < len(members) && sum < total {
-		sum += usable(members[n])
-		n++
+	share := wantedShare
+	n, sum := enough(members, total, share)
+	for (sum < total || n > len(members)/2) && share < usableShare { // the others remain as replacements
+		share = min(share+shareStep, usableShare)
+		n, sum = enough(members, total, share)
 	}
 	if sum < total {
 		return nil, errkind.New(errkind.PromptTooLarge, "the engines' memory together does not hold the prompt")
@@ -138,7 +143,16 @@
 	if !s.d.opts.Disabled.ReserveOrder {
 		sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	}
-	return s.cut(members, total, sum), nil
+	return s.cut(members, total, share, sum), nil
+}
+
+// enough returns how many of the first members hold the tokens with a share of their memory, and what these hold.
+func enough(members []*route.Endpoint, tokens int64, share float64) (n int, sum int64) {
+	for n < len(members) && sum < tokens {
+		sum += usable(members[n], share)
+		n++
+	}
+	return n, sum
 }
 
 func (s *splitRun) candidates() []*route.Endpoint {
@@ -155,22 +169,22 @@
 	return members
 }
 
-func usable(e *route.Endpoint) int64 {
+func usable(e *route.Endpoint, share float64) int64 {
 	report, _ := e.Report()
-	return int64(float64(report.KVCapacity) * usableShare)
+	return int64(float64(report.KVCapacity) * share)
 }
 
-func (s *splitRun) cut(members []*route.Endpoint, total, sum int64) []*segment {
+func (s *splitRun) cut(members []*route.Endpoint, total int64, share float64, sum int64) []*segment {
 	rest := s.r.prompt
 	segments := make([]*segment, len(members))
 	for i, e := range members {
-		share := int64(math.Ceil(float64(total) * float64(usable(e)) / float64(sum)))
+		tokens := int64(math.Ceil(float64(total) * float64(usable(e, share)) / float64(sum)))
 		text := rest
 		if i < len(members)-1 {
-			text = cutText(rest, share)
+			text = cutText(rest, tokens)
 		}
 		rest = rest[len(text):]
-		tokens := int64(endpoint.CountTokens(text))
+		tokens = int64(endpoint.CountTokens(text))
 		if i == len(members)-1 {
 			tokens += s.r.maxTokens
 		}
@@ -217,12 +231,53 @@
 		s.releaseSegments([]*segment{seg})
 		return nil, nil
 	}
+	if s.reservePart(ctx, seg) {
+		return nil, nil
+	}
 	if f.err.Kind != errkind.Overloaded || !s.inOrder(seg) {
 		return f, seg.ep
 	}
 	return s.reserve(ctx, seg, s.d.timing.ReserveWait), seg.ep
 }
 
+// reservePart reserves a first part of a segment, the last held one, at an endpoint that has room for it now, and plans
+// the rest as the next segment. Waiting for the whole would keep the memory of the earlier members idle.
+func (s *splitRun) reservePart(ctx context.Context, seg *segment) bool {
+	answer := seg.tokens - int64(endpoint.CountTokens(seg.text))
+	for _, e := range s.unused() {
+		report, _ := e.Report()
+		room := report.KVFree - (report.KVCapacity - kvledger.LongCapacity(report.KVCapacity))
+		if room < smallestPart {
+			continue
+		}
+		text := cutText(seg.text, room)
+		rest := seg.text[len(text):]
+		if rest == "" {
+			continue
+		}
+		part := s.newSegment(e, text, int64(endpoint.CountTokens(text)))
+		if f := s.reserve(ctx, part, 0); f != nil {
+			s.d.learn(ctx, s.r, f, e)
+			s.releaseSegments([]*segment{part})
+			continue
+		}
+		s.hold(len(s.held())-1, part)
+		s.releaseSegments([]*segment{seg})
+		s.planned = append([]*segment{s.newSegment(seg.ep, rest, int64(endpoint.CountTokens(rest))+answer)}, s.planned...)
+		return true
+	}
+	return false
+}
+
+// unused returns the candidates that are no members of the prompt, those with the most free memory first.
+func (s *splitRun) unused() []*route.Endpoint {
+	used := make(map[*route.Endpoint]bool)
+	for _, seg := range append(s.held(), s.planned...) {
+		used[seg.ep] = true
+	}
+	return slices.DeleteFunc(s.candidates(), func(e *route.Endpoint) bool { return used[e] })
+}
+
 // hold puts a segment at an index of the reserved ones.
 func (s *splitRun) hold(i int, seg *segment) {
 	s.mu.Lock()
@@ -469,14 +524,7 @@
 }
 
 func (s *splitRun) replacement(ctx context.Context, lost *segment) (*segment, bool) {
-	used := make(map[*route.Endpoint]bool)
-	for _, seg := range append(s.held(), s.planned...) {
-		used[seg.ep] = true
-	}
-	for _, e := range s.candidates() {
-		if used[e] {
-			continue
-		}
+	for _, e := range s.unused() {
 		next := s.newSegment(e, lost.text, lost.tokens)
 		f := s.reserve(ctx, next, 0)
 		if f == nil {
