Estimate the wait of a request by its place in the fair queue

Cause: admission counted the whole queue of the class, so that the backlog of one workspace made agents refuse others as deadline_unmeetable although the fair queue would have served them next; the refusals then used up the retry budget and were answered as overloaded. Entries refused by the same class-wide sum.

The agent now counts what is served before the request. The entry refuses only a prompt that an idle engine could not prefill in time.

--- a/internal/agent/estimate.go
+++ b/internal/agent/estimate.go
@@ -63,7 +63,7 @@
 		rounds := math.Floor(a.queue.Ahead(att.class) / maxCalls)
 		return seconds(rounds * a.estimates.perCall())
 	}
-	tokens := a.queue.Ahead(att.class) + float64(a.outstandingAhead(att)) + float64(att.prefill)
+	tokens := a.queue.Before(att.item) + float64(a.outstandingAhead(att)) + float64(att.prefill)
 	need := tokens / a.prefillRate()
 	if att.segment == nil && a.queue.Running()+a.queue.Len() > 0 {
 		need += a.estimates.decode(int(att.request.GetModel().GetMaxTokens()))
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,6 +308,27 @@
 	})
 }
 
+// Guards against a flood of one workspace whose backlog makes the agent refuse another as deadline_unmeetable.
+func TestFloodDoesNotMakeOthersUnmeetable(t *testing.T) {
+	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		f.engine.set(func(e *fakeEngine) { e.pace = time.Minute }) // nothing has its first token yet
+		for i := range 60 {
+			r := modelRequest(fmt.Sprint("flood", i))
+			r.GetModel().PromptTokens = 6000 // 0.6 s each
+			f.submit(t.Context(), r)
+		}
+		time.Sleep(10 * time.Millisecond)
+		more := modelRequest("more")
+		more.GetModel().PromptTokens = 6000
+		requireFailure(t, f.submit(t.Context(), more), errkind.DeadlineUnmeetable, errkind.NotRun)
+		quiet := modelRequest("quiet")
+		quiet.Workspace = "quiet"
+		att := f.submit(t.Context(), quiet)
+		time.Sleep(10 * time.Millisecond)
+		require.False(t, att.isDone(), "admitted")
+	})
+}
+
 // Guards against a short prompt that waits behind a long one of its class, and against long prompts that are all given to
 // the engine at once.
 func TestShortPromptOvertakesLongOneOfItsClass(t *testing.T) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -478,12 +478,13 @@
 	return route.Choice{}, false
 }
 
-// accept refuses a first attempt that the estimate says cannot begin in time.
+// accept refuses a first attempt that could not begin in time on an idle engine. Whether queued work leaves enough time is
+// for the agent to say: only its queue knows the share of the workspace.
 func (rd *round) accept(c route.Choice) (route.Choice, error) {
 	if rd.attempts == 0 {
 		rd.d.endpointRetries.Earn(c.Endpoint.Name)
-		if c.Estimate > time.Until(rd.r.deadline) {
-			return c, errkind.New(errkind.DeadlineUnmeetable, "queued work ahead does not finish before the deadline")
+		if c.Prefill > time.Until(rd.r.deadline) {
+			return c, errkind.New(errkind.DeadlineUnmeetable, "the prompt alone cannot be prefilled before the deadline")
 		}
 	}
 	rd.attempts++
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -26,7 +26,7 @@
 	usableShare    = 0.75 // most of a member's KV memory; the rest holds the import window and short requests
 	wantedShare    = 0.4  // of a member's KV memory, which leaves room for a long prompt beside the segment
 	shareStep      = 0.05
-	smallestPart   = 32_000 // tokens; less is not worth a member of its own
+	smallestPart   = 32_000          // tokens; less is not worth a member of its own
 	splitTries     = 4               // plans, segment re-runs and decodes that may fail
 	releaseTimeout = 2 * time.Second // afterwards the lease ends the reservation
 	renewsPerLease = 3
--- a/limit/fairqueue/fairqueue.go
+++ b/limit/fairqueue/fairqueue.go
@@ -280,6 +280,26 @@
 	return q.running
 }
 
+// Before returns the queued cost that would be served before it if it were pushed now: that of more urgent classes, and
+// of items of its class with the same or an earlier start tag.
+func (q *Queue[T]) Before(it *Item[T]) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	rank, sum := Rank(it.Class), 0.0
+	for r := range rank {
+		sum += q.lanes[r].cost
+	}
+	l := &q.lanes[rank]
+	start := max(l.virtual, l.last[it.Workspace])
+	for _, other := range l.items {
+		if other.start > start {
+			break
+		}
+		sum += other.Cost
+	}
+	return sum
+}
+
 // Ahead returns the queued cost of class c and of more urgent classes.
 func (q *Queue[T]) Ahead(c fleet.Class) float64 {
 	q.mu.Lock()
--- a/limit/fairqueue/fairqueue_test.go
+++ b/limit/fairqueue/fairqueue_test.go
@@ -80,6 +80,18 @@
 	require.GreaterOrEqual(t, served["quiet"], 0.9*served["flood"], "equal weights")
 }
 
+// Guards against admission that counts the backlog of a flooding workspace against the others.
+func TestBeforeCountsOnlyWhatIsServedEarlier(t *testing.T) {
+	q := New[int](Options{Capacity: 200})
+	for range 100 {
+		push(t, q, "flood", fleet.ClassInteractive, 100)
+	}
+	require.EqualValues(t, 100, q.Before(&Item[int]{Workspace: "quiet", Class: fleet.ClassInteractive, Cost: 100}))
+	require.EqualValues(t, 10_000, q.Before(&Item[int]{Workspace: "flood", Class: fleet.ClassInteractive, Cost: 100}))
+	require.EqualValues(t, 10_000, q.Before(&Item[int]{Workspace: "quiet", Class: fleet.ClassBulk, Cost: 100}))
+	require.Zero(t, q.Before(&Item[int]{Workspace: "flood", Class: fleet.ClassUrgent, Cost: 100}))
+}
+
 // Guards against items that overtake a yielding one beyond the slack, or from a less urgent class.
 func TestYieldLetsOnlyNearItemsOvertake(t *testing.T) {
 	q := New[int](Options{Capacity: 10, Slack: 15})
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -28,6 +28,16 @@
 	return seconds(ahead+own, report.PrefillRate) + memoryPenalty(&report, sent, r)
 }
 
+// prefill returns the time that an idle engine at e takes for the prompt.
+func prefill(e *Endpoint, r *Request, prefix bool) time.Duration {
+	report, _ := e.Report()
+	own := r.PromptTokens
+	if prefix {
+		own = max(own-r.CachedTokens, 0)
+	}
+	return seconds(own, report.PrefillRate)
+}
+
 func memoryPenalty(report *Report, sent [classes]int64, r *Request) time.Duration {
 	if report.KVCapacity == 0 {
 		return 0
--- a/route/policy.go
+++ b/route/policy.go
@@ -33,6 +33,7 @@
 type Choice struct {
 	Endpoint *Endpoint
 	Estimate time.Duration // estimated time to first token
+	Prefill  time.Duration // part of it for the request itself
 }
 
 // Policy chooses among the endpoints of a pool. It is safe for concurrent use.
@@ -86,7 +87,7 @@
 	for i := range p.endpoints {
 		e := p.endpoints[(start+i)%len(p.endpoints)]
 		if eligible(e, r) && (!limited || allowed.has(e)) {
-			return Choice{Endpoint: e, Estimate: estimate(e, r, false)}, true
+			return Choice{Endpoint: e, Estimate: estimate(e, r, false), Prefill: prefill(e, r, false)}, true
 		}
 	}
 	return Choice{}, false
@@ -122,7 +123,7 @@
 	for i, e := range cand.list[:cand.n] {
 		isPrefix := i == cand.prefix
 		if v := costOf(e, isPrefix); c.Endpoint == nil || v < lowest {
-			c, lowest = Choice{Endpoint: e, Estimate: estimate(e, r, isPrefix)}, v
+			c, lowest = Choice{Endpoint: e, Estimate: estimate(e, r, isPrefix), Prefill: prefill(e, r, isPrefix)}, v
 		}
 	}
 	return c, c.Endpoint != nil
