--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -59,7 +59,7 @@
 	}
 	return fx.Options(
 		fx.StopTimeout(opts.BalancerLag+opts.DrainTimeout+stopMargin),
-		fx.Provide(func() (*daemon, error) { return newDaemon(opts, Timing{}, Disabled{}) }),
+		fx.Provide(func() (*daemon, error) { return newDaemon(opts, Timing{}, opts.Disabled) }),
 		fx.Invoke(func(lc fx.Lifecycle, d *daemon) {
 			lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 		}),
@@ -159,8 +159,11 @@
 
 // start opens the listeners and starts the background goroutines.
 func (d *daemon) start(ctx context.Context) error {
-	var lc net.ListenConfig
-	callers, err := lc.Listen(ctx, "tcp", d.opts.CallersListen)
+	listen := d.opts.Listen
+	if listen == nil {
+		listen = new(net.ListenConfig).Listen
+	}
+	callers, err := listen(ctx, "tcp", d.opts.CallersListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -188,7 +191,11 @@
 	if err != nil {
 		return errors.Wrap(err, "TLS of the internal listener")
 	}
-	l, err := transport.Listen(ctx, d.opts.Node.Listen)
+	listen := d.opts.Listen
+	if listen == nil {
+		listen = func(ctx context.Context, _, addr string) (net.Listener, error) { return transport.Listen(ctx, addr) }
+	}
+	l, err := listen(ctx, "tcp", d.opts.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "internal listener")
 	}
