--- a/cmd/bilberry-agent/main.go
+++ b/cmd/bilberry-agent/main.go
@@ -20,7 +20,7 @@
 	Kind        string           `name:"endpoint-kind" required:"" enum:"model,plain" help:"What the endpoint is (${enum})."`
 	EndpointURL string           `name:"endpoint-url" required:"" help:"Base URL of the engine or plain service beside this process."`
 	Seeds       []string         `name:"seeds" help:"host:port of entries' internal listeners, to exchange with first."`
-	Version     kong.VersionFlag `name:"version" help:"Print the version and exit."`
+	Version     kong.VersionFlag `name:"version" env:"-" help:"Print the version and exit."`
 }
 
 // Validate checks the addresses. Kong calls it after parsing.
--- a/cmd/bilberry-dev/main.go
+++ b/cmd/bilberry-dev/main.go
@@ -23,7 +23,7 @@
 	Engines       int              `name:"engines" default:"8" help:"Most engines to start, 0 for all (${default})."`
 	Policy        string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy of the entries (${enum})."`
 	OnlyStandins  bool             `name:"only-standins" help:"Serve the emulators only, for daemons in processes of their own."`
-	Version       kong.VersionFlag `name:"version" help:"Print the version."`
+	Version       kong.VersionFlag `name:"version" env:"-" help:"Print the version."`
 }
 
 // Validate checks the numbers. Kong calls it after parsing.
--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -26,7 +26,7 @@
 	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
 	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from a failing /readyz until the load balancer sends nothing more."`
 	DrainTimeout        time.Duration    `name:"drain-timeout" default:"10m" help:"Longest wait for streams to finish at a stop."`
-	Version             kong.VersionFlag `name:"version" help:"Print the version and exit."`
+	Version             kong.VersionFlag `name:"version" env:"-" help:"Print the version and exit."`
 }
 
 // Validate checks the addresses, the token hashes and the durations. Kong calls it after parsing.
--- a/cmd/bilberry-load/main.go
+++ b/cmd/bilberry-load/main.go
@@ -13,7 +13,7 @@
 	load.Commands
 	Recall  trial.RecallCommand  `cmd:"" help:"Recall a name on a running development fleet and report when the last answer from it began."`
 	Rollout trial.RolloutCommand `cmd:"" help:"Change a model's version on a running development fleet and report the capacity meanwhile."`
-	Version kong.VersionFlag     `help:"Print the version and exit."`
+	Version kong.VersionFlag     `env:"-" help:"Print the version and exit."`
 }
 
 func main() {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -44,7 +44,7 @@
 	Token   string           `name:"token" help:"Operator token."`
 	JSON    bool             `name:"json" help:"Print JSON."`
 	Timeout time.Duration    `name:"timeout" default:"30s" help:"Time limit of one request."`
-	Version kong.VersionFlag `name:"version" help:"Print the version."`
+	Version kong.VersionFlag `name:"version" env:"-" help:"Print the version."`
 
 	Validate ValidateCmd `cmd:"" help:"Check a configuration text without a server."`
 	Diff     DiffCmd     `cmd:"" help:"Show what a text would change."`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,9 @@
 
 // Validate checks the addresses. Kong calls it after parsing.
 func (n Node) Validate() error {
+	if n.Listen == "" {
+		return nil // kong reports missing flags after it has validated the given ones
+	}
 	if err := CheckAddr("--listen-internal", n.Listen); err != nil {
 		return err
 	}
@@ -77,8 +80,11 @@
 	return nil
 }
 
-// CheckURL returns an error that names the flag unless raw is an absolute HTTP URL.
+// CheckURL returns an error that names the flag unless raw is an absolute HTTP URL or missing.
 func CheckURL(flag, raw string) error {
+	if raw == "" {
+		return nil // kong reports missing flags after it has validated the given ones
+	}
 	u, err := url.Parse(raw)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return errors.Errorf("%s must be a URL such as http://127.0.0.1:8090, not %q", flag, raw)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"testing"
 
+	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -48,3 +49,16 @@
 		require.Contains(t, out.String(), cause.Error(), name)
 	}
 }
+
+// Guards against a missing flag that is reported as a malformed one.
+func TestMissingFlagsAreNamed(t *testing.T) {
+	var cli struct {
+		Node
+		Platform
+	}
+	parser, err := kong.New(&cli, Options("test", "test")...)
+	require.NoError(t, err)
+	_, err = parser.Parse(nil)
+	require.ErrorContains(t, err, "missing flags")
+	require.ErrorContains(t, err, "--platform-url")
+}
