--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -61,18 +61,30 @@
 
 func (d *dispatcher) newAttempt(r *request, node member.Node, ep *route.Endpoint, remaining time.Duration) *attempt {
 	id := newID()
+	reader := stream.NewReader(r.id, id)
+	reader.Unchecked = d.opts.Disabled.FrameOwner
+	message := r.message(id, remaining, r.versionAt(node))
+	message.Incarnation = incarnationOf(node)
 	return &attempt{
 		d:       d,
 		r:       r,
 		id:      id,
 		node:    node,
 		ep:      ep,
-		reader:  stream.NewReader(r.id, id),
-		message: r.message(id, remaining, r.versionAt(node)),
+		reader:  reader,
+		message: message,
 		indexed: int64(len(r.tokens)),
 	}
 }
 
+// incarnationOf returns the incarnation of the newest load report: a refusal tells of a restart before gossip does.
+func incarnationOf(node member.Node) string {
+	if i := node.Load.GetIncarnation(); i != "" {
+		return i
+	}
+	return node.Incarnation
+}
+
 // run executes the attempt until its End frame. On any failure the attempt is cancelled at the agent, so that it cannot
 // start or go on later. The returned error is a *failure or nil.
 func (a *attempt) run(ctx context.Context) error {
@@ -188,8 +200,8 @@
 
 // connection reads one connection until the End frame (nil), a *failure, or an error of the connection. Silence ends
 // the connection.
-func (a *attempt) connection(ctx context.Context, resume bool) error {
-	ctx, cancel, detach := detachable(ctx)
+func (a *attempt) connection(attemptCtx context.Context, resume bool) error {
+	ctx, cancel, detach := detachable(attemptCtx)
 	silence := time.AfterFunc(a.d.timing.Silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	body, err := a.open(ctx, resume)
@@ -206,7 +218,9 @@
 			return err
 		}
 		silence.Reset(a.d.timing.Silence)
-		finished, err := a.handle(ctx, frame)
+		// The reader has counted the frame, so it is handled even if the connection was given up as silent meanwhile:
+		// the resume begins after it.
+		finished, err := a.handle(attemptCtx, frame)
 		if finished || frame.GetFailure() != nil {
 			detach()
 			go drain(body, cancel)
@@ -342,6 +356,9 @@
 		complete := a.started != nil && end.GetCompletionTokens() <= a.indexed
 		invariant.Check(complete, "entry_answer_complete", "request %s: %d tokens received, %d announced",
 			a.r.id, a.indexed, end.GetCompletionTokens())
+		if !complete {
+			return &failure{err: errkind.New(errkind.StreamBroken, "answer is incomplete").WithRun(errkind.Ran), lost: true}
+		}
 		a.r.usage = end
 		return nil
 	}
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -67,13 +67,14 @@
 	mu      sync.Mutex
 	calls   map[callKey]*CallCount
 	answers map[answerKey]*AnswerCount
+	crashes map[string][]string // endpoints by the prompt that crashed them
 	table   map[string]*TableCount
 	tickets TicketCount
 }
 
 func newCounters() *Counters {
 	return &Counters{calls: make(map[callKey]*CallCount), answers: make(map[answerKey]*AnswerCount),
-		table: make(map[string]*TableCount)}
+		crashes: make(map[string][]string), table: make(map[string]*TableCount)}
 }
 
 func (c *Counters) tableCall(key string, reads, writes int) {
@@ -133,6 +134,23 @@
 	return append(times, time.Now())
 }
 
+func (c *Counters) crashed(prompt, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[prompt] = append(c.crashes[prompt], endpoint)
+}
+
+// Crashes returns the endpoints that each prompt with the crash marker crashed, in order.
+func (c *Counters) Crashes() map[string][]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	crashes := make(map[string][]string, len(c.crashes))
+	for prompt, endpoints := range c.crashes {
+		crashes[prompt] = slices.Clone(endpoints)
+	}
+	return crashes
+}
+
 func (c *Counters) ticket(issued bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
