--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,6 +72,7 @@
 	report      endpoint.Report
 	reported    time.Time // when report arrived
 	down        bool      // the endpoint does not answer
+	downAt      time.Time // when down was set last
 	fault       string
 	draining    time.Time // zero: not draining
 
@@ -238,7 +239,7 @@
 func (a *Agent) isDraining() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.draining.IsZero() && !a.opts.off.drain
+	return !a.draining.IsZero() && !a.opts.Off.Drain
 }
 
 // describe fills the agent's own record for the exchange.
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -91,7 +91,7 @@
 func TestRecallCheckOffIsReported(t *testing.T) {
 	found := violations(t)
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, fleet.KindModel, func(o *Options) { o.off.recallCheck = true })
+		f := newFixture(t, fleet.KindModel, func(o *Options) { o.Off.RecallCheck = true })
 		defer f.close()
 		f.engine.set(func(e *fakeEngine) { e.pace, e.ignoreOrder = 300*time.Millisecond, true })
 		att := f.submit(t.Context(), modelRequest("a"))
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -63,9 +63,13 @@
 
 func newDispatcher(opts dispatchOptions) *dispatcher {
 	budget := limit.BudgetOptions{Disabled: opts.Disabled.RetryBudget}
+	timing := opts.Timing.withDefaults()
+	if opts.Disabled.Silence {
+		timing.Silence = defaultMaxTimeout
+	}
 	return &dispatcher{
 		opts:             opts,
-		timing:           opts.Timing.withDefaults(),
+		timing:           timing,
 		epochs:           opts.Epochs,
 		members:          opts.Members,
 		agents:           opts.Agents,
@@ -147,8 +151,11 @@
 
 // run executes a request until its answer is complete. The error is an *errkind.Error with the final run state.
 func (d *dispatcher) run(ctx context.Context, r *request) error {
-	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(-d.margin(r)))
-	defer cancel()
+	if !d.opts.Disabled.Deadline {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.deadline.Add(-d.margin(r)))
+		defer cancel()
+	}
 	if err := d.admit(r); err != nil {
 		return r.final(err)
 	}
@@ -170,6 +177,11 @@
 	return min(d.timing.AnswerMargin, total/10)
 }
 
+// answerMargin is the part of the margin of a non-idempotent call that is left to write the answer.
+func (d *dispatcher) answerMargin(r *request) time.Duration {
+	return min(d.timing.AnswerMargin, d.margin(r)/4)
+}
+
 // cancelBudget bounds the wait for an agent's answer to Cancel.
 func (d *dispatcher) cancelBudget(r *request) time.Duration {
 	left := time.Until(r.deadline) / 2
@@ -478,12 +490,13 @@
 	return route.Choice{}, false
 }
 
-// accept refuses a first attempt that the estimate says cannot begin in time.
+// accept refuses a first attempt that could not begin in time on an idle engine. Whether queued work leaves enough time is
+// for the agent to say: only its queue knows the share of the workspace.
 func (rd *round) accept(c route.Choice) (route.Choice, error) {
 	if rd.attempts == 0 {
 		rd.d.endpointRetries.Earn(c.Endpoint.Name)
-		if c.Estimate > time.Until(rd.r.deadline) {
-			return c, errkind.New(errkind.DeadlineUnmeetable, "queued work ahead does not finish before the deadline")
+		if c.Prefill > time.Until(rd.r.deadline) {
+			return c, errkind.New(errkind.DeadlineUnmeetable, "the prompt alone cannot be prefilled before the deadline")
 		}
 	}
 	rd.attempts++
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -63,6 +63,7 @@
 	done()
 	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 3, PrefillRate: 1000, KvFree: 100, KvCapacity: 100_000})
 	assert.Equal(t, 500*time.Millisecond+memoryWait, estimate(e, chat, false))
+	assert.Equal(t, 10*time.Second+9900*time.Millisecond, estimate(e, &Request{PromptTokens: 10_000}, false), "missing memory is freed at the rate of prefill")
 	v.Observe(&wire.Load{Endpoint: "model-000", Sequence: 4, PrefillRate: 1000, KvFree: 9000, KvCapacity: 9000, QueuedPrefill: 4000})
 	favor := &Request{Class: fleet.ClassInteractive, PromptTokens: 500, Favor: fleet.FavorSlowdown}
 	assert.Greater(t, cost(e, favor, false), cost(e, chat, false), "slowdown counts the work that would be delayed")
@@ -189,6 +190,42 @@
 	})
 }
 
+// Guards against a third endpoint for an unproven prompt at an entry that knows less of the fleet than the others: one
+// that was restarted, or one that has already heard that an endpoint leaves.
+func TestConfinedRequestsAgreeWithPartialViews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Request{Prefix: 11, Fingerprint: 12, Confined: true}
+		v, p := testPool(4, 1)
+		want, _ := p.allowed(r)
+		for i, first := range want.list {
+			v.Endpoint(first.Name).SetAvailable(false, true)
+			got, _ := p.allowed(r)
+			assert.Equal(t, want.list, got.list, "endpoint %d leaves", i)
+			v.Endpoint(first.Name).SetAvailable(false, false)
+			got, _ = p.allowed(r)
+			assert.Equal(t, want.list, got.list, "endpoint %d fails after it left", i)
+			v.Endpoint(first.Name).SetAvailable(true, false)
+
+			restarted := NewView(Options{})
+			var names []string
+			for _, e := range p.endpoints {
+				names = append(names, e.Name)
+				if e != first {
+					restarted.Endpoint(e.Name).SetAvailable(true, false)
+				}
+			}
+			restarted.Endpoint(first.Name).SetAvailable(false, i == 0)
+			got, _ = restarted.Pool(names).allowed(r)
+			assert.Equal(t, []string{want.list[0].Name, want.list[1].Name}, []string{got.list[0].Name, got.list[1].Name}, "endpoint %d is down or leaving when the entry first hears of it", i)
+		}
+		for _, e := range want.list {
+			e.SetAvailable(false, true)
+		}
+		_, ok := leastTTFT{}.Choose(p, r)
+		assert.True(t, ok, "requests do not wait for endpoints that are gone by plan")
+	})
+}
+
 // Guards against allocations that grow with the fleet.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	_, p := testPool(770, 1)
