--- a/internal/processes/harness_test.go
+++ b/internal/processes/harness_test.go
@@ -399,14 +399,20 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid&255, fleets.Add(1))
 }
 
-// freeAddrs returns distinct free addresses. They are held together until all are known.
+// firstPort is below the range from which the kernel takes ports for other listeners and connections.
+const firstPort = 21_000
+
+// freeAddrs returns distinct free addresses of an address that belongs to one fleet.
 func freeAddrs(t *testing.T, ip string, n int) []string {
 	t.Helper()
 	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
+	for port := firstPort; len(addrs) < n; port++ {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+		if err != nil {
+			require.Less(t, port, 2*firstPort, err)
+			continue // somebody listens on this port of all addresses
+		}
+		require.NoError(t, l.Close())
 		addrs = append(addrs, l.Addr().String())
 	}
 	return addrs
