--- a/member/table.go
+++ b/member/table.go
@@ -1,7 +1,7 @@
 package member
 
 import (
-	"maps"
+	"container/list"
 	"math"
 	"slices"
 	"sync"
@@ -45,9 +45,9 @@
 	dropped time.Time // when the list dropped it
 	leaving bool      // of the current incarnation, or said by the list
 	retired []string
-	epoch   int64  // highest epoch that the node is known to hold, in any incarnation
-	told    int64  // highest epoch that the node itself told this node
-	spread  uint64 // order of change, for newest-first gossip
+	epoch   int64 // highest epoch that the node is known to hold, in any incarnation
+	told    int64 // highest epoch that the node itself told this node
+	spread  *list.Element
 }
 
 // Table joins the VM list, heartbeats and direct evidence. It is safe for concurrent use.
@@ -56,8 +56,9 @@
 
 	mu       sync.Mutex
 	nodes    map[string]*state
+	names    []string          // keys of nodes in order
 	byEnd    map[string]string // endpoint name to node name
-	change   uint64
+	spread   *list.List        // names, the most recently changed first, for gossip
 	cached   view
 	urgent   map[string]bool // names whose leaving is to be pushed at once
 	wakePush chan struct{}
@@ -65,7 +66,8 @@
 
 // view is a cached answer of Entries and Agents.
 type view struct {
-	at      time.Time
+	at      time.Time // zero: outdated
+	built   time.Time
 	entries []Node
 	agents  []Node
 }
@@ -73,14 +75,16 @@
 // NewTable returns an empty table.
 func NewTable(o Options) *Table {
 	return &Table{options: o, nodes: make(map[string]*state), byEnd: make(map[string]string),
-		urgent: make(map[string]bool), wakePush: make(chan struct{}, 1)}
+		spread: list.New(), urgent: make(map[string]bool), wakePush: make(chan struct{}, 1)}
 }
 
 func (t *Table) node(name string) *state {
 	s := t.nodes[name]
 	if s == nil {
-		s = &state{}
+		s = &state{spread: t.spread.PushBack(name)}
 		t.nodes[name] = s
+		at, _ := slices.BinarySearch(t.names, name)
+		t.names = slices.Insert(t.names, at, name)
 	}
 	return s
 }
@@ -113,6 +117,10 @@
 
 func (t *Table) forget(name string, s *state) {
 	delete(t.nodes, name)
+	t.spread.Remove(s.spread)
+	if at, found := slices.BinarySearch(t.names, name); found {
+		t.names = slices.Delete(t.names, at, at+1)
+	}
 	if s.record != nil && t.byEnd[s.record.Endpoint] == name {
 		delete(t.byEnd, s.record.Endpoint)
 	}
@@ -133,10 +141,7 @@
 	}
 }
 
-func (t *Table) touch(s *state) {
-	t.change++
-	s.spread = t.change
-}
+func (t *Table) touch(s *state) { t.spread.MoveToFront(s.spread) }
 
 // Observe merges a gossiped record that arrived now. direct says that the node itself sent it.
 func (t *Table) Observe(r *wire.NodeRecord, direct bool) {
@@ -322,8 +327,8 @@
 	if !t.cached.at.IsZero() && now.Sub(t.cached.at) < maxViewAge {
 		return t.cached
 	}
-	next := view{at: now}
-	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+	next := view{at: now, built: now}
+	for _, name := range t.names {
 		n := t.describe(name, t.nodes[name], now)
 		switch {
 		case n.Role == platform.RoleEntry && t.mayBeLive(t.nodes[name], now):
@@ -341,6 +346,18 @@
 	return s.listed || t.live(s, now) || !s.heard.IsZero() && now.Sub(s.heard) < t.silentAfter()
 }
 
+// EntriesWithin returns Entries as they were at most age ago. The exchange chooses its targets from it: rebuilding the
+// view for every message would be most of the processor time of a node in a large fleet.
+func (t *Table) EntriesWithin(age time.Duration) []Node {
+	t.mu.Lock()
+	held := t.cached
+	t.mu.Unlock()
+	if held.built.IsZero() || time.Since(held.built) >= age {
+		held = t.current()
+	}
+	return held.entries
+}
+
 // Entries implements View. The slice is shared; callers must not change it.
 func (t *Table) Entries() []Node { return t.current().entries }
 
@@ -399,7 +416,7 @@
 	now := time.Now()
 	bound = max(bound, t.silentAfter()) // in a large fleet the news that a node was heard takes longer than the bound
 	var holders []Holder
-	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+	for _, name := range t.names {
 		s := t.nodes[name]
 		if !s.listed && (s.heard.IsZero() || now.Sub(s.heard) >= bound) {
 			continue
@@ -414,24 +431,15 @@
 func (t *Table) Records(limit int, skip string) []*wire.NodeRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make([]string, 0, len(t.nodes))
-	for name, s := range t.nodes {
+	names := make([]string, 0, limit)
+	for e := t.spread.Front(); e != nil && len(names) < limit; e = e.Next() {
+		name, _ := e.Value.(string)
+		s := t.nodes[name]
 		if s.record != nil && name != t.options.Name && (name != skip || s.leaving) {
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int { return compareSpread(t.nodes[b], t.nodes[a]) })
-	return t.recordsLocked(names[:min(len(names), limit)])
-}
-
-func compareSpread(a, b *state) int {
-	switch {
-	case a.spread < b.spread:
-		return -1
-	case a.spread > b.spread:
-		return 1
-	}
-	return 0
+	return t.recordsLocked(names)
 }
 
 func (t *Table) recordsLocked(names []string) []*wire.NodeRecord {
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -77,6 +77,12 @@
 	return counterValue(p.metrics.sent), counterValue(p.metrics.received)
 }
 
+// Exchanges returns the requests that this node sent.
+func (p *Peer) Exchanges() float64 {
+	return counterValue(p.metrics.exchanges.WithLabelValues(result(nil))) +
+		counterValue(p.metrics.exchanges.WithLabelValues("error"))
+}
+
 func counterValue(c prometheus.Counter) float64 {
 	var m dto.Metric
 	if err := c.Write(&m); err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -115,7 +115,7 @@
 func (p *Peer) targets() []string {
 	var live, other []string
 	seen := map[string]bool{p.options.Addr: true}
-	for _, n := range p.members.Entries() {
+	for _, n := range p.members.EntriesWithin(p.options.Interval) {
 		if n.Addr == "" || seen[n.Addr] {
 			continue
 		}
@@ -305,7 +305,7 @@
 
 func (p *Peer) someEntries() []string {
 	var addrs []string
-	for _, n := range p.members.Entries() {
+	for _, n := range p.members.EntriesWithin(p.options.Interval) {
 		if n.Live {
 			addrs = append(addrs, n.Addr)
 		}
