Spread the collection of confirmations; poll by listed entries; renew expiring evidence

Cause: the accepting entry asked each of 360 entries every second, and each reply listed the holders as hashes of 8 bytes, so that one acceptance cost it 810 KB within 10 s. It now asks one random entry per share (19 shares of 19 entries at 360), which asks its share; holders are one bit per name of the VM list when both sides hold the same list.

Cause: an entry divided the read rate by the entries that it took for live, and gossip lags behind at 1,130 nodes, so that it counted too few. It now counts the entries that the list names or that were heard lately.

Messages carry the highest epoch known to be in force, so that it stays known when the accepting entry dies.

--- a/epoch/force.go
+++ b/epoch/force.go
@@ -41,6 +41,20 @@
 
 func newForceTracker() *forceTracker { return &forceTracker{} }
 
+// learn takes over that another node found an epoch in force. The chain of texts then starts there, if this node still
+// has that text; without it a restarted entry could not apply the second rule.
+func (f *forceTracker) learn(epoch int64, base func(int64) *fleet.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch <= f.inForce {
+		return
+	}
+	f.inForce = epoch
+	if s := base(epoch); s != nil {
+		f.texts, f.since = []*fleet.Snapshot{s}, time.Time{}
+	}
+}
+
 // update computes whether current is in force.
 func (f *forceTracker) update(current *fleet.Snapshot, base func(int64) *fleet.Snapshot, nodes func(time.Duration) []member.Holder) bool {
 	f.mu.Lock()
@@ -159,7 +173,9 @@
 	if current == nil || epoch <= 0 {
 		return false
 	}
+	a.force.learn(a.options.Store.InForce(), a.options.Store.Base)
 	done := a.force.update(current, a.options.Store.Base, a.options.Fleet.Nodes)
+	a.options.Store.ObserveInForce(a.force.highest())
 	if done {
 		return epoch <= current.Epoch
 	}
--- a/epoch/store.go
+++ b/epoch/store.go
@@ -39,6 +39,7 @@
 	domainAt    map[string]time.Time // per failure domain, time of the newest contact
 	established bool                 // this process has known a current epoch since it started
 	highest     int64                // highest epoch ever held, for the invariant
+	inForce     int64                // highest epoch known to be in force at every node
 }
 
 // NewStore returns an empty store for a node in a failure domain.
@@ -74,6 +75,21 @@
 	return s.snapshot.Epoch
 }
 
+// InForce returns the highest epoch that any node is known to have found in force.
+func (s *Store) InForce() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inForce
+}
+
+// ObserveInForce records that a node found an epoch in force. An epoch that was in force stays so, hence late messages
+// do no harm.
+func (s *Store) ObserveInForce(epoch int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inForce = max(s.inForce, epoch)
+}
+
 // Changed implements View.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -181,11 +197,18 @@
 	return s.freshLocked(time.Now())
 }
 
+// Expiring reports whether the evidence will be too old within half of the freshness bound, unless it is renewed.
+func (s *Store) Expiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot == nil || !s.freshWithin(time.Now(), s.snapshot.Text.Settings.FreshnessBound/2)
+}
+
 func (s *Store) freshLocked(now time.Time) bool {
-	if s.snapshot == nil {
-		return false
-	}
-	bound := s.snapshot.Text.Settings.FreshnessBound
+	return s.snapshot != nil && s.freshWithin(now, s.snapshot.Text.Settings.FreshnessBound)
+}
+
+func (s *Store) freshWithin(now time.Time, bound time.Duration) bool {
 	if s.young(s.tableAt, now, bound) {
 		return true
 	}
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -128,7 +128,7 @@
 	gate := nodeTable{n}
 	services := platform.Services{Table: gate, Objects: nodeObjects{n}, VMs: n.world}
 	p, err := peer.New(peer.Options{Name: n.Name, Addr: n.Addr, FailureDomain: n.Domain, Role: n.Role, Endpoint: endpointOf(n),
-		Incarnation: incarnation, Services: services, Client: n.client, Store: store, PollOnly: o.PollOnly})
+		Incarnation: incarnation, Services: services, Client: n.client, Store: store, PollOnly: o.PollOnly, Self: n.report})
 	if err != nil {
 		return err
 	}
@@ -151,6 +151,16 @@
 	return nil
 }
 
+// report adds what an agent of a model engine reports, so that messages have their usual size.
+func (n *Node) report(r *wire.NodeRecord) {
+	if n.Role != platform.RoleAgent {
+		return
+	}
+	r.Load = &wire.Load{Endpoint: r.Endpoint, Sequence: uint64(time.Now().UnixMilli()), QueuedPrefill: 250_000, KvFree: 400_000,
+		KvCapacity: 900_000, PrefillRate: 24_000, Running: 20, Waiting: 4, Incarnation: r.Incarnation}
+	r.Loaded = []*wire.Version{{Model: "model-07", Version: "2026-11-02", Batch: "delivery-2026-11"}}
+}
+
 func endpointOf(n *Node) string {
 	if n.Role == platform.RoleAgent {
 		return "endpoint-" + n.Name
--- a/member/table.go
+++ b/member/table.go
@@ -2,11 +2,14 @@
 
 import (
 	"container/list"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
@@ -57,6 +60,8 @@
 	mu       sync.Mutex
 	nodes    map[string]*state
 	names    []string          // keys of nodes in order
+	listed   []string          // names of the newest list, in order
+	digest   uint64            // of listed
 	byEnd    map[string]string // endpoint name to node name
 	spread   *list.List        // names, the most recently changed first, for gossip
 	cached   view
@@ -112,9 +117,19 @@
 			t.forget(name, s)
 		}
 	}
+	t.listed = slices.Sorted(maps.Keys(named))
+	t.digest = xxhash.Sum64String(strings.Join(t.listed, "\n"))
 	t.cached.at = time.Time{}
 }
 
+// Listed returns the names of the newest VM list in order and their digest. Nodes with equal digests number the names
+// alike. The slice must not be changed.
+func (t *Table) Listed() (names []string, digest uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed, t.digest
+}
+
 func (t *Table) forget(name string, s *state) {
 	delete(t.nodes, name)
 	t.spread.Remove(s.spread)
@@ -237,6 +252,14 @@
 	s.epoch = max(s.epoch, epoch)
 }
 
+// Told records that a node told another entry that it holds an epoch, so that ToldEpoch passes it on.
+func (t *Table) Told(name string, epoch int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.node(name)
+	s.epoch, s.told = max(s.epoch, epoch), max(s.told, epoch)
+}
+
 // ObserveLoad implements View. A load that the agent sent itself is direct evidence that it runs.
 func (t *Table) ObserveLoad(load *wire.Load) {
 	if load == nil {
@@ -427,19 +450,25 @@
 	return holders
 }
 
-// Records returns up to limit records of other nodes to gossip, the most recently changed first, without those of skip.
+// Records returns up to limit bytes of records of other nodes to gossip, the most recently changed first, without those
+// of skip.
 func (t *Table) Records(limit int, skip string) []*wire.NodeRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make([]string, 0, limit)
-	for e := t.spread.Front(); e != nil && len(names) < limit; e = e.Next() {
+	var records []*wire.NodeRecord
+	for e := t.spread.Front(); e != nil; e = e.Next() {
 		name, _ := e.Value.(string)
 		s := t.nodes[name]
-		if s.record != nil && name != t.options.Name && (name != skip || s.leaving) {
-			names = append(names, name)
+		if s.record == nil || name == t.options.Name || name == skip && !s.leaving {
+			continue
+		}
+		r := t.recordsLocked([]string{name})[0]
+		if limit -= proto.Size(r); limit < 0 {
+			break
 		}
+		records = append(records, r)
 	}
-	return t.recordsLocked(names)
+	return records
 }
 
 func (t *Table) recordsLocked(names []string) []*wire.NodeRecord {
--- a/peer/options.go
+++ b/peer/options.go
@@ -17,15 +17,14 @@
 // Defaults and bounds of the exchange. The bounds keep a node within 21 KB/s at 1,130 nodes.
 const (
 	DefaultInterval  = time.Second
-	fanout           = 4  // entries to which a node sends a new epoch
-	maxRecords       = 24 // node records per message between entries
-	maxUrgent        = 64 // leaving nodes per push
-	maxBlames        = 16 // blame records per message
-	maxKnown         = 8  // entry addresses in a reply to an agent
-	maxAsks          = 64 // pending requests for a newer text
-	exchangeTries    = 3  // targets tried per interval while exchanges fail
-	collectParallel  = 16
-	listNodesPerSec  = 20 // with the size of the fleet the list grows; nodes then read it less often
+	fanout           = 4    // entries to which a node sends a new epoch
+	maxRecordBytes   = 1800 // of node records per message between entries, about ten records with load
+	maxUrgent        = 64   // leaving nodes per push
+	maxBlames        = 16   // blame records per message
+	maxKnown         = 8    // entry addresses in a reply to an agent
+	maxAsks          = 64   // pending requests for a newer text
+	exchangeTries    = 3    // targets tried per interval while exchanges fail
+	listNodesPerSec  = 20   // with the size of the fleet the list grows; nodes then read it less often
 	minListInterval  = time.Second
 	confirmPause     = 100 * time.Millisecond
 	probeDeadOneInto = 10 // one exchange in ten goes to an entry that does not look live, so that partitions heal
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/epoch"
@@ -113,16 +112,20 @@
 // targets returns the addresses of the other entries in random order, live ones first. Sometimes it starts with one
 // that does not look live.
 func (p *Peer) targets() []string {
-	var live, other []string
+	var live, far, other []string
+	expiring := p.store.Expiring()
 	seen := map[string]bool{p.options.Addr: true}
 	for _, n := range p.members.EntriesWithin(p.options.Interval) {
 		if n.Addr == "" || seen[n.Addr] {
 			continue
 		}
 		seen[n.Addr] = true
-		if n.Live {
+		switch {
+		case n.Live && expiring && n.FailureDomain != p.options.FailureDomain:
+			far = append(far, n.Addr)
+		case n.Live:
 			live = append(live, n.Addr)
-		} else {
+		default:
 			other = append(other, n.Addr)
 		}
 	}
@@ -132,8 +135,10 @@
 			other = append(other, addr)
 		}
 	}
+	shuffle(far)
 	shuffle(live)
 	shuffle(other)
+	live = append(far, live...)
 	if len(live) > 0 && len(other) > 0 && rand.IntN(probeDeadOneInto) == 0 {
 		return append(other[:1:1], live...)
 	}
@@ -175,14 +180,14 @@
 	if p.options.PollOnly {
 		return
 	}
-	req.Epoch = p.store.Epoch()
+	req.Epoch, req.InForce = p.store.Epoch(), p.store.InForce()
 	p.mu.Lock()
 	if p.whole {
 		req.Epoch = 0
 	}
 	p.mu.Unlock()
 	if p.options.Role == platform.RoleEntry && req.Records == nil && req.CollectEpoch == 0 {
-		req.Records = p.members.Records(maxRecords, "")
+		req.Records = p.members.Records(maxRecordBytes, "")
 	}
 	if p.options.Blames != nil {
 		req.Blames = p.options.Blames.Outgoing(maxBlames)
@@ -202,6 +207,7 @@
 		return
 	}
 	p.apply(reply.Change)
+	p.store.ObserveInForce(reply.InForce)
 	p.store.Merge(start, reply.Epoch, reply.Evidence)
 	if p.options.Role == platform.RoleAgent && reply.Epoch < p.store.Epoch() {
 		p.send(ctx, addr, reply.Epoch)
@@ -250,7 +256,7 @@
 }
 
 // Exchange implements wire.Peer.
-func (p *Peer) Exchange(_ context.Context, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+func (p *Peer) Exchange(ctx context.Context, req *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	if req.Sender == nil || req.Sender.Name == "" {
 		return nil, errors.New("exchange without a sender")
 	}
@@ -264,8 +270,12 @@
 	}
 	if !p.options.PollOnly {
 		p.apply(req.Change)
+		p.store.ObserveInForce(req.InForce)
 		p.askIfBehind(req)
 	}
+	if req.CollectShares > 0 {
+		p.collectShare(ctx, req)
+	}
 	reply := p.reply(req)
 	p.metrics.countSent(reply)
 	return reply, nil
@@ -288,9 +298,9 @@
 		reply.KnownEntries = p.someEntries()
 		reply.Records = p.members.LeavingRecord(req.Sender.Name)
 	case req.CollectEpoch != 0:
-		reply.Holders = hashes(p.members.ToldEpoch(req.CollectEpoch))
+		reply.HolderBits, reply.Holders = p.holders(req)
 	default:
-		reply.Records = p.members.Records(maxRecords, req.Sender.Name)
+		reply.Records = p.members.Records(maxRecordBytes, req.Sender.Name)
 	}
 	if p.options.Blames != nil {
 		reply.Blames = p.options.Blames.Outgoing(maxBlames)
@@ -299,6 +309,7 @@
 		return reply
 	}
 	reply.Epoch, reply.Evidence = p.store.Evidence()
+	reply.InForce = p.store.InForce()
 	reply.Change = p.store.ChangeFrom(req.Epoch)
 	return reply
 }
@@ -314,14 +325,7 @@
 	return addrs[:min(len(addrs), maxKnown)]
 }
 
-func hashes(names []string) []uint64 {
-	sums := make([]uint64, 0, len(names))
-	for _, n := range names {
-		sums = append(sums, xxhash.Sum64String(n))
-	}
-	return sums
-}
-
+// askLoop fetches newer texts from entries that announced one.
 func (p *Peer) askLoop(ctx context.Context) {
 	for {
 		addr, err := p.asks.Pop(ctx)
@@ -430,7 +434,7 @@
 	if p.options.PollOnly {
 		return len(p.members.PossiblyServing(0))
 	}
-	return p.members.LiveEntries()
+	return len(p.members.Entries())
 }
 
 func (p *Peer) listLoop(ctx context.Context) {
@@ -509,27 +513,6 @@
 	return append(far, near...)
 }
 
-// Collect asks every entry which nodes told it that they hold an epoch, and merges the answers. One node collects for a
-// few seconds after an acceptance; gossip alone would take about 18 s at 1,130 nodes.
-func (p *Peer) Collect(ctx context.Context, held int64) {
-	names := make(map[uint64]string)
-	for _, h := range p.members.PossiblyServing(0) {
-		names[xxhash.Sum64String(h.Name)] = h.Name
-	}
-	entries := p.confirmers()
-	p.parallel(len(entries), collectParallel, func(i int) {
-		reply, err := p.exchange(ctx, entries[i].Addr, &wire.ExchangeRequest{CollectEpoch: held})
-		if err != nil {
-			return
-		}
-		for _, sum := range reply.Holders {
-			if name, ok := names[sum]; ok {
-				p.members.Holds(name, held)
-			}
-		}
-	})
-}
-
 // Nodes returns the nodes that may be serving.
 func (p *Peer) Nodes(bound time.Duration) []member.Holder { return p.members.PossiblyServing(bound) }
 
