Page the audit trail; test in-force after the accepting entry dies, leaving at 300 nodes, the operators' handlers

Audit read every row of the trail for each answer. A page has at most 1,000 records and an answer reads at most 20 pages, since refusals of one epoch are not bounded. The keys of refusals now begin with the epoch at which they were refused, so that key order is time order.

--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -85,6 +85,7 @@
 
 // AuditRecord is the value of an audit row.
 type AuditRecord struct {
+	Key        string    `json:"key,omitempty"` // of the row, to ask for the records after it
 	Time       time.Time `json:"time"`
 	Node       string    `json:"node"`
 	Operator   string    `json:"operator"`
@@ -379,7 +380,7 @@
 	record.Details = truncate(r.Details)
 	value, err := json.Marshal(record)
 	if err == nil {
-		key := refusedPrefix + sub.ID + "-" + rand.Text()[:8]
+		key := fmt.Sprintf("%s-refused-%020d-%s-%s", auditKey(r.Epoch), record.Time.UnixNano(), sub.ID, rand.Text()[:8])
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
 		_, err = a.options.Services.Table.Commit(ctx, platform.Write{Key: key, Value: value})
@@ -390,30 +391,60 @@
 	}
 }
 
-// Audit returns up to limit audit records, oldest first. Errors: StoreUnavailable.
-func (a *Acceptor) Audit(ctx context.Context, limit int) ([]AuditRecord, error) {
-	const page = 500
+// Limits of one answer of the audit trail.
+const (
+	MaxAuditLimit = 1000
+	maxAuditPages = 20 // pages read for the newest records: refusals of one epoch are not bounded
+)
+
+// Audit returns up to limit audit records, oldest first: those after a key, or the newest ones if after is empty. The
+// order is by epoch; refusals follow the epoch at which they were refused. Errors: InvalidRequest, StoreUnavailable.
+func (a *Acceptor) Audit(ctx context.Context, after string, limit int) ([]AuditRecord, error) {
+	if limit < 1 || limit > MaxAuditLimit || after != "" && !strings.HasPrefix(after, AuditPrefix) {
+		return nil, errkind.New(errkind.InvalidRequest, "limit must be between 1 and 1000, and after the key of a record")
+	}
+	if after != "" {
+		return a.auditPage(ctx, after, limit)
+	}
+	current, _, err := readCurrent(ctx, a.options.Services.Table)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.StoreUnavailable, "the table is down")
+	}
 	var records []AuditRecord
-	after := ""
-	for len(records) < limit {
-		rows, err := a.options.Services.Table.Scan(ctx, AuditPrefix, after, page)
+	after = auditKey(max(current.Epoch-int64(limit), 0))
+	if current.Epoch <= int64(limit) {
+		after = AuditPrefix
+	}
+	for range maxAuditPages {
+		page, err := a.auditPage(ctx, after, limit)
 		if err != nil {
-			return nil, errkind.Wrap(err, errkind.StoreUnavailable, "the table is down")
-		}
-		for _, row := range rows {
-			var r AuditRecord
-			if err := json.Unmarshal(row.Value, &r); err != nil {
-				return nil, errkind.Wrap(err, errkind.Internal, "audit row "+row.Key)
-			}
-			records = append(records, r)
-			after = row.Key
+			return nil, err
 		}
-		if len(rows) < page {
+		records = append(records, page...)
+		records = records[max(0, len(records)-limit):]
+		if len(page) < limit {
 			break
 		}
+		after = page[len(page)-1].Key
+	}
+	return records, nil
+}
+
+func (a *Acceptor) auditPage(ctx context.Context, after string, limit int) ([]AuditRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := a.options.Services.Table.Scan(ctx, AuditPrefix, after, limit)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.StoreUnavailable, "the table is down")
+	}
+	records := make([]AuditRecord, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &records[i]); err != nil {
+			return nil, errkind.Wrap(err, errkind.Internal, "audit row "+row.Key)
+		}
+		records[i].Key = row.Key
 	}
-	slices.SortStableFunc(records, func(x, y AuditRecord) int { return x.Time.Compare(y.Time) })
-	return records[max(0, len(records)-limit):], nil
+	return records, nil
 }
 
 // Current returns the current snapshot, read from the table if possible. Errors: NotReady.
--- a/epoch/current.go
+++ b/epoch/current.go
@@ -17,7 +17,6 @@
 const (
 	CurrentKey      = "fleet/current"
 	AuditPrefix     = "audit/"
-	refusedPrefix   = AuditPrefix + "refused-"
 	objectPrefix    = "fleet/"
 	callTimeout     = 2 * time.Second // of one call of the table or the object store
 	fleetReadRate   = 10.0            // table reads per second of all entries together
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -266,12 +266,14 @@
 
 // AuditCmd is `audit`.
 type AuditCmd struct {
-	Limit int `default:"100" help:"Newest records to show."`
+	Limit int    `default:"100" help:"Records to show, at most 1000: the newest ones, or those after a key."`
+	After string `help:"Key of a record; shows the records after it. 'audit/' starts at the oldest."`
 }
 
 // Run prints the audit trail, oldest first.
 func (c *AuditCmd) Run(x *Context) error {
-	body, _, err := x.call(http.MethodGet, "/v1/audit?limit="+strconv.Itoa(c.Limit), nil, nil)
+	query := url.Values{"limit": {strconv.Itoa(c.Limit)}, "after": {c.After}}
+	body, _, err := x.call(http.MethodGet, "/v1/audit?"+query.Encode(), nil, nil)
 	if err != nil {
 		return err
 	}
@@ -283,8 +285,8 @@
 		return x.json(records)
 	}
 	for _, r := range records {
-		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %q at %s  submission %s\n", r.Time.Format(time.RFC3339), r.Outcome,
-			r.Epoch, r.Base, r.Operator, r.Node, r.Submission)
+		fmt.Fprintf(x.Out, "%s  %s  epoch %d  base %d  by %q at %s  submission %s  key %s\n", r.Time.Format(time.RFC3339), r.Outcome,
+			r.Epoch, r.Base, r.Operator, r.Node, r.Submission, r.Key)
 		for _, d := range r.Details {
 			fmt.Fprintf(x.Out, "    %s\n", d)
 		}
--- a/internal/experiment/accept_test.go
+++ b/internal/experiment/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,7 +31,7 @@
 }
 
 func audit(t *testing.T, ctx context.Context, a *epoch.Acceptor) (outcomes []string) {
-	records, err := a.Audit(ctx, 100)
+	records, err := a.Audit(ctx, "", 100)
 	require.NoError(t, err)
 	for _, r := range records {
 		outcomes = append(outcomes, r.Submission+" "+r.Outcome)
@@ -193,3 +194,87 @@
 		require.True(t, w.Nodes[4].Peer().Members().SelfLeaving(), "the node itself is told")
 	})
 }
+
+// Guards against an audit trail that is read as a whole for each answer, and pages that skip or repeat records.
+func TestAuditIsPaged(t *testing.T) {
+	inFleet(t, func(t *testing.T, ctx context.Context, w *World) {
+		a := w.Nodes[0].Acceptor()
+		for i := range int64(12) {
+			_, err := a.Submit(ctx, submission(fmt.Sprintf("s%02d", i), i, int(i)+1))
+			require.NoError(t, err)
+			_, err = a.Submit(ctx, submission(fmt.Sprintf("r%02d", i), i, 99))
+			require.Error(t, err)
+		}
+		newest, err := a.Audit(ctx, "", 5)
+		require.NoError(t, err)
+		require.Len(t, newest, 5)
+		require.Equal(t, "r11", newest[4].Submission)
+		reads, _ := w.Table.Counts()
+		_, err = a.Audit(ctx, "", 5)
+		require.NoError(t, err)
+		after, _ := w.Table.Counts()
+		require.LessOrEqual(t, after-reads, 4, "the row of the current epoch and three pages")
+		var all []string
+		for key := epoch.AuditPrefix; ; {
+			page, err := a.Audit(ctx, key, 7)
+			require.NoError(t, err)
+			if len(page) == 0 {
+				break
+			}
+			for _, r := range page {
+				all = append(all, r.Submission)
+			}
+			key = page[len(page)-1].Key
+		}
+		require.Len(t, all, 24)
+		require.Equal(t, []string{"s00", "r00", "s01", "r01"}, all[:4])
+		_, err = a.Audit(ctx, "", epoch.MaxAuditLimit+1)
+		require.True(t, errkind.Is(err, errkind.InvalidRequest))
+		_, err = a.Audit(ctx, "once/", 1)
+		require.True(t, errkind.Is(err, errkind.InvalidRequest), "no other rows can be read")
+	})
+}
+
+// Guards against an epoch that no other entry can report in force once the accepting entry is gone, also while the VM
+// list still names it.
+func TestInForceAfterAcceptingEntryDies(t *testing.T) {
+	inFleet(t, func(t *testing.T, ctx context.Context, w *World) {
+		w.Nodes[3].Stop() // still listed, so that the rule of the majority is needed
+		_, err := w.Nodes[0].Acceptor().Submit(ctx, submission("one", 0, 1))
+		require.NoError(t, err)
+		w.Nodes[0].Stop()
+		other := w.Nodes[1].Acceptor()
+		start := time.Now()
+		for !other.Status().InForce && time.Since(start) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Less(t, time.Since(start), 10*time.Second, "two of three domains are complete; the freshness bound of 4 s must pass")
+		require.Equal(t, []string{"entry-0003"}, other.Status().Unconfirmed)
+
+		w.Nodes[2].Stop()
+		require.NoError(t, w.Nodes[2].Start(ctx))
+		time.Sleep(propagationBound)
+		require.True(t, w.Nodes[2].Acceptor().InForce(1), "a restarted entry learns it from the others")
+	})
+}
+
+// Guards against a leaving node that looks live at some entry of a larger fleet after 3 s.
+func TestLeavingReachesEveryEntryOf300Nodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := NewWorld(Options{Entries: 96, Agents: 204, Domains: 7})
+		require.NoError(t, w.Start(ctx))
+		time.Sleep(40 * time.Second)
+		leaving := w.Nodes[100]
+		name := "endpoint-" + leaving.Name
+		w.Nodes[0].Peer().Members().ObserveLeaving(name)
+		time.Sleep(3 * time.Second)
+		for _, n := range w.Nodes[:96] {
+			got, _ := n.Peer().Members().Endpoint(name)
+			require.False(t, got.Live, n.Name)
+		}
+		require.True(t, leaving.Peer().Members().SelfLeaving(), "the node itself is told")
+		cancel()
+		w.Stop()
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -30,7 +30,6 @@
 const (
 	maxIDLength       = 64
 	defaultAuditLimit = 100
-	maxAuditLimit     = 10000
 )
 
 // Acceptor is what the handlers need of epoch.Acceptor.
@@ -38,7 +37,7 @@
 	Submit(ctx context.Context, sub epoch.Submission) (epoch.Accepted, error)
 	Current(ctx context.Context) (*fleet.Snapshot, error)
 	Status() epoch.Status
-	Audit(ctx context.Context, limit int) ([]epoch.AuditRecord, error)
+	Audit(ctx context.Context, after string, limit int) ([]epoch.AuditRecord, error)
 }
 
 // Options configure a Handler.
@@ -168,13 +167,13 @@
 	limit := defaultAuditLimit
 	if text := r.URL.Query().Get("limit"); text != "" {
 		n, err := strconv.Atoi(text)
-		if err != nil || n < 1 || n > maxAuditLimit {
-			h.fail(w, errkind.New(errkind.InvalidRequest, "limit must be between 1 and 10000"))
+		if err != nil || n < 1 || n > epoch.MaxAuditLimit {
+			h.fail(w, errkind.New(errkind.InvalidRequest, "limit must be between 1 and 1000"))
 			return
 		}
 		limit = n
 	}
-	records, err := h.options.Acceptor.Audit(r.Context(), limit)
+	records, err := h.options.Acceptor.Audit(r.Context(), r.URL.Query().Get("after"), limit)
 	if err != nil {
 		h.fail(w, err)
 		return
