Parse a configuration text once and without quadratic key checks

The tree is now parsed when a fault needs a line, and workspaces are decoded one by one with a map of their names. Faults stay the same.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -223,3 +223,39 @@
 		}
 	})
 }
+
+// Guards against a zero duration that passes because the tree of the text is parsed only when it is needed.
+func TestZeroDurationIsFoundHoweverItIsWritten(t *testing.T) {
+	const service = "services:\n  stock:\n    kind: plain\n    endpoints: [stock-1]\n    "
+	for _, line := range []string{"timeout: 0s", "\"timeout\": 0s", "'timeout' : \"0s\"", "\"time\\x6fut\": 0s", "? timeout\n    : 0s",
+		"timeout:   0s\n    max_timeout: 5s", "max_timeout: 5s\n    timeout: 0s", "timeout: -0s"} {
+		_, faults := Parse([]byte(service + line + "\n"))
+		require.Len(t, faults, 1, line)
+		require.Contains(t, faults[0].Message, "timeout must be positive", line)
+	}
+	_, faults := Parse([]byte(service + "timeout: 5s\n"))
+	require.Empty(t, faults)
+}
+
+// Guards against workspaces that are decoded less strictly than the rest of the text.
+func TestWorkspacesAreDecodedStrictly(t *testing.T) {
+	for text, want := range map[string]string{
+		"workspaces:\n  a: {weight: 1}\n  a: {weight: 2}\n":                      "line 3: mapping key \"a\" already defined at line 2",
+		"workspaces:\n  a: {weigth: 1}\n":                                        "line 2: field weigth not found in type fleet.Workspace",
+		"workspaces:\n  a: {weight: 1, weight: 2}\n":                             "line 2: mapping key \"weight\" already defined at line 2",
+		"workspaces:\n  a: {weight: heavy}\n":                                    "line 2: cannot unmarshal !!str `heavy` into float64",
+		"workspaces:\n  a: {<<: {weigth: 1}}\n":                                  "line 2: field weigth not found in type fleet.Workspace",
+		"workspaces:\n  a: [1]\n":                                                "line 2: cannot unmarshal !!seq into fleet.Workspace",
+		"workspaces: [a]\n":                                                      "line 1: cannot unmarshal !!seq into fleet.plain",
+		"workspaces:\n  a: &d {weight: 2}\n  b:\n    <<: *d\n    service: [x]\n": "line 5: field service not found in type fleet.Workspace",
+	} {
+		_, faults := Parse([]byte(text))
+		require.Len(t, faults, 1, text)
+		require.Equal(t, want, faults[0].String(), text)
+	}
+	_, faults := Parse([]byte("workspaces:\n  a: {weigth: 1}\n  b: {weight: x}\n  c: {serv: []}\n"))
+	require.Len(t, faults, 3, "every fault is reported, not only the first")
+	got, faults := Parse([]byte("workspaces:\n  a: &d {weight: 2}\n  b:\n    <<: *d\n    requests_per_second: 3\n"))
+	require.Empty(t, faults)
+	require.Equal(t, &Workspace{Weight: 2, RequestsPerSecond: 3}, got.Workspaces["b"])
+}
--- a/fleet/parse.go
+++ b/fleet/parse.go
@@ -41,11 +41,7 @@
 	if err := dec.Decode(new(yaml.Node)); err != io.EOF {
 		return nil, []Fault{{Message: "the text must be a single YAML document"}}
 	}
-	root := new(yaml.Node)
-	if err := yaml.Unmarshal(data, root); err != nil {
-		return nil, faultsOf(err)
-	}
-	if faults := validate(text, root); len(faults) > 0 {
+	if faults := validate(text, &tree{raw: data}); len(faults) > 0 {
 		return nil, faults
 	}
 	text.applyDefaults()
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -7,14 +7,14 @@
 
 // Text is the operators' configuration text. It is YAML; unknown fields are faults.
 type Text struct {
-	Settings   Settings              `yaml:"settings"`
-	Services   map[string]*Service   `yaml:"services"`
-	Models     map[string]*Model     `yaml:"models"`
-	Adapters   map[string]*Adapter   `yaml:"adapters"`
-	Batches    map[string]*Batch     `yaml:"batches"`
-	Workspaces map[string]*Workspace `yaml:"workspaces"`
-	Recalled   []string              `yaml:"recalled"`   // names of batches, models, adapters or versions (model@version)
-	Reinstated []string              `yaml:"reinstated"` // names that an earlier text recalled and this one allows again
+	Settings   Settings            `yaml:"settings"`
+	Services   map[string]*Service `yaml:"services"`
+	Models     map[string]*Model   `yaml:"models"`
+	Adapters   map[string]*Adapter `yaml:"adapters"`
+	Batches    map[string]*Batch   `yaml:"batches"`
+	Workspaces Workspaces          `yaml:"workspaces"`
+	Recalled   []string            `yaml:"recalled"`   // names of batches, models, adapters or versions (model@version)
+	Reinstated []string            `yaml:"reinstated"` // names that an earlier text recalled and this one allows again
 }
 
 // Settings are fleet-wide values. Zero durations take the defaults of DefaultSettings.
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"net/http"
@@ -8,6 +9,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -30,13 +32,32 @@
 // validator collects the faults of one text.
 type validator struct {
 	text   *Text
-	root   *yaml.Node
+	tree   *tree
 	faults []Fault
 }
 
+// tree is the YAML tree of a text. It is parsed when a fault needs a line: the tree of a valid text would take as much
+// time as decoding it.
+type tree struct {
+	raw  []byte
+	once sync.Once
+	root *yaml.Node
+}
+
+// node returns the root of the tree, or nil if the text does not parse.
+func (t *tree) node() *yaml.Node {
+	t.once.Do(func() {
+		doc := new(yaml.Node)
+		if err := yaml.Unmarshal(t.raw, doc); err == nil && len(doc.Content) > 0 {
+			t.root = doc.Content[0]
+		}
+	})
+	return t.root
+}
+
 // validate returns every fault of a decoded text in line order.
-func validate(text *Text, root *yaml.Node) []Fault {
-	v := &validator{text: text, root: root}
+func validate(text *Text, tree *tree) []Fault {
+	v := &validator{text: text, tree: tree}
 	v.settings()
 	for _, name := range sortedKeys(text.Models) {
 		v.model(name, text.Models[name])
@@ -66,10 +87,7 @@
 
 // line returns the line of the node at a path of mapping keys and list values, or of its nearest known parent.
 func (v *validator) line(at ...string) int {
-	node := v.root
-	if node != nil && node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
-		node = node.Content[0]
-	}
+	node := v.tree.node()
 	line := 0
 	for _, key := range at {
 		next, found := childOf(node, key)
@@ -138,10 +156,10 @@
 
 // given reports whether the text itself contains the path.
 func (v *validator) given(at ...string) bool {
-	node := v.root
-	if node != nil && node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
-		node = node.Content[0]
+	if key := at[len(at)-1]; !zeroDuration(v.tree.raw, key) {
+		return false
 	}
+	node := v.tree.node()
 	for _, key := range at {
 		if node, _ = childOf(node, key); node == nil {
 			return false
@@ -150,6 +168,25 @@
 	return true
 }
 
+// zeroDuration reports whether any line may give a key a value that starts with a zero or is not plain. It spares the tree
+// of texts that give no zero. Escapes and UTF-16 can hide a key, so texts with them count as giving one.
+func zeroDuration(raw []byte, key string) bool {
+	if bytes.IndexByte(raw, '\\') >= 0 || bytes.IndexByte(raw, 0) >= 0 {
+		return true
+	}
+	for rest := raw; ; {
+		_, after, found := bytes.Cut(rest, []byte(key))
+		if !found {
+			return false
+		}
+		value := bytes.TrimLeft(after, "\"': \t")
+		if len(value) == 0 || value[0] < '1' || value[0] > '9' {
+			return true
+		}
+		rest = after
+	}
+}
+
 func (v *validator) nonNegative(n float64, at ...string) {
 	if n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
 		v.fault(at, "%s must not be negative", at[len(at)-1])
@@ -428,11 +465,7 @@
 // CheckTransition returns the faults of next as a successor of old: a recall that was dropped without being listed
 // under reinstated, and a new recall of a name that the text does not have. raw is the text of next; old may be nil.
 func CheckTransition(old, next *Text, raw []byte) []Fault {
-	root := new(yaml.Node)
-	if err := yaml.Unmarshal(raw, root); err != nil {
-		return faultsOf(err)
-	}
-	v := &validator{text: next, root: root}
+	v := &validator{text: next, tree: &tree{raw: raw}}
 	var before []string
 	if old != nil {
 		before = old.Recalled
--- /dev/null
+++ b/fleet/workspaces.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Workspaces are the workspaces by name.
+type Workspaces map[string]*Workspace
+
+// workspaceFields are the keys of a workspace in a text.
+var workspaceFields = map[string]bool{"key_hashes": true, "weight": true, "requests_per_second": true, "tokens_per_second": true, "services": true}
+
+// UnmarshalYAML decodes the workspaces one by one. The library compares each key of a mapping with every other one, which
+// takes most of a second for 11,000 workspaces.
+func (w *Workspaces) UnmarshalYAML(node *yaml.Node) error {
+	type plain Workspaces
+	faults := new(yaml.TypeError)
+	checkWorkspaces(node, faults)
+	if node.Kind != yaml.MappingNode || hasMerge(node) {
+		if err := collect(faults, node.Decode((*plain)(w))); err != nil {
+			return err
+		}
+		return result(faults)
+	}
+	*w = make(Workspaces, len(node.Content)/2)
+	lines := make(map[string]int, len(node.Content)/2)
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		key, value := node.Content[i], node.Content[i+1]
+		var name string
+		if err := key.Decode(&name); err != nil {
+			return err
+		}
+		if line, twice := lines[name]; twice {
+			faults.Errors = append(faults.Errors, fmt.Sprintf("line %d: mapping key %q already defined at line %d", key.Line, name, line))
+			continue
+		}
+		lines[name] = key.Line
+		var workspace *Workspace
+		if err := collect(faults, value.Decode(&workspace)); err != nil {
+			return err
+		}
+		(*w)[name] = workspace
+	}
+	return result(faults)
+}
+
+// collect adds the faults of a decoding error. Other errors are returned.
+func collect(faults *yaml.TypeError, err error) error {
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) {
+		return err
+	}
+	faults.Errors = append(faults.Errors, typeError.Errors...)
+	return nil
+}
+
+func result(faults *yaml.TypeError) error {
+	if len(faults.Errors) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func hasMerge(node *yaml.Node) bool {
+	for i := 0; i < len(node.Content); i += 2 {
+		if node.Content[i].Tag == "!!merge" {
+			return true
+		}
+	}
+	return false
+}
+
+// checkWorkspaces adds a fault for each unknown field of a workspace: decoding a single node is not strict.
+func checkWorkspaces(node *yaml.Node, faults *yaml.TypeError) {
+	for i := 0; i+1 < len(node.Content) && node.Kind == yaml.MappingNode; i += 2 {
+		checkFields(node.Content[i+1], faults)
+	}
+}
+
+func checkFields(node *yaml.Node, faults *yaml.TypeError) {
+	for i := 0; i+1 < len(node.Content) && node.Kind == yaml.MappingNode; i += 2 {
+		key := node.Content[i]
+		switch {
+		case key.Tag == "!!merge" && node.Content[i+1].Kind == yaml.MappingNode:
+			checkFields(node.Content[i+1], faults)
+		case key.Tag != "!!merge" && !workspaceFields[key.Value]:
+			faults.Errors = append(faults.Errors, fmt.Sprintf("line %d: field %s not found in type fleet.Workspace", key.Line, key.Value))
+		}
+	}
+}
