--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,8 +67,8 @@
 	refused     *tombstones         // answered not_run; a later run is refused
 	past        *tombstones         // may have run; a later run is refused without a statement
 	segments    map[string]hold     // reservations for segments of long prompts
-	outstanding [3]int              // prefill tokens at the engine before their first token, by class rank
-	kvWaiters   [2]*attempt         // queued attempts that wait in the ledger: long, short
+	outstanding outstanding
+	kvWaiters   [2]*attempt // queued attempts that wait in the ledger: long, short
 	report      endpoint.Report
 	reported    time.Time // when report arrived
 	down        bool      // the endpoint does not answer
@@ -110,7 +110,7 @@
 		log:         opts.Log.WithFields(logrus.Fields{"node": opts.Node.Name, "endpoint": opts.Endpoint}),
 		registry:    opts.Registry,
 		metrics:     newMetrics(opts.Registry),
-		queue:       fairqueue.New[*attempt](fairqueue.Options{Capacity: queueCapacity}),
+		queue:       fairqueue.New[*attempt](fairqueue.Options{Capacity: queueCapacity, Slack: overtakeTokens}),
 		kick:        make(chan struct{}, 1),
 		reorder:     make(chan struct{}, 1),
 		cancels:     ring.New[string](cancelCapacity),
@@ -135,7 +135,7 @@
 }
 
 func (a *Agent) connect() error {
-	peer, err := a.opts.Peer(PeerParams{Options: a.opts, Incarnation: a.incarnation, Self: a.describe})
+	peer, err := a.opts.Peer(PeerParams{Options: a.opts, Incarnation: a.incarnation, Self: a.describe, Watch: a.watch})
 	a.peer = peer
 	return errors.Wrap(err, "connect to the exchange")
 }
@@ -248,6 +248,7 @@
 	defer a.mu.Unlock()
 	record.Leaving = !a.draining.IsZero()
 	record.Fault = a.faultLocked()
+	record.OrderFault = a.orderState.fault
 	record.Loaded = nil
 	for _, v := range a.report.Loaded {
 		record.Loaded = append(record.Loaded, toWire(v))
@@ -264,12 +265,12 @@
 // load returns the fresh load, as carried by every reply.
 func (a *Agent) load() *wire.Load {
 	a.mu.Lock()
-	outstanding := a.outstanding
+	sent := a.outstanding.byClass()
 	report := a.report
 	a.mu.Unlock()
-	urgent := int64(a.queue.Ahead(fleet.ClassUrgent)) + int64(outstanding[0])
-	interactive := int64(a.queue.Ahead(fleet.ClassInteractive)) + int64(outstanding[0]+outstanding[1]) - urgent
-	all := int64(a.queue.Ahead(fleet.ClassBulk)) + int64(outstanding[0]+outstanding[1]+outstanding[2])
+	urgent := int64(a.queue.Ahead(fleet.ClassUrgent)) + int64(sent[0])
+	interactive := int64(a.queue.Ahead(fleet.ClassInteractive)) + int64(sent[0]+sent[1]) - urgent
+	all := int64(a.queue.Ahead(fleet.ClassBulk)) + int64(sent[0]+sent[1]+sent[2])
 	return &wire.Load{
 		Endpoint:          a.opts.Endpoint,
 		Sequence:          a.sequence.Add(1),
@@ -286,11 +287,13 @@
 }
 
 func toWire(v endpoint.Version) *wire.Version {
-	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch}
+	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
+		AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch}
 }
 
 func fromWire(v *wire.Version) endpoint.Version {
-	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch()}
+	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch(),
+		AdapterVersion: v.GetAdapterVersion(), AdapterBatch: v.GetAdapterBatch()}
 }
 
 func handlesFromWire(handles []*wire.KVHandle) []endpoint.KVHandle {
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -54,7 +54,10 @@
 	a.reported = time.Now()
 	a.down = false
 	if !restarted {
-		a.fault = a.orderState.fault
+		a.fault = ""
+	}
+	if len(report.Loaded) == 0 {
+		a.fault = a.orderState.fault // with nothing loaded it serves nothing
 	}
 	a.mu.Unlock()
 	if restarted && !wasDown {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -15,16 +15,26 @@
 
 const (
 	ticketBackoffMin = 200 * time.Millisecond
-	ticketBackoffMax = 10 * time.Second
+	// ticketBackoffMax bounds how long the last engines of a mass start wait while the weight store is idle again.
+	ticketBackoffMax = 4 * time.Second
 	orderTimeout     = 5 * time.Second
 	roleServe        = "serve"
 	// loadPatience is how long an accepted load may take before it is ordered again with a new ticket.
 	loadPatience = 2 * time.Minute
+	// rolloutSoak is how long the earlier steps of a rollout must be healthy before the next one begins. An engine that a
+	// new version crashes is seen to be down within it: two failed reports and one exchange.
+	rolloutSoak = 5 * time.Second
+	// rolloutWatch is the number of endpoints of earlier steps whose records an agent asks for. They waited for those before
+	// them, so that a fault further back stops the rollout within as many endpoints.
+	rolloutWatch = 24
 )
 
-// orderState is what the order duty knows. The fault is guarded by Agent.mu, the rest belongs to the duty.
+// orderState is what the order duty knows. The fault, healthy and waiting are guarded by Agent.mu, the rest
+// belongs to the duty.
 type orderState struct {
 	fault   string
+	healthy map[endpoint.Version]time.Time // since when the earlier steps of the rollout to a version are healthy
+	waiting []endpoint.Version             // loaded versions whose replacements wait for tickets
 	backoff time.Duration
 	next    time.Time                      // no ticket is asked for earlier
 	loading map[endpoint.Version]time.Time // when the engine accepted the order to load
@@ -61,6 +71,14 @@
 		return
 	}
 	cut := s.Text.Settings.RecallStreams == fleet.RecallCut
+	held := a.cancelRecalled(s, cut)
+	// The segments are forgotten after their memory is free: without a segment, reserved memory counts as leaked.
+	a.cancelOnEngine(a.ledger.Release(held...)...)
+	a.forgetSegments(held)
+}
+
+// cancelRecalled cancels the attempts and returns the reservations that hold KV of recalled versions.
+func (a *Agent) cancelRecalled(s *fleet.Snapshot, cut bool) (held []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, att := range a.attempts {
@@ -72,10 +90,10 @@
 	}
 	for id, h := range a.segments {
 		if _, recalled := s.Recalled(h.version); recalled {
-			delete(a.segments, id)
-			go func() { a.cancelOnEngine(a.ledger.Release(id)...) }() // the ledger calls back without a.mu
+			held = append(held, id)
 		}
 	}
+	return held
 }
 
 // runOrders keeps what the engine holds equal to what the configuration text derives for this endpoint.
@@ -104,17 +122,19 @@
 		return // the reporter handles it
 	}
 	wanted := a.wanted(s, report.Loaded)
-	kept := intersect(report.Loaded, wanted)
 	a.forgetLoading(report, wanted)
 	loading := a.loadingVersions(wanted)
+	missing := without(wanted, slices.Concat(report.Loaded, loading))
+	waiting := a.awaitingReplacement(s, report.Loaded, missing)
+	a.setWaiting(waiting)
+	kept := append(intersect(report.Loaded, wanted), waiting...)
 	if len(kept) < len(report.Loaded) {
 		// Unloading needs no ticket and does not wait for the weight store. What is loading stays ordered.
 		a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(kept, loading), Role: roleServe})
 	}
-	missing := without(wanted, slices.Concat(kept, loading))
 	switch {
 	case len(missing) > 0:
-		a.loadMissing(ctx, s.Epoch, slices.Concat(kept, loading), missing)
+		a.loadMissing(ctx, s, slices.Concat(kept, loading), missing)
 	case len(loading) == 0:
 		a.setOrderFault("")
 	}
@@ -128,7 +148,11 @@
 		o.loading = make(map[endpoint.Version]time.Time)
 	}
 	for v, since := range o.loading {
-		if holds(report.Loaded, v) || !holds(wanted, v) || time.Since(since) > loadPatience {
+		late := time.Since(since) > loadPatience
+		if late {
+			a.setOrderFault(v.WeightName() + " is not loaded " + loadPatience.String() + " after its order")
+		}
+		if holds(report.Loaded, v) || !holds(wanted, v) || late {
 			delete(o.loading, v)
 		}
 	}
@@ -144,27 +168,54 @@
 	return loading
 }
 
-// loadMissing orders the missing versions for which the weight store grants a ticket, on top of held.
-func (a *Agent) loadMissing(ctx context.Context, fence int64, held, missing []endpoint.Version) {
+// awaitingReplacement returns the loaded versions that missing ones replace. They serve on until the weight store grants
+// the tickets, because it may refuse for a long time. Recalled versions are not among them.
+func (a *Agent) awaitingReplacement(s *fleet.Snapshot, loaded, missing []endpoint.Version) []endpoint.Version {
+	var old []endpoint.Version
+	for _, v := range missing {
+		old = append(old, replacedBy(s, loaded, v)...)
+	}
+	return without(old, a.wanted(s, loaded))
+}
+
+func (a *Agent) setWaiting(versions []endpoint.Version) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.orderState.waiting = versions
+}
+
+func (a *Agent) waiting() []endpoint.Version {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.orderState.waiting
+}
+
+// loadMissing orders the missing versions for which the weight store grants a ticket, on top of held. What they replace
+// is unloaded by the same order.
+func (a *Agent) loadMissing(ctx context.Context, s *fleet.Snapshot, held, missing []endpoint.Version) {
 	if time.Now().Before(a.orderState.next) {
 		return
 	}
 	granted, tickets, err := a.tickets(ctx, missing)
+	if len(granted) > 0 {
+		a.orderState.backoff = 0 // the store grants: an engine that keeps doubling would leave it idle
+	}
 	if err != nil {
 		a.backOff(err)
 	}
 	if len(granted) == 0 {
 		return
 	}
-	if !a.send(ctx, endpoint.Order{Fence: fence, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
+	for _, v := range granted {
+		held = without(held, replacedBy(s, held, v))
+	}
+	a.setWaiting(intersect(a.waiting(), held))
+	if !a.send(ctx, endpoint.Order{Fence: s.Epoch, Versions: slices.Concat(held, granted), Role: roleServe, Tickets: tickets}) {
 		return
 	}
 	for _, v := range granted {
 		a.orderState.loading[v] = time.Now()
 	}
-	if err == nil {
-		a.orderState.backoff = 0
-	}
 }
 
 // tickets fetches tickets until the first error and returns the versions that have one.
@@ -259,27 +310,82 @@
 	return old
 }
 
-// turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it. A fault on one of them
-// stops the rollout. Endpoints that are not live do not hold it up.
+// turn reports whether this endpoint may change to v: all endpoints of earlier steps hold it and have been healthy for
+// rolloutSoak. A fault on one of them stops the rollout. Endpoints that are not live do not hold it up. Nor do those that
+// are not known, but several exchanges that could tell of them take place within rolloutSoak.
 func (a *Agent) turn(s *fleet.Snapshot, v endpoint.Version) bool {
-	names, err := fleet.ExpandNames(s.Text.Models[v.Model].Endpoints)
-	if err != nil {
-		return false // the text was validated
-	}
+	earlier := a.earlier(s, v)
+	return len(earlier) == 0 || a.soaked(v, a.changed(earlier, v))
+}
+
+// earlier returns the last rolloutWatch endpoints of the steps before this endpoint's one.
+func (a *Agent) earlier(s *fleet.Snapshot, v endpoint.Version) []string {
+	names := s.Holders(v.Model)
 	rank := slices.Index(names, a.opts.Endpoint)
 	step := max(s.Text.Settings.RolloutBatchSize, 1)
-	for _, name := range names[:rank/step*step] {
+	end := rank / step * step
+	return names[max(0, end-rolloutWatch):end]
+}
+
+// watch returns the endpoints whose records the agent needs now: those of earlier steps while it waits for its turn. The
+// exchange does not tell agents of other agents otherwise.
+func (a *Agent) watch() []string {
+	s := a.peer.Epochs().Snapshot()
+	if s == nil {
+		return nil
+	}
+	a.mu.Lock()
+	loaded := a.report.Loaded
+	a.mu.Unlock()
+	var names []string
+	for _, v := range s.Duties(a.opts.Endpoint) {
+		if holds(loaded, v) || len(replacedBy(s, loaded, v)) == 0 {
+			continue
+		}
+		for _, name := range a.earlier(s, v) {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// changed reports whether the live endpoints among names hold v without a fault.
+func (a *Agent) changed(names []string, v endpoint.Version) bool {
+	for _, name := range names {
 		node, ok := a.peer.Members().Endpoint(name)
 		if !ok || !node.Live {
 			continue
 		}
-		if node.Fault != "" || !holds(node.Loaded, v) {
+		if node.Fault != "" || node.OrderFault != "" || !holds(node.Loaded, v) {
 			return false
 		}
 	}
 	return true
 }
 
+// soaked records whether the earlier steps of the rollout to v are healthy, and reports whether they have been so for
+// rolloutSoak.
+func (a *Agent) soaked(v endpoint.Version, healthy bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o := &a.orderState
+	if !healthy {
+		delete(o.healthy, v)
+		return false
+	}
+	if o.healthy == nil {
+		o.healthy = make(map[endpoint.Version]time.Time)
+	}
+	since, known := o.healthy[v]
+	if !known {
+		since = time.Now()
+		o.healthy[v] = since
+	}
+	return time.Since(since) >= rolloutSoak
+}
+
 func intersect(versions, with []endpoint.Version) []endpoint.Version {
 	kept := make([]endpoint.Version, 0, len(versions))
 	for _, v := range versions {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -41,6 +41,7 @@
 // Times of starting and stopping.
 const (
 	readyTimeout = 10 * time.Second
+	loadTimeout  = 2 * time.Minute // tickets of all engines of an example text at the emulated rate, with refusals
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
 )
@@ -119,6 +120,19 @@
 	if err := f.startDaemons(ctx); err != nil {
 		return err
 	}
+	if err := f.bringUp(ctx); err != nil {
+		return err
+	}
+	loading, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if err := f.awaitLoaded(loading); err != nil {
+		return err
+	}
+	return f.printReady()
+}
+
+// bringUp submits the text and waits until the entries are ready.
+func (f *Fleet) bringUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if err := f.submitText(ctx); err != nil {
@@ -129,10 +143,7 @@
 			return err
 		}
 	}
-	if err := f.awaitLoaded(ctx); err != nil {
-		return err
-	}
-	return f.printReady()
+	return nil
 }
 
 // awaitLoaded waits until every engine holds the versions that the text gives it, so that the first requests are not refused.
@@ -194,7 +205,7 @@
 	}
 	for i, node := range entries {
 		option := f.o.Daemons.Entry(EntryConfig{Node: node, CallersListen: f.o.Listen[i],
-			OperatorTokenHashes: []string{hexSHA256(OperatorToken)}, Services: f.platform.ServicesFrom(node.FailureDomain),
+			OperatorTokenHashes: []string{OperatorName + "=" + hexSHA256(OperatorToken)}, Services: f.platform.ServicesFrom(node.FailureDomain),
 			Seeds: seeds, Dial: f.network.Dialer(node.FailureDomain, node.Name), Log: f.o.Log})
 		if err := f.startApp(ctx, option); err != nil {
 			return errors.Wrap(err, node.Name)
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -11,8 +12,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/kvledger"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
@@ -20,7 +23,10 @@
 
 // Limits of a split prompt.
 const (
-	usableShare    = 0.75            // of a member's KV memory; the rest holds the import window and short requests
+	usableShare    = 0.75 // most of a member's KV memory; the rest holds the import window and short requests
+	wantedShare    = 0.4  // of a member's KV memory, which leaves room for a long prompt beside the segment
+	shareStep      = 0.05
+	smallestPart   = 32_000          // tokens; less is not worth a member of its own
 	splitTries     = 4               // plans, segment re-runs and decodes that may fail
 	releaseTimeout = 2 * time.Second // afterwards the lease ends the reservation
 	renewsPerLease = 3
@@ -46,13 +52,16 @@
 	d        *dispatcher
 	r        *request
 	excluded map[*route.Endpoint]bool
+	version  endpoint.Version // of all members, since later segments import the KV of earlier ones
 	tries    int
 
+	planned []*segment // not reserved yet, in the order of the prompt
+
 	mu       sync.Mutex
-	segments []*segment // in the order of the prompt, which is that of the endpoint names
+	segments []*segment // reserved, in the order of the prompt
 }
 
-// tooLarge reports whether a prompt and its answer exceed the largest known engine of the pool.
+// tooLarge reports whether a prompt and its answer exceed what the largest known engine of the pool gives one request.
 func (d *dispatcher) tooLarge(r *request) bool {
 	if !r.isChat() {
 		return false
@@ -62,7 +71,7 @@
 		report, _ := e.Report()
 		largest = max(largest, report.KVCapacity)
 	}
-	return largest > 0 && r.promptTokens+r.maxTokens > largest
+	return largest > 0 && r.promptTokens+r.maxTokens > kvledger.LongCapacity(largest)
 }
 
 // split prefills segments on several engines and decodes at the last one. All reservations are released on return.
@@ -84,20 +93,32 @@
 	}
 }
 
-// once goes on from what is held: it plans and reserves if nothing is, prefills what is missing, and decodes.
+// once goes on from what is held: it plans if nothing is, reserves and prefills one member after another, and decodes at
+// the last one. A member is reserved only when its turn comes, because the prefill of the earlier segments takes up to a
+// minute in which its memory would lie idle.
 func (s *splitRun) once(ctx context.Context) (*failure, *route.Endpoint) {
 	if len(s.held()) == 0 {
-		if f, ep := s.reserveAll(ctx); f != nil {
-			return f, ep
+		planned, err := s.plan()
+		if err != nil {
+			return &failure{err: err}, nil
 		}
+		s.planned = planned
 	}
 	if f, ep := s.replaceLost(ctx); f != nil {
 		return f, ep
 	}
-	if f, ep := s.prefill(ctx); f != nil {
-		return f, ep
+	for {
+		if f, ep := s.prefill(ctx); f != nil {
+			return f, ep
+		}
+		if len(s.planned) == 0 {
+			return s.decode(ctx)
+		}
+		if f, ep := s.reserveNext(ctx); f != nil {
+			s.release()
+			return f, ep
+		}
 	}
-	return s.decode(ctx)
 }
 
 func (s *splitRun) held() []*segment {
@@ -109,11 +130,13 @@
 // plan chooses the members with the most free memory and cuts the prompt in proportion to their memory.
 func (s *splitRun) plan() ([]*segment, *errkind.Error) {
 	total := s.r.promptTokens + s.r.maxTokens
+	s.version = s.chooseVersion()
 	members := s.candidates()
-	sum, n := int64(0), 0
-	for n < len(members) && sum < total {
-		sum += usable(members[n])
-		n++
+	share := wantedShare
+	n, sum := enough(members, total, share)
+	for (sum < total || n > len(members)/2) && share < usableShare { // the others remain as replacements
+		share = min(share+shareStep, usableShare)
+		n, sum = enough(members, total, share)
 	}
 	if sum < total {
 		return nil, errkind.New(errkind.PromptTooLarge, "the engines' memory together does not hold the prompt")
@@ -122,7 +145,16 @@
 	if !s.d.opts.Disabled.ReserveOrder {
 		sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	}
-	return s.cut(members, total, sum), nil
+	return s.cut(members, total, share, sum), nil
+}
+
+// enough returns how many of the first members hold the tokens with a share of their memory, and what these hold.
+func enough(members []*route.Endpoint, tokens int64, share float64) (n int, sum int64) {
+	for n < len(members) && sum < tokens {
+		sum += usable(members[n], share)
+		n++
+	}
+	return n, sum
 }
 
 func (s *splitRun) candidates() []*route.Endpoint {
@@ -130,7 +162,7 @@
 	free := make(map[*route.Endpoint]int64)
 	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
 		report, _ := e.Report()
-		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 {
+		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 && s.versionAt(e) == s.version {
 			members = append(members, e)
 			free[e] = report.KVFree
 		}
@@ -139,22 +171,44 @@
 	return members
 }
 
-func usable(e *route.Endpoint) int64 {
+// chooseVersion returns the version that all members use. During a rollout it is the one whose endpoints have the most
+// memory together.
+func (s *splitRun) chooseVersion() endpoint.Version {
+	best, memory := s.r.target.Version, make(map[endpoint.Version]int64)
+	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
+		if e.Available() && !s.excluded[e] {
+			memory[s.versionAt(e)] += usable(e, usableShare)
+		}
+	}
+	for v, sum := range memory {
+		if sum > memory[best] {
+			best = v
+		}
+	}
+	return best
+}
+
+func (s *splitRun) versionAt(e *route.Endpoint) endpoint.Version {
+	node, _ := s.d.members.Endpoint(e.Name) // without a node the target's version
+	return s.r.versionAt(node)
+}
+
+func usable(e *route.Endpoint, share float64) int64 {
 	report, _ := e.Report()
-	return int64(float64(report.KVCapacity) * usableShare)
+	return int64(float64(report.KVCapacity) * share)
 }
 
-func (s *splitRun) cut(members []*route.Endpoint, total, sum int64) []*segment {
+func (s *splitRun) cut(members []*route.Endpoint, total int64, share float64, sum int64) []*segment {
 	rest := s.r.prompt
 	segments := make([]*segment, len(members))
 	for i, e := range members {
-		share := int64(math.Ceil(float64(total) * float64(usable(e)) / float64(sum)))
+		tokens := int64(math.Ceil(float64(total) * float64(usable(e, share)) / float64(sum)))
 		text := rest
 		if i < len(members)-1 {
-			text = cutText(rest, share)
+			text = cutText(rest, tokens)
 		}
 		rest = rest[len(text):]
-		tokens := int64(endpoint.CountTokens(text))
+		tokens = int64(endpoint.CountTokens(text))
 		if i == len(members)-1 {
 			tokens += s.r.maxTokens
 		}
@@ -185,23 +239,84 @@
 	return text[:low]
 }
 
-// reserveAll reserves the members one after another in ascending order of their names, so that concurrent prompts
-// cannot wait for each other in a circle. A failure releases everything.
-func (s *splitRun) reserveAll(ctx context.Context) (*failure, *route.Endpoint) {
-	segments, err := s.plan()
-	if err != nil {
-		return &failure{err: err}, nil
+// reserveNext reserves the next planned member. While others hold its memory, an endpoint that grants at once takes its
+// place. If there is none either, it waits: members are awaited in ascending order of their names only, so that
+// concurrent prompts cannot wait for each other in a circle.
+func (s *splitRun) reserveNext(ctx context.Context) (*failure, *route.Endpoint) {
+	seg := s.planned[0]
+	s.planned = s.planned[1:]
+	s.hold(len(s.held()), seg) // before the call: a lost reply may hide a grant
+	f := s.reserve(ctx, seg, 0)
+	if f == nil {
+		return nil, nil
 	}
-	for _, seg := range segments {
-		s.mu.Lock()
-		s.segments = append(s.segments, seg) // before the call: a lost reply may hide a grant
-		s.mu.Unlock()
-		if f := s.reserve(ctx, seg, s.d.timing.ReserveWait); f != nil {
-			s.release()
-			return f, seg.ep
+	if next, ok := s.replacement(ctx, seg); ok {
+		s.hold(len(s.held())-1, next)
+		s.releaseSegments([]*segment{seg})
+		return nil, nil
+	}
+	if s.reservePart(ctx, seg) {
+		return nil, nil
+	}
+	if f.err.Kind != errkind.Overloaded || !s.inOrder(seg) {
+		return f, seg.ep
+	}
+	return s.reserve(ctx, seg, s.d.timing.ReserveWait), seg.ep
+}
+
+// reservePart reserves a first part of a segment, the last held one, at an endpoint that has room for it now, and plans
+// the rest as the next segment. Waiting for the whole would keep the memory of the earlier members idle.
+func (s *splitRun) reservePart(ctx context.Context, seg *segment) bool {
+	answer := seg.tokens - int64(endpoint.CountTokens(seg.text))
+	for _, e := range s.unused() {
+		report, _ := e.Report()
+		room := report.KVFree - (report.KVCapacity - kvledger.LongCapacity(report.KVCapacity))
+		if room < smallestPart {
+			continue
+		}
+		text := cutText(seg.text, room)
+		rest := seg.text[len(text):]
+		if rest == "" {
+			continue
+		}
+		part := s.newSegment(e, text, int64(endpoint.CountTokens(text)))
+		if f := s.reserve(ctx, part, 0); f != nil {
+			s.d.learn(ctx, s.r, f, e)
+			s.releaseSegments([]*segment{part})
+			continue
 		}
+		s.hold(len(s.held())-1, part)
+		s.releaseSegments([]*segment{seg})
+		s.planned = append([]*segment{s.newSegment(seg.ep, rest, int64(endpoint.CountTokens(rest))+answer)}, s.planned...)
+		return true
 	}
-	return nil, nil
+	return false
+}
+
+// unused returns the candidates that are no members of the prompt, those with the most free memory first.
+func (s *splitRun) unused() []*route.Endpoint {
+	used := make(map[*route.Endpoint]bool)
+	for _, seg := range append(s.held(), s.planned...) {
+		used[seg.ep] = true
+	}
+	return slices.DeleteFunc(s.candidates(), func(e *route.Endpoint) bool { return used[e] })
+}
+
+// hold puts a segment at an index of the reserved ones.
+func (s *splitRun) hold(i int, seg *segment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.segments = append(s.segments[:i:i], append([]*segment{seg}, s.segments[min(i+1, len(s.segments)):]...)...)
+}
+
+// inOrder reports whether no other held member has a later name, so that a wait for seg is in the global order.
+func (s *splitRun) inOrder(seg *segment) bool {
+	for _, other := range s.held() {
+		if other.ep.Name > seg.ep.Name {
+			return false
+		}
+	}
+	return true
 }
 
 // reserve takes one member's memory, waiting in its queue for up to wait.
@@ -221,7 +336,7 @@
 		WaitMs:      wait.Milliseconds(),
 		LeaseMs:     s.d.timing.Lease.Milliseconds(),
 		Epoch:       s.r.snap.Epoch,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 	})
 	if err != nil {
 		return unreachable(err)
@@ -251,11 +366,11 @@
 	}
 }
 
-// prefill computes the segments before the last whose KV is not held.
+// prefill computes the reserved segments whose KV is not held. The last segment of the prompt is left to the decode.
 func (s *splitRun) prefill(ctx context.Context) (*failure, *route.Endpoint) {
 	segments := s.held()
-	for i, seg := range segments[:len(segments)-1] {
-		if seg.handle != nil {
+	for i, seg := range segments {
+		if seg.handle != nil || i == len(segments)-1 && len(s.planned) == 0 {
 			continue
 		}
 		if f := s.prefillOne(ctx, seg, handles(segments[:i])); f != nil {
@@ -289,7 +404,7 @@
 		Reservation: seg.reservation,
 		RequestId:   s.r.id,
 		Prompt:      seg.text,
-		Version:     wireVersion(s.r.target.Version),
+		Version:     wireVersion(s.version),
 		Imported:    imported,
 		Class:       string(s.r.class()),
 		DeadlineMs:  max(remaining.Milliseconds(), 1),
@@ -351,6 +466,7 @@
 	last := segments[len(segments)-1]
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
 	work := a.message.GetModel()
+	work.Version = wireVersion(s.version) // that of the other segments
 	work.Prompt = last.text
 	work.PromptTokens = int64(endpoint.CountTokens(last.text))
 	work.Imported = handles(segments[:len(segments)-1])
@@ -388,6 +504,9 @@
 	if f.err.Kind == errkind.Recalled || f.err.Kind == errkind.PromptTooLarge {
 		return f.err
 	}
+	if s.d.opts.Blames.Check(s.r.fingerprint) == blame.Blamed {
+		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	}
 	s.r.restartAfter(f)
 	s.markLost(ep, f)
 	return s.d.spend(s.r, f)
@@ -422,23 +541,14 @@
 			s.release()
 			return &failure{err: errkind.New(errkind.Overloaded, "no replacement for a failed member")}, nil
 		}
-		s.mu.Lock()
-		s.segments[i] = next
-		s.mu.Unlock()
+		s.hold(i, next)
 		s.releaseSegments([]*segment{seg})
 	}
 	return nil, nil
 }
 
 func (s *splitRun) replacement(ctx context.Context, lost *segment) (*segment, bool) {
-	used := make(map[*route.Endpoint]bool)
-	for _, seg := range s.held() {
-		used[seg.ep] = true
-	}
-	for _, e := range s.candidates() {
-		if used[e] {
-			continue
-		}
+	for _, e := range s.unused() {
 		next := s.newSegment(e, lost.text, lost.tokens)
 		f := s.reserve(ctx, next, 0)
 		if f == nil {
--- a/kvledger/kvledger.go
+++ b/kvledger/kvledger.go
@@ -31,8 +31,8 @@
 
 // Defaults of Options.
 const (
-	DefaultShortTokens = 8000
-	DefaultHeadroom    = 0.1 // part of the capacity
+	DefaultShortTokens = 36_000 // interactive prompts have up to 32,000 tokens; they must not queue behind ledgers
+	DefaultHeadroom    = 0.15   // part of the capacity; of 400,000 tokens it holds one such prompt and a dozen small ones
 	DefaultMaxWaiters  = 256
 	DefaultGrace       = 5 * time.Second // engines report with a lag of up to a few seconds
 )
@@ -132,6 +132,10 @@
 	return len(l.held)
 }
 
+// LongCapacity returns the most that one long request can reserve on an engine of the given memory, with the default
+// headroom. Entries split larger prompts over several engines.
+func LongCapacity(capacity int64) int64 { return capacity - int64(float64(capacity)*DefaultHeadroom) }
+
 func (l *Ledger) headroom() int { return int(float64(l.capacity) * l.opts.Headroom) }
 
 // Request grants a reservation at once or makes it wait in FCFS order; a later Request of the same id reports the
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -189,6 +189,9 @@
 	if p.options.Role == platform.RoleEntry && req.Records == nil && req.CollectEpoch == 0 {
 		req.Records = p.members.Records(maxRecordBytes, "")
 	}
+	if p.options.Watch != nil {
+		req.Watch = p.options.Watch()
+	}
 	if p.options.Blames != nil {
 		req.Blames = p.options.Blames.Outgoing(maxBlames)
 	}
@@ -296,7 +299,7 @@
 	switch {
 	case platform.VMRole(req.Sender.Role) == platform.RoleAgent:
 		reply.KnownEntries = p.someEntries()
-		reply.Records = p.members.LeavingRecord(req.Sender.Name)
+		reply.Records = append(p.members.LeavingRecord(req.Sender.Name), p.members.EndpointRecords(req.Watch[:min(len(req.Watch), maxWatch)])...)
 	case req.CollectEpoch != 0:
 		reply.HolderBits, reply.Holders = p.holders(req)
 	default:
@@ -384,7 +387,8 @@
 	return p.exchange(ctx, n.Addr, &wire.ExchangeRequest{Change: p.store.ChangeFrom(reply.Epoch), Records: []*wire.NodeRecord{}})
 }
 
-// urgentLoop passes on at once that nodes are leaving.
+// urgentLoop passes on at once that nodes are leaving or have returned. In a rolling restart the next endpoint leaves as
+// soon as the previous one is ready, so an entry that still holds the previous one for leaving would have none.
 func (p *Peer) urgentLoop(ctx context.Context) {
 	for {
 		select {
