--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -51,7 +51,8 @@
 	return att
 }
 
-// insert registers an attempt unless it was cancelled before it arrived or has arrived before.
+// insert registers an attempt unless it was cancelled before it arrived or has arrived before. A run that is delivered late,
+// after a restart, may have been answered not_run by the former incarnation.
 func (a *Agent) insert(att *attempt) (existing *attempt, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -59,10 +60,13 @@
 		return e, nil
 	}
 	a.attempts[att.id] = att
+	if meant := att.request.GetIncarnation(); meant != "" && meant != a.incarnation && !a.opts.Off.Incarnation {
+		return nil, errkind.New(errkind.NotReady, "attempt was made for another incarnation of this agent").WithRun(errkind.NotRun)
+	}
 	if a.past.has(att.id) {
 		return nil, errkind.New(errkind.StreamBroken, "attempt has arrived before and its answer is no longer held").WithRun(errkind.Unknown)
 	}
-	if a.refused.has(att.id) && !a.opts.off.tombstones {
+	if a.refused.has(att.id) && !a.opts.Off.Tombstones {
 		return nil, errkind.New(errkind.Canceled, "attempt was cancelled before it arrived").WithRun(errkind.NotRun)
 	}
 	return nil, nil
@@ -171,7 +175,7 @@
 	if !epochs.Fresh() && !serve {
 		return errkind.New(errkind.Isolated, "no fresh evidence of the current epoch")
 	}
-	if a.opts.off.recallCheck {
+	if a.opts.Off.RecallCheck {
 		return nil
 	}
 	return recallError(s, att)
