--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -351,13 +351,15 @@
 
 // AuditCmd is `audit`.
 type AuditCmd struct {
-	Limit   int `default:"100" help:"Newest records to show."`
-	Details int `default:"20" help:"Most details to show of each record; 0 shows all. JSON always has all."`
+	Limit   int    `default:"100" help:"Records to show, at most 1000: the newest ones, or those after a key."`
+	After   string `help:"Key of a record; shows the records after it. 'audit/' starts at the oldest."`
+	Details int    `default:"20" help:"Most details to show of each record; 0 shows all. JSON always has all."`
 }
 
 // Run prints the audit trail, oldest first.
 func (c *AuditCmd) Run(x *Context) error {
-	body, _, err := x.call(http.MethodGet, "/v1/audit?limit="+strconv.Itoa(c.Limit), nil, nil)
+	query := url.Values{"limit": {strconv.Itoa(c.Limit)}, "after": {c.After}}
+	body, _, err := x.call(http.MethodGet, "/v1/audit?"+query.Encode(), nil, nil)
 	if err != nil {
 		return err
 	}
@@ -373,8 +375,8 @@
 		if r.Epoch > 0 {
 			outcome += fmt.Sprintf("  epoch %d", r.Epoch)
 		}
-		fmt.Fprintf(x.Out, "%s  %s  base %d  by %s at %s  submission %s\n", r.Time.Format(time.RFC3339), outcome, r.Base,
-			operatorName(r), r.Node, r.Submission)
+		fmt.Fprintf(x.Out, "%s  %s  base %d  by %s at %s  submission %s  key %s\n", r.Time.Format(time.RFC3339), outcome, r.Base,
+			operatorName(r), r.Node, r.Submission, r.Key)
 		shown := r.Details
 		if c.Details > 0 {
 			shown = shown[:min(len(shown), c.Details)]
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,7 +26,7 @@
 }
 func (f *fakeAcceptor) Current(context.Context) (*fleet.Snapshot, error) { return nil, nil }
 func (f *fakeAcceptor) Status() epoch.Status                             { return epoch.Status{Epoch: 1} }
-func (f *fakeAcceptor) Audit(context.Context, int) ([]epoch.AuditRecord, error) {
+func (f *fakeAcceptor) Audit(context.Context, string, int) ([]epoch.AuditRecord, error) {
 	return nil, nil
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -1,12 +1,15 @@
 package member
 
 import (
+	"container/list"
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
@@ -36,18 +39,22 @@
 
 // state is what the table knows of one node.
 type state struct {
-	record  *wire.NodeRecord // newest record of the newest incarnation; nil if never heard
-	born    time.Time        // when that record's sequence was produced, as far as known
-	heard   time.Time        // newest evidence that the node runs
-	failed  time.Time        // newest evidence that it does not answer
-	vm      platform.VM
-	listed  bool
-	dropped time.Time // when the list dropped it
-	leaving bool      // of the current incarnation, or said by the list
-	retired []string
-	epoch   int64  // highest epoch that the node is known to hold, in any incarnation
-	told    int64  // highest epoch that the node itself told this node
-	spread  uint64 // order of change, for newest-first gossip
+	record   *wire.NodeRecord // newest record of the newest incarnation; nil if never heard
+	born     time.Time        // when that record's sequence was produced, as far as known
+	heard    time.Time        // newest evidence that the node runs
+	failed   time.Time        // newest evidence that it does not answer
+	vm       platform.VM
+	listed   bool
+	dropped  time.Time // when the list dropped it
+	leaving  bool      // of the current incarnation, or said by the list
+	retired  []string
+	epoch    int64         // highest epoch that the node is known to hold, in any incarnation
+	told     int64         // highest epoch that the node itself told this node
+	key      uint64        // of the newest record, in updates
+	constant uint32        // hash of what updates do not carry
+	updated  uint64        // sequence of the newest update
+	spread   *list.Element // in Table.spread
+	direct   *list.Element // in Table.direct; nil: never heard directly
 }
 
 // Table joins the VM list, heartbeats and direct evidence. It is safe for concurrent use.
@@ -56,8 +63,15 @@
 
 	mu       sync.Mutex
 	nodes    map[string]*state
+	names    []string          // keys of nodes in order
+	listed   []string          // names of the newest list, in order
+	digest   uint64            // of listed
 	byEnd    map[string]string // endpoint name to node name
-	change   uint64
+	byKey    map[uint64]string // key of the newest incarnation to node name
+	byName   map[uint64]string // xxhash64 of name to node name
+	lacking  map[uint64]bool   // keys of updates without a record
+	spread   *list.List        // names, the most recently changed first, for gossip
+	direct   *list.List        // names, the most recently heard directly first
 	cached   view
 	urgent   map[string]bool // names whose leaving or return is to be pushed at once
 	wakePush chan struct{}
@@ -65,7 +79,8 @@
 
 // view is a cached answer of Entries and Agents.
 type view struct {
-	at      time.Time
+	at      time.Time // zero: outdated
+	built   time.Time
 	entries []Node
 	agents  []Node
 }
@@ -73,14 +88,17 @@
 // NewTable returns an empty table.
 func NewTable(o Options) *Table {
 	return &Table{options: o, nodes: make(map[string]*state), byEnd: make(map[string]string),
-		urgent: make(map[string]bool), wakePush: make(chan struct{}, 1)}
+		byKey: make(map[uint64]string), byName: make(map[uint64]string), lacking: make(map[uint64]bool), spread: list.New(), direct: list.New(), urgent: make(map[string]bool), wakePush: make(chan struct{}, 1)}
 }
 
 func (t *Table) node(name string) *state {
 	s := t.nodes[name]
 	if s == nil {
-		s = &state{}
+		s = &state{spread: t.spread.PushBack(name)}
 		t.nodes[name] = s
+		t.byName[xxhash.Sum64String(name)] = name
+		at, _ := slices.BinarySearch(t.names, name)
+		t.names = slices.Insert(t.names, at, name)
 	}
 	return s
 }
@@ -108,11 +126,30 @@
 			t.forget(name, s)
 		}
 	}
+	t.listed = slices.Sorted(maps.Keys(named))
+	t.digest = xxhash.Sum64String(strings.Join(t.listed, "\n"))
 	t.cached.at = time.Time{}
 }
 
+// Listed returns the names of the newest VM list in order and their digest. Nodes with equal digests number the names
+// alike. The slice must not be changed.
+func (t *Table) Listed() (names []string, digest uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed, t.digest
+}
+
 func (t *Table) forget(name string, s *state) {
 	delete(t.nodes, name)
+	t.spread.Remove(s.spread)
+	if s.direct != nil {
+		t.direct.Remove(s.direct)
+	}
+	delete(t.byKey, s.key)
+	delete(t.byName, xxhash.Sum64String(name))
+	if at, found := slices.BinarySearch(t.names, name); found {
+		t.names = slices.Delete(t.names, at, at+1)
+	}
 	if s.record != nil && t.byEnd[s.record.Endpoint] == name {
 		delete(t.byEnd, s.record.Endpoint)
 	}
@@ -138,10 +175,7 @@
 	}
 }
 
-func (t *Table) touch(s *state) {
-	t.change++
-	s.spread = t.change
-}
+func (t *Table) touch(s *state) { t.spread.MoveToFront(s.spread) }
 
 // Observe merges a gossiped record that arrived now. direct says that the node itself sent it.
 func (t *Table) Observe(r *wire.NodeRecord, direct bool) {
@@ -199,6 +233,10 @@
 	next.AgeMs = 0
 	if previous != nil && !restarted {
 		next.Load = newerLoad(previous.Load, next.Load)
+		next.Epoch = max(next.Epoch, previous.Epoch)
+	}
+	if restarted {
+		s.updated = 0
 	}
 	s.record = next
 	if born.After(s.born) {
@@ -217,7 +255,20 @@
 	if previous == nil || restarted || previous.Fault != r.Fault {
 		t.cached.at = time.Time{}
 	}
-	t.touch(s)
+	if previous == nil || restarted {
+		delete(t.byKey, s.key)
+		s.key = nodeKey(r)
+		t.byKey[s.key] = r.Name
+	}
+	if direct && s.direct == nil {
+		s.direct = t.direct.PushFront(r.Name)
+	} else if direct {
+		t.direct.MoveToFront(s.direct)
+	}
+	if constant := constantOf(next); previous == nil || restarted || constant != s.constant {
+		s.constant = constant
+		t.touch(s)
+	}
 }
 
 // newerLoad returns the later of two loads. Loads of one incarnation are ordered by sequence.
@@ -239,6 +290,14 @@
 	s.epoch = max(s.epoch, epoch)
 }
 
+// Told records that a node told another entry that it holds an epoch, so that ToldEpoch passes it on.
+func (t *Table) Told(name string, epoch int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.node(name)
+	s.epoch, s.told = max(s.epoch, epoch), max(s.told, epoch)
+}
+
 // ObserveLoad implements View. A load that the agent sent itself is direct evidence that it runs.
 func (t *Table) ObserveLoad(load *wire.Load) {
 	if load == nil {
@@ -256,7 +315,6 @@
 		return
 	}
 	s.record.Load = proto.Clone(newer).(*wire.Load)
-	t.touch(s)
 }
 
 // ObserveFailure implements View. The node counts as not live until it is heard again.
@@ -330,8 +388,8 @@
 	if !t.cached.at.IsZero() && now.Sub(t.cached.at) < maxViewAge {
 		return t.cached
 	}
-	next := view{at: now}
-	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+	next := view{at: now, built: now}
+	for _, name := range t.names {
 		n := t.describe(name, t.nodes[name], now)
 		switch {
 		case n.Role == platform.RoleEntry && t.mayBeLive(t.nodes[name], now):
@@ -349,6 +407,18 @@
 	return s.listed || t.live(s, now) || !s.heard.IsZero() && now.Sub(s.heard) < t.silentAfter()
 }
 
+// EntriesWithin returns Entries as they were at most age ago. The exchange chooses its targets from it: rebuilding the
+// view for every message would be most of the processor time of a node in a large fleet.
+func (t *Table) EntriesWithin(age time.Duration) []Node {
+	t.mu.Lock()
+	held := t.cached
+	t.mu.Unlock()
+	if held.built.IsZero() || time.Since(held.built) >= age {
+		held = t.current()
+	}
+	return held.entries
+}
+
 // Entries implements View. The slice is shared; callers must not change it.
 func (t *Table) Entries() []Node { return t.current().entries }
 
@@ -413,7 +483,7 @@
 	now := time.Now()
 	bound = max(bound, t.silentAfter()) // in a large fleet the news that a node was heard takes longer than the bound
 	var holders []Holder
-	for _, name := range slices.Sorted(maps.Keys(t.nodes)) {
+	for _, name := range t.names {
 		s := t.nodes[name]
 		if !s.listed && (s.heard.IsZero() || now.Sub(s.heard) >= bound) {
 			continue
@@ -425,28 +495,25 @@
 	return holders
 }
 
-// Records returns up to limit records of other nodes to gossip, the most recently changed first, without those of skip.
+// Records returns up to limit bytes of records of other nodes to gossip, the most recently changed first, without those
+// of skip.
 func (t *Table) Records(limit int, skip string) []*wire.NodeRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := make([]string, 0, len(t.nodes))
-	for name, s := range t.nodes {
-		if s.record != nil && name != t.options.Name && (name != skip || s.leaving) {
-			names = append(names, name)
+	var records []*wire.NodeRecord
+	for e := t.spread.Front(); e != nil; e = e.Next() {
+		name, _ := e.Value.(string)
+		s := t.nodes[name]
+		if s.record == nil || name == t.options.Name || name == skip && !s.leaving {
+			continue
 		}
+		r := t.recordsLocked([]string{name})[0]
+		if limit -= proto.Size(r); limit < 0 {
+			break
+		}
+		records = append(records, r)
 	}
-	slices.SortFunc(names, func(a, b string) int { return compareSpread(t.nodes[b], t.nodes[a]) })
-	return t.recordsLocked(names[:min(len(names), limit)])
-}
-
-func compareSpread(a, b *state) int {
-	switch {
-	case a.spread < b.spread:
-		return -1
-	case a.spread > b.spread:
-		return 1
-	}
-	return 0
+	return records
 }
 
 func (t *Table) recordsLocked(names []string) []*wire.NodeRecord {
