--- a/blame/blame.go
+++ b/blame/blame.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
 	"github.com/bilberrylink/bilberrylink/wire"
@@ -348,29 +349,18 @@
 		<-ctx.Done()
 		return nil
 	}
-	for t.load(ctx) != nil && sleep(ctx, retryEvery) {
+	for t.load(ctx) != nil && timing.Sleep(ctx, retryEvery) == nil {
 	}
 	for {
 		fingerprint, err := t.writes.Pop(ctx)
 		if err != nil {
 			return nil
 		}
-		for t.persist(ctx, fingerprint) != nil && sleep(ctx, retryEvery) {
+		for t.persist(ctx, fingerprint) != nil && timing.Sleep(ctx, retryEvery) == nil {
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (t *Tracker) load(ctx context.Context) error {
 	after := ""
 	for {
--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -15,6 +15,7 @@
 
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
@@ -279,7 +280,7 @@
 		default:
 			inDoubt = true
 		}
-		if sleep(ctx, jitter(retryPause)) != nil {
+		if timing.Sleep(ctx, timing.Jitter(retryPause, 0.5)) != nil {
 			return Current{}, a.undecided(sub, next, inDoubt)
 		}
 	}
@@ -339,7 +340,7 @@
 			current, _, _ := a.catchUp(ctx) // a failure only costs the details of the answer
 			return Current{}, a.conflict(ctx, sub.Base, max(current.Epoch, next.Epoch))
 		}
-		if sleep(ctx, jitter(retryPause)) != nil {
+		if timing.Sleep(ctx, timing.Jitter(retryPause, 0.5)) != nil {
 			return Current{}, a.undecided(sub, next, inDoubt)
 		}
 	}
@@ -468,7 +469,7 @@
 		}
 		a.InForce(a.options.Store.Epoch())
 		a.resolve(ctx)
-		timer := time.NewTimer(jitter(collectInterval))
+		timer := time.NewTimer(timing.Jitter(collectInterval, 0.5))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/epoch/current.go
+++ b/epoch/current.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
 
@@ -92,7 +92,7 @@
 		if err == nil {
 			failures = 0
 		}
-		if err := sleep(ctx, p.delay(failures)); err != nil {
+		if err := timing.Sleep(ctx, p.delay(failures)); err != nil {
 			return err
 		}
 	}
@@ -127,21 +127,5 @@
 		const maxDoublings = 5
 		interval = max(interval, min(interval<<min(failures, maxDoublings), maxPollBackoff))
 	}
-	return jitter(interval)
-}
-
-// jitter spreads a pause evenly over half to one and a half of d, so that nodes do not act in step.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return timing.Jitter(interval, 0.5)
 }
--- a/internal/entry/compose.go
+++ b/internal/entry/compose.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/limit"
@@ -244,7 +245,7 @@
 func (d *daemon) stop(ctx context.Context) error {
 	d.server.draining.Store(true)
 	d.opts.Log.WithField("lag", d.opts.BalancerLag).Info("entry stops: waiting for the load balancer")
-	wait(ctx, d.opts.BalancerLag)
+	_ = timing.Sleep(ctx, d.opts.BalancerLag) // a stop that runs out of time goes on at once
 	drain, cancel := context.WithTimeout(ctx, d.opts.DrainTimeout)
 	defer cancel()
 	err := d.callers.Shutdown(drain)
@@ -263,12 +264,3 @@
 	d.opts.Log.Info("entry stopped")
 	return errors.Wrap(err, "finish streams")
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/experiment/recall_test.go
+++ b/internal/experiment/recall_test.go
@@ -12,6 +12,7 @@
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 var batchVersion = endpoint.Version{Model: "m", Version: "1", Batch: "b1"}
@@ -103,7 +104,7 @@
 	"parted region": func(_ context.Context, w *World) { cutDomains(w, 3, 4) },
 	"paused agent": func(ctx context.Context, w *World) {
 		w.Nodes[9].Pause(true)
-		_ = wait(ctx, 12*time.Second)
+		_ = timing.Sleep(ctx, 12*time.Second)
 		w.Nodes[9].Pause(false)
 	},
 	"restarts while the table is down": func(ctx context.Context, w *World) {
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/peer"
 )
@@ -90,7 +91,7 @@
 			held[p] = e
 			r.check(e >= r.inForce || !fresh, "fresh_without_epoch", "%s holds %d and is fresh while %d is in force", n.Name, e, r.inForce)
 		}
-		_ = wait(ctx, 50*time.Millisecond)
+		_ = timing.Sleep(ctx, 50*time.Millisecond)
 	}
 }
 
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
 
@@ -55,7 +56,7 @@
 
 // Get implements platform.Table.
 func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := wait(ctx, tableDelay); err != nil {
+	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return platform.Row{}, err
 	}
 	t.mu.Lock()
@@ -73,7 +74,7 @@
 
 // Commit implements platform.Table.
 func (t *Table) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
-	if err := wait(ctx, tableDelay); err != nil {
+	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
@@ -102,7 +103,7 @@
 
 // Scan implements platform.Table.
 func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if err := wait(ctx, tableDelay); err != nil {
+	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
@@ -126,7 +127,7 @@
 type objects struct{ table *Table }
 
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
-	if err := wait(ctx, tableDelay); err != nil {
+	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return err
 	}
 	o.table.mu.Lock()
@@ -139,7 +140,7 @@
 }
 
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
-	if err := wait(ctx, tableDelay); err != nil {
+	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return nil, err
 	}
 	o.table.mu.Lock()
@@ -153,14 +154,3 @@
 	}
 	return data, nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/peer"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
@@ -279,7 +280,7 @@
 	if err := a.gate(ctx); err != nil {
 		return err
 	}
-	if err := wait(ctx, networkDelay); err != nil {
+	if err := timing.Sleep(ctx, networkDelay); err != nil {
 		return err
 	}
 	if a.world.separated(a.Domain, b.Domain) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -13,24 +13,10 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // limiter allows perSecond events with a burst of a tenth of a second.
 func limiter(perSecond float64) *rate.Limiter {
 	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond/10), 1))
@@ -61,7 +47,7 @@
 	if !limit.AllowN(time.Now(), min(n, limit.Burst())) {
 		return platform.ErrRateLimited
 	}
-	return sleep(ctx, t.delay+milliseconds(t.faults.State().TableDelayMS))
+	return timing.Sleep(ctx, t.delay+milliseconds(t.faults.State().TableDelayMS))
 }
 
 // Get implements platform.Table.
--- /dev/null
+++ b/internal/timing/timing.go
@@ -0,0 +1,29 @@
+// Package timing holds the waits that the packages share.
+package timing
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Sleep waits for d and returns nil, or the context's error if the context ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Jitter returns a random duration around d: spread 0.2 gives 80% to 120% of it. Nodes that start together, or wait for
+// the same outage to end, would otherwise act at the same moment.
+func Jitter(d time.Duration, spread float64) time.Duration {
+	return time.Duration((1 - spread + 2*spread*rand.Float64()) * float64(d))
+}
--- /dev/null
+++ b/internal/timing/timing_test.go
@@ -0,0 +1,39 @@
+package timing_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
+)
+
+// A wait that outlives its context would hold a stopping process.
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		require.NoError(t, timing.Sleep(t.Context(), time.Minute))
+		require.Equal(t, time.Minute, time.Since(began))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, timing.Sleep(ctx, time.Minute), context.DeadlineExceeded)
+		require.Equal(t, time.Minute+time.Second, time.Since(began))
+		require.ErrorIs(t, timing.Sleep(ctx, 0), context.DeadlineExceeded)
+	})
+}
+
+// Jitter outside its spread would break intervals that a bound depends on.
+func TestJitterStaysWithinItsSpread(t *testing.T) {
+	low, high := time.Hour, time.Duration(0)
+	for range 10_000 {
+		d := timing.Jitter(time.Second, 0.2)
+		low, high = min(low, d), max(high, d)
+	}
+	require.GreaterOrEqual(t, low, 800*time.Millisecond)
+	require.LessOrEqual(t, high, 1200*time.Millisecond)
+	require.Less(t, low, 820*time.Millisecond)
+	require.Greater(t, high, 1180*time.Millisecond)
+}
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
@@ -148,7 +149,7 @@
 		if !strings.Contains(err.Error(), "acceptance_unknown") && !strings.Contains(err.Error(), "store_unavailable") {
 			return s, err
 		}
-		if pause(ctx, poll) != nil {
+		if timing.Sleep(ctx, poll) != nil {
 			return s, err
 		}
 	}
@@ -169,7 +170,7 @@
 		if err == nil && done(st) {
 			return nil
 		}
-		if pause(ctx, poll) != nil {
+		if timing.Sleep(ctx, poll) != nil {
 			return errors.Wrapf(ctx.Err(), "status: %+v, %v", st.Unconfirmed, err)
 		}
 	}
@@ -184,14 +185,3 @@
 	}
 	return st.InForce && len(st.Unconfirmed) == 0
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/trial/recall.go
+++ b/internal/trial/recall.go
@@ -17,6 +17,7 @@
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // Faults of a recall trial.
@@ -105,7 +106,7 @@
 	recalled := versionsOf(text, c.Name)
 	callers := client.startCallers(ctx, fmt.Sprintf("trial %d/%d", c.Seed, i))
 	defer callers.finish()
-	if err := pause(ctx, warmUp+time.Duration(rng.Int64N(int64(spread)))); err != nil {
+	if err := timing.Sleep(ctx, warmUp+time.Duration(rng.Int64N(int64(spread)))); err != nil {
 		return t, err
 	}
 	s, err := c.recall(ctx, client)
@@ -116,7 +117,7 @@
 	if err != nil {
 		return t, err
 	}
-	if err := pause(ctx, afterwards); err != nil {
+	if err := timing.Sleep(ctx, afterwards); err != nil {
 		return t, err
 	}
 	answers := callers.finish()
@@ -169,7 +170,7 @@
 		if err := client.faults(ctx, `{"partition": `+string(groups)+`}`); err != nil {
 			return submission{}, err
 		}
-		if err := pause(ctx, partitioned); err != nil {
+		if err := timing.Sleep(ctx, partitioned); err != nil {
 			return submission{}, err
 		}
 	case faultTable:
--- a/once/background.go
+++ b/once/background.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
@@ -64,7 +65,7 @@
 		t.tries++
 		s.enqueue(t)
 		s.waiting.Add(-1)
-		if !sleep(ctx, wait) {
+		if timing.Sleep(ctx, timing.Jitter(wait, 0.5)) != nil {
 			return ctx.Err()
 		}
 		wait = min(2*wait, retryMax)
--- a/once/once.go
+++ b/once/once.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
@@ -199,24 +200,12 @@
 			current, decodeErr := decode(row)
 			return row, decodeErr == nil && current.Nonce == rec.Nonce, decodeErr
 		}
-		if !sleep(ctx, wait) {
+		if timing.Sleep(ctx, timing.Jitter(wait, 0.5)) != nil {
 			return platform.Row{}, false, err
 		}
 	}
 }
 
-// sleep waits for a jittered d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Store) put(ctx context.Context, key string, expect int64, rec record) (platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 	defer cancel()
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // catchUpPause separates the tries of CatchUp while no entry has the wanted epoch.
@@ -15,7 +17,7 @@
 		if p.store.Epoch() >= wanted {
 			return nil
 		}
-		if err := pause(ctx, catchUpPause); err != nil {
+		if err := timing.Sleep(ctx, catchUpPause); err != nil {
 			return err
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/epoch"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
@@ -90,7 +91,7 @@
 func (p *Peer) exchangeLoop(ctx context.Context) {
 	for {
 		p.exchangeOnce(ctx)
-		if pause(ctx, jitter(p.options.Interval)) != nil {
+		if timing.Sleep(ctx, timing.Jitter(p.options.Interval, 0.2)) != nil {
 			return
 		}
 	}
@@ -478,7 +479,7 @@
 		p.readList(ctx)
 		size := len(p.members.PossiblyServing(0))
 		interval := max(minListInterval, time.Duration(size)*time.Second/listNodesPerSec)
-		if pause(ctx, jitter(interval)) != nil {
+		if timing.Sleep(ctx, timing.Jitter(interval, 0.2)) != nil {
 			return
 		}
 	}
@@ -510,7 +511,7 @@
 				return nil
 			}
 		}
-		if err := pause(ctx, confirmPause); err != nil {
+		if err := timing.Sleep(ctx, confirmPause); err != nil {
 			return err
 		}
 	}
@@ -552,19 +553,3 @@
 func shuffle[T any](items []T) {
 	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
 }
-
-// jitter spreads a pause evenly over 0.8 to 1.2 of d, so that nodes do not act in step.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.8 + 0.4*rand.Float64()) * float64(d))
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
