--- a/blame/blame.go
+++ b/blame/blame.go
@@ -6,19 +6,15 @@
 package blame
 
 import (
-	"container/list"
 	"context"
-	"encoding/json"
 	"slices"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
-	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
 	"github.com/bilberrylink/bilberrylink/wire"
@@ -342,139 +338,3 @@
 	})
 	return out
 }
-
-// Run loads the table's records and writes queued ones until ctx ends.
-func (t *Tracker) Run(ctx context.Context) error {
-	if t.opts.Table == nil {
-		<-ctx.Done()
-		return nil
-	}
-	for t.load(ctx) != nil && timing.Sleep(ctx, retryEvery) == nil {
-	}
-	for {
-		fingerprint, err := t.writes.Pop(ctx)
-		if err != nil {
-			return nil
-		}
-		for t.persist(ctx, fingerprint) != nil && timing.Sleep(ctx, retryEvery) == nil {
-		}
-	}
-}
-
-func (t *Tracker) load(ctx context.Context) error {
-	after := ""
-	for {
-		rows, err := t.opts.Table.Scan(ctx, RowPrefix, after, scanPage)
-		if err != nil {
-			return errors.Wrap(err, "scan blame records")
-		}
-		for _, row := range rows {
-			t.mergeRow(row)
-			after = row.Key
-		}
-		if len(rows) < scanPage {
-			return nil
-		}
-	}
-}
-
-func (t *Tracker) mergeRow(row platform.Row) {
-	var r Record
-	if err := json.Unmarshal(row.Value, &r); err != nil {
-		t.opts.Log.WithError(err).WithField("row", row.Key).Warn("unreadable blame record")
-		return
-	}
-	r.Fingerprint = row.Key[len(RowPrefix):]
-	r.Expires = row.Expires
-	t.merge(r, false)
-}
-
-// persist writes the record to its row, merging what another entry wrote first.
-func (t *Tracker) persist(ctx context.Context, fingerprint string) error {
-	if t.opts.Table == nil {
-		return nil
-	}
-	key := RowPrefix + fingerprint
-	expect := int64(0)
-	for range writeTries {
-		value, ttl, ok := t.encode(fingerprint)
-		if !ok {
-			return nil
-		}
-		_, err := t.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: value, TTL: ttl})
-		var lost *platform.ConditionError
-		if !errors.As(err, &lost) {
-			return errors.Wrap(err, "write blame record")
-		}
-		expect = lost.Current.Version
-		if expect > 0 {
-			t.mergeRow(lost.Current)
-		}
-	}
-	return errors.New("blame record: too many conflicting writes")
-}
-
-func (t *Tracker) encode(fingerprint string) (value []byte, ttl time.Duration, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.records.get(fingerprint)
-	if !ok {
-		return nil, 0, false
-	}
-	ttl = time.Until(r.Expires)
-	if ttl <= 0 {
-		return nil, 0, false
-	}
-	value, err := json.Marshal(r)
-	return value, ttl, err == nil
-}
-
-// lru is a map bounded by its least recently used key.
-type lru[T any] struct {
-	max   int
-	items map[string]*list.Element
-	order *list.List
-}
-
-type lruItem[T any] struct {
-	key   string
-	value T
-}
-
-func newLRU[T any](maxItems int) *lru[T] {
-	return &lru[T]{max: maxItems, items: make(map[string]*list.Element), order: list.New()}
-}
-
-func (l *lru[T]) get(key string) (value T, ok bool) {
-	e, ok := l.items[key]
-	if !ok {
-		return value, false
-	}
-	l.order.MoveToFront(e)
-	return e.Value.(*lruItem[T]).value, true
-}
-
-func (l *lru[T]) put(key string, value T) {
-	if e, ok := l.items[key]; ok {
-		e.Value.(*lruItem[T]).value = value
-		l.order.MoveToFront(e)
-		return
-	}
-	l.items[key] = l.order.PushFront(&lruItem[T]{key: key, value: value})
-	if l.order.Len() > l.max {
-		l.remove(l.order.Back().Value.(*lruItem[T]).key)
-	}
-}
-
-func (l *lru[T]) remove(key string) {
-	if e, ok := l.items[key]; ok {
-		l.order.Remove(e)
-		delete(l.items, key)
-	}
-}
-
-func (l *lru[T]) each(f func(T)) {
-	for e := l.order.Front(); e != nil; e = e.Next() {
-		f(e.Value.(*lruItem[T]).value)
-	}
-}
--- /dev/null
+++ b/blame/rows.go
@@ -0,0 +1,98 @@
+package blame
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
+	"github.com/bilberrylink/bilberrylink/platform"
+)
+
+// Run loads the table's records and writes queued ones until ctx ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	if t.opts.Table == nil {
+		<-ctx.Done()
+		return nil
+	}
+	for t.load(ctx) != nil && timing.Sleep(ctx, retryEvery) == nil {
+	}
+	for {
+		fingerprint, err := t.writes.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		for t.persist(ctx, fingerprint) != nil && timing.Sleep(ctx, retryEvery) == nil {
+		}
+	}
+}
+
+func (t *Tracker) load(ctx context.Context) error {
+	after := ""
+	for {
+		rows, err := t.opts.Table.Scan(ctx, RowPrefix, after, scanPage)
+		if err != nil {
+			return errors.Wrap(err, "scan blame records")
+		}
+		for _, row := range rows {
+			t.mergeRow(row)
+			after = row.Key
+		}
+		if len(rows) < scanPage {
+			return nil
+		}
+	}
+}
+
+func (t *Tracker) mergeRow(row platform.Row) {
+	var r Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		t.opts.Log.WithError(err).WithField("row", row.Key).Warn("unreadable blame record")
+		return
+	}
+	r.Fingerprint = row.Key[len(RowPrefix):]
+	r.Expires = row.Expires
+	t.merge(r, false)
+}
+
+// persist writes the record to its row, merging what another entry wrote first.
+func (t *Tracker) persist(ctx context.Context, fingerprint string) error {
+	if t.opts.Table == nil {
+		return nil
+	}
+	key := RowPrefix + fingerprint
+	expect := int64(0)
+	for range writeTries {
+		value, ttl, ok := t.encode(fingerprint)
+		if !ok {
+			return nil
+		}
+		_, err := t.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: value, TTL: ttl})
+		var lost *platform.ConditionError
+		if !errors.As(err, &lost) {
+			return errors.Wrap(err, "write blame record")
+		}
+		expect = lost.Current.Version
+		if expect > 0 {
+			t.mergeRow(lost.Current)
+		}
+	}
+	return errors.New("blame record: too many conflicting writes")
+}
+
+func (t *Tracker) encode(fingerprint string) (value []byte, ttl time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records.get(fingerprint)
+	if !ok {
+		return nil, 0, false
+	}
+	ttl = time.Until(r.Expires)
+	if ttl <= 0 {
+		return nil, 0, false
+	}
+	value, err := json.Marshal(r)
+	return value, ttl, err == nil
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,9 +20,6 @@
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
-// maxBackoff bounds the pause between rounds over refusing candidates.
-const maxBackoff = 500 * time.Millisecond
-
 // dispatchOptions is what a dispatcher works with.
 type dispatchOptions struct {
 	Epochs   epoch.View
@@ -440,130 +435,3 @@
 	}
 	return nil
 }
-
-// round is the state of the choices of one request.
-type round struct {
-	d        *dispatcher
-	r        *request
-	tried    []*route.Endpoint
-	attempts int
-	pause    time.Duration
-	last     *failure
-}
-
-func (rd *round) exclude(ep *route.Endpoint, f *failure) {
-	rd.tried = append(rd.tried, ep)
-	rd.last = f
-}
-
-// choose returns the next endpoint. After all candidates refused it pauses and asks them again.
-func (rd *round) choose(ctx context.Context) (route.Choice, error) {
-	for {
-		if ctx.Err() != nil {
-			return route.Choice{}, rd.d.expired(ctx, rd.last)
-		}
-		pool := rd.d.pool(rd.r.snap, &rd.r.target)
-		if c, ok := rd.pick(pool); ok {
-			return rd.accept(c)
-		}
-		rd.d.refreshPool(pool)
-		if !pool.Available() {
-			return route.Choice{}, rd.unavailable()
-		}
-		rd.tried = rd.tried[:0]
-		if err := rd.backOff(ctx); err != nil {
-			return route.Choice{}, err
-		}
-	}
-}
-
-func (rd *round) pick(pool *route.Pool) (route.Choice, bool) {
-	exclude := rd.tried
-	for range len(pool.Endpoints()) {
-		c, ok := rd.d.opts.Policy.Choose(pool, rd.r.routing(exclude, rd.d.confined(rd.r), rd.d.prefixes.cached(rd.r.prefix)))
-		if !ok || rd.last == nil || rd.last.transient() || rd.d.endpointRetries.Spend(c.Endpoint.Name) {
-			return c, ok
-		}
-		rd.d.metrics.budgetSpent.Inc()
-		exclude = append(exclude[:len(exclude):len(exclude)], c.Endpoint)
-	}
-	return route.Choice{}, false
-}
-
-// accept refuses a first attempt that could not begin in time on an idle engine. Whether queued work leaves enough time is
-// for the agent to say: only its queue knows the share of the workspace.
-func (rd *round) accept(c route.Choice) (route.Choice, error) {
-	if rd.attempts == 0 {
-		rd.d.endpointRetries.Earn(c.Endpoint.Name)
-		if c.Prefill > time.Until(rd.r.deadline) {
-			return c, errkind.New(errkind.DeadlineUnmeetable, "the prompt alone cannot be prefilled before the deadline")
-		}
-	}
-	rd.attempts++
-	return c, nil
-}
-
-func (rd *round) unavailable() error {
-	if rd.last != nil {
-		return rd.last.err
-	}
-	return errkind.New(errkind.NoEndpoint, "no live endpoint serves "+rd.r.asked)
-}
-
-func (rd *round) backOff(ctx context.Context) error {
-	if rd.pause = min(rd.pause*2, maxBackoff); rd.pause == 0 {
-		rd.pause = rd.d.timing.Backoff
-	}
-	timer := time.NewTimer(rd.pause/2 + rand.N(rd.pause/2+1))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return rd.d.expired(ctx, rd.last)
-	case <-timer.C:
-		return nil
-	}
-}
-
-// confined reports whether the request may only reach the two endpoints of its fingerprint.
-func (d *dispatcher) confined(r *request) bool {
-	return !d.opts.Disabled.Confinement && d.opts.Blames.Check(r.fingerprint) != blame.Proven
-}
-
-// prefixCapacity bounds each of the two generations of known prefixes.
-const prefixCapacity = 8192
-
-// prefixTokens is the length of the hashed prefix in tokens.
-var prefixTokens = int64(endpoint.CountTokens(strings.Repeat("x", prefixBytes)))
-
-// prefixes remembers how many tokens of a prefix the endpoint of that prefix reported as cached.
-type prefixes struct {
-	mu       sync.Mutex
-	now, old map[uint64]int64
-}
-
-func newPrefixes() *prefixes { return &prefixes{now: make(map[uint64]int64)} }
-
-func (p *prefixes) cached(prefix uint64) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n, ok := p.now[prefix]; ok {
-		return n
-	}
-	return p.old[prefix]
-}
-
-// learn records a reply. A prompt without a hit has just filled the cache with its own prefix.
-func (p *prefixes) learn(prefix uint64, cached, prompt int64) {
-	if prefix == 0 {
-		return
-	}
-	if cached == 0 {
-		cached = min(prompt, prefixTokens)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.now) >= prefixCapacity {
-		p.old, p.now = p.now, make(map[uint64]int64)
-	}
-	p.now[prefix] = cached
-}
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -127,118 +124,6 @@
 	return append([]*segment(nil), s.segments...)
 }
 
-// plan chooses the members with the most free memory and cuts the prompt in proportion to their memory.
-func (s *splitRun) plan() ([]*segment, *errkind.Error) {
-	total := s.r.promptTokens + s.r.maxTokens
-	s.version = s.chooseVersion()
-	members := s.candidates()
-	share := wantedShare
-	n, sum := enough(members, total, share)
-	for (sum < total || n > len(members)/2) && share < usableShare { // the others remain as replacements
-		share = min(share+shareStep, usableShare)
-		n, sum = enough(members, total, share)
-	}
-	if sum < total {
-		return nil, errkind.New(errkind.PromptTooLarge, "the engines' memory together does not hold the prompt")
-	}
-	members = members[:n]
-	if !s.d.opts.Disabled.ReserveOrder {
-		sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
-	}
-	return s.cut(members, total, share, sum), nil
-}
-
-// enough returns how many of the first members hold the tokens with a share of their memory, and what these hold.
-func enough(members []*route.Endpoint, tokens int64, share float64) (n int, sum int64) {
-	for n < len(members) && sum < tokens {
-		sum += usable(members[n], share)
-		n++
-	}
-	return n, sum
-}
-
-func (s *splitRun) candidates() []*route.Endpoint {
-	var members []*route.Endpoint
-	free := make(map[*route.Endpoint]int64)
-	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
-		report, _ := e.Report()
-		if e.Available() && !s.excluded[e] && report.KVCapacity > 0 && s.versionAt(e) == s.version {
-			members = append(members, e)
-			free[e] = report.KVFree
-		}
-	}
-	sort.SliceStable(members, func(i, j int) bool { return free[members[i]] > free[members[j]] })
-	return members
-}
-
-// chooseVersion returns the version that all members use. During a rollout it is the one whose endpoints have the most
-// memory together.
-func (s *splitRun) chooseVersion() endpoint.Version {
-	best, memory := s.r.target.Version, make(map[endpoint.Version]int64)
-	for _, e := range s.d.pool(s.r.snap, &s.r.target).Endpoints() {
-		if e.Available() && !s.excluded[e] {
-			memory[s.versionAt(e)] += usable(e, usableShare)
-		}
-	}
-	for v, sum := range memory {
-		if sum > memory[best] {
-			best = v
-		}
-	}
-	return best
-}
-
-func (s *splitRun) versionAt(e *route.Endpoint) endpoint.Version {
-	node, _ := s.d.members.Endpoint(e.Name) // without a node the target's version
-	return s.r.versionAt(node)
-}
-
-func usable(e *route.Endpoint, share float64) int64 {
-	report, _ := e.Report()
-	return int64(float64(report.KVCapacity) * share)
-}
-
-func (s *splitRun) cut(members []*route.Endpoint, total int64, share float64, sum int64) []*segment {
-	rest := s.r.prompt
-	segments := make([]*segment, len(members))
-	for i, e := range members {
-		tokens := int64(math.Ceil(float64(total) * float64(usable(e, share)) / float64(sum)))
-		text := rest
-		if i < len(members)-1 {
-			text = cutText(rest, tokens)
-		}
-		rest = rest[len(text):]
-		tokens = int64(endpoint.CountTokens(text))
-		if i == len(members)-1 {
-			tokens += s.r.maxTokens
-		}
-		segments[i] = s.newSegment(e, text, tokens)
-	}
-	return segments
-}
-
-func (s *splitRun) newSegment(e *route.Endpoint, text string, tokens int64) *segment {
-	node, _ := s.d.members.Endpoint(e.Name) // without a node the reservation fails
-	return &segment{ep: e, node: node, reservation: newID(), text: text, tokens: tokens}
-}
-
-// cutText returns the beginning of text with at most the given tokens, cut between runes.
-func cutText(text string, tokens int64) string {
-	low, high := 0, len(text)
-	for low < high {
-		mid := (low + high + 1) / 2
-		if int64(endpoint.CountTokens(text[:mid])) <= tokens {
-			low = mid
-		} else {
-			high = mid - 1
-		}
-	}
-	for low > 0 && low < len(text) && !utf8.RuneStart(text[low]) {
-		low--
-	}
-	return text[:low]
-}
-
 // reserveNext reserves the next planned member. While others hold its memory, an endpoint that grants at once takes its
 // place. If there is none either, it waits: members are awaited in ascending order of their names only, so that
 // concurrent prompts cannot wait for each other in a circle.
@@ -559,86 +444,3 @@
 	}
 	return nil, false
 }
-
-// keepLeases renews the reservations until stop is called.
-func (s *splitRun) keepLeases(ctx context.Context) (stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(s.d.timing.Lease / renewsPerLease)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				s.probe(ctx)
-			}
-		}
-	}()
-	return func() {
-		cancel()
-		<-ended
-	}
-}
-
-// probe renews every granted reservation and marks the members that no longer hold theirs.
-func (s *splitRun) probe(ctx context.Context) {
-	var all sync.WaitGroup
-	for _, seg := range s.held() {
-		if seg.granted.Load() {
-			all.Go(func() { s.renew(ctx, seg) })
-		}
-	}
-	all.Wait()
-}
-
-func (s *splitRun) renew(ctx context.Context, seg *segment) {
-	bounded, cancel := context.WithTimeout(ctx, s.d.timing.Lease/renewsPerLease)
-	defer cancel()
-	reply, err := s.d.agents.unary(seg.node.Addr).Renew(bounded, &wire.RenewRequest{
-		Reservations: []string{seg.reservation},
-		LeaseMs:      s.d.timing.Lease.Milliseconds(),
-	})
-	if ctx.Err() != nil {
-		return
-	}
-	if err == nil {
-		seg.missed.Store(0)
-	}
-	if len(reply.GetUnknown()) > 0 || err != nil && seg.missed.Add(1) >= missedRenewals {
-		seg.lost.Store(true)
-	}
-}
-
-// release frees every reservation.
-func (s *splitRun) release() {
-	s.mu.Lock()
-	segments := s.segments
-	s.segments = nil
-	s.mu.Unlock()
-	s.releaseSegments(segments)
-}
-
-// releaseSegments frees reservations in the background; it only ends work, so it may outlive the answer.
-func (s *splitRun) releaseSegments(segments []*segment) {
-	if s.d.opts.Disabled.Release {
-		return
-	}
-	for _, seg := range segments {
-		if seg.node.Addr == "" {
-			continue
-		}
-		s.d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-			defer cancel()
-			reply, err := s.d.agents.unary(seg.node.Addr).Release(ctx, &wire.ReleaseRequest{Reservations: []string{seg.reservation}})
-			if err != nil {
-				s.d.log.WithError(err).WithField("endpoint", seg.ep.Name).Debug("release left to the lease")
-				return
-			}
-			s.d.observe(reply.GetLoad())
-		})
-	}
-}
