--- a/internal/entry/round.go
+++ b/internal/entry/round.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/route"
 )
 
@@ -86,14 +86,10 @@
 	if rd.pause = min(rd.pause*2, maxBackoff); rd.pause == 0 {
 		rd.pause = rd.d.timing.Backoff
 	}
-	timer := time.NewTimer(rd.pause/2 + rand.N(rd.pause/2+1))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if timing.Sleep(ctx, timing.Jitter(rd.pause, 0.5)) != nil {
 		return rd.d.expired(ctx, rd.last)
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // confined reports whether the request may only reach the two endpoints of its fingerprint.
