Compare only the items of a text that changed

Cause: the difference for the audit row flattened both texts through YAML, 94% of the allocations of an acceptance at 11,000 workspaces. The first text of a fleet is counted instead of listed.

--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -300,11 +300,7 @@
 	}
 	record := a.record(sub, outcomeAccepted, next.Hash)
 	record.Epoch = next.Epoch
-	var old *fleet.Text
-	if held := a.options.Store.Snapshot(); held != nil {
-		old = held.Text
-	}
-	record.Details = truncate(fleet.Diff(old, next.Text))
+	record.Details = difference(a.options.Store.Snapshot(), next)
 	audit, err := json.Marshal(record)
 	if err != nil {
 		return nil, err
@@ -321,6 +317,17 @@
 		Outcome: outcome, Base: sub.Base, Hash: hash}
 }
 
+// difference returns what a text changes, for its audit row. The first text is only counted: it is stored by its hash, and
+// listing all of it takes some 200 MB at 11,000 workspaces.
+func difference(old, next *fleet.Snapshot) []string {
+	if old != nil {
+		return truncate(fleet.Diff(old.Text, next.Text))
+	}
+	t := next.Text
+	return []string{fmt.Sprintf("first text: %d services, %d models, %d adapters, %d batches, %d workspaces, %d recalled",
+		len(t.Services), len(t.Models), len(t.Adapters), len(t.Batches), len(t.Workspaces), len(t.Recalled))}
+}
+
 func truncate(lines []string) []string {
 	if len(lines) <= maxAuditDetail {
 		return lines
--- a/fleet/diff.go
+++ b/fleet/diff.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"reflect"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
@@ -10,6 +12,7 @@
 // Diff returns the differences between two texts as lines in path order: "+ path: value" for an addition, "- path:
 // value" for a removal and "~ path: old -> new" for a change. Comments and formatting do not count. A nil text is empty.
 func Diff(old, new *Text) []string {
+	old, new = changedParts(old, new)
 	before, after := flatten(old), flatten(new)
 	var lines []string
 	for path, value := range before {
@@ -30,6 +33,32 @@
 	return lines
 }
 
+// changedParts returns copies of two texts without the named items that are the same in both. Flattening all of 11,000
+// workspaces for a change of one takes about 500 MB of allocations.
+func changedParts(old, new *Text) (*Text, *Text) {
+	if old == nil || new == nil {
+		return old, new
+	}
+	before, after := *old, *new
+	before.Services, after.Services = changedItems(old.Services, new.Services)
+	before.Models, after.Models = changedItems(old.Models, new.Models)
+	before.Adapters, after.Adapters = changedItems(old.Adapters, new.Adapters)
+	before.Batches, after.Batches = changedItems(old.Batches, new.Batches)
+	before.Workspaces, after.Workspaces = changedItems(old.Workspaces, new.Workspaces)
+	return &before, &after
+}
+
+func changedItems[M ~map[string]V, V any](old, new M) (before, after M) {
+	before, after = maps.Clone(old), maps.Clone(new)
+	for name, item := range old {
+		if next, kept := new[name]; kept && reflect.DeepEqual(item, next) {
+			delete(before, name)
+			delete(after, name)
+		}
+	}
+	return before, after
+}
+
 // flatten returns the values of a text by path. Lists of names are sets; lists of call rules keep their order.
 func flatten(t *Text) map[string]string {
 	leaves := make(map[string]string)
