--- a/internal/settings/run.go
+++ b/internal/settings/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
@@ -15,9 +17,21 @@
 	exitFailure = 1
 )
 
+// heapGrowthPercent keeps the resident memory of a node near 32 MB at rest while it holds a text of 11,000 workspaces. With
+// Go's default of 100 an entry stayed at 109 MiB and an agent at 49 MiB after they had parsed it, with 40 at 32 and 27 MiB.
+const heapGrowthPercent = 40
+
+// limitHeapGrowth sets the garbage collector's target unless the environment does.
+func limitHeapGrowth() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(heapGrowthPercent)
+	}
+}
+
 // Run runs a daemon until a signal or a failure ends it, and returns the exit code of the process. It logs why the
 // daemon did not start or did not stop cleanly; fx.App.Run exits without a word when its own log is off.
 func Run(log *logrus.Logger, options ...fx.Option) int {
+	limitHeapGrowth()
 	quiet := fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger })
 	app := fx.New(append(options, quiet)...)
 	if err := app.Err(); err != nil {
