--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -252,7 +252,7 @@
 	record.OrderFault = a.orderState.fault
 	record.Loaded = nil
 	for _, v := range a.report.Loaded {
-		record.Loaded = append(record.Loaded, toWire(v))
+		record.Loaded = append(record.Loaded, wire.FromVersion(v))
 	}
 }
 
@@ -287,20 +287,10 @@
 	}
 }
 
-func toWire(v endpoint.Version) *wire.Version {
-	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
-		AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch}
-}
-
-func fromWire(v *wire.Version) endpoint.Version {
-	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch(),
-		AdapterVersion: v.GetAdapterVersion(), AdapterBatch: v.GetAdapterBatch()}
-}
-
 func handlesFromWire(handles []*wire.KVHandle) []endpoint.KVHandle {
 	out := make([]endpoint.KVHandle, 0, len(handles))
 	for _, h := range handles {
-		out = append(out, endpoint.KVHandle{Engine: h.GetEngine(), ID: h.GetId(), Tokens: int(h.GetTokens()), Version: fromWire(h.GetVersion())})
+		out = append(out, endpoint.KVHandle{Engine: h.GetEngine(), ID: h.GetId(), Tokens: int(h.GetTokens()), Version: wire.ToVersion(h.GetVersion())})
 	}
 	return out
 }
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -64,9 +64,9 @@
 
 func (att *attempt) version() endpoint.Version {
 	if att.segment != nil {
-		return fromWire(att.segment.GetVersion())
+		return wire.ToVersion(att.segment.GetVersion())
 	}
-	return fromWire(att.request.GetModel().GetVersion())
+	return wire.ToVersion(att.request.GetModel().GetVersion())
 }
 
 func (att *attempt) hasVersion() bool { return att.segment != nil || att.request.GetModel() != nil }
--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -149,7 +149,7 @@
 }
 
 func reserve(f *fixture, id string, tokens, waitMs int64) *wire.ReserveReply {
-	reply, _ := f.Reserve(context.Background(), &wire.ReserveRequest{Reservation: id, Tokens: tokens, WaitMs: waitMs, LeaseMs: 5000, Epoch: 1, Version: toWire(v1)})
+	reply, _ := f.Reserve(context.Background(), &wire.ReserveRequest{Reservation: id, Tokens: tokens, WaitMs: waitMs, LeaseMs: 5000, Epoch: 1, Version: wire.FromVersion(v1)})
 	return reply
 }
 
@@ -157,7 +157,7 @@
 func TestEntryFailsWhileItHoldsReservations(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		require.True(t, reserve(f, "seg", 60000, 0).GetGranted())
-		reply, err := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "seg", RequestId: "r", Prompt: "x", Version: toWire(v1), DeadlineMs: 5000, Epoch: 1})
+		reply, err := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "seg", RequestId: "r", Prompt: "x", Version: wire.FromVersion(v1), DeadlineMs: 5000, Epoch: 1})
 		require.NoError(t, err)
 		require.Nil(t, reply.GetFailure())
 		require.Equal(t, "seg", reply.GetHandle().GetId())
@@ -269,7 +269,7 @@
 		require.True(t, record.GetLeaving())
 		requireFailure(t, f.submit(t.Context(), modelRequest("b")), errkind.Draining, errkind.NotRun)
 		require.False(t, reserve(f, "r", 100, 0).GetGranted())
-		reply, _ := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: toWire(v1), DeadlineMs: 5000, Epoch: 1})
+		reply, _ := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: wire.FromVersion(v1), DeadlineMs: 5000, Epoch: 1})
 		require.Nil(t, reply.GetFailure(), "a long prompt that holds memory is in progress")
 		stopped := make(chan error, 1)
 		go func() { stopped <- f.Stop(context.Background()) }()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -479,7 +479,7 @@
 func modelRequest(id string) *wire.RunRequest {
 	return &wire.RunRequest{RequestId: "r-" + id, AttemptId: id, Workspace: "w", Service: "chat", Class: "interactive", Epoch: 1,
 		DeadlineMs: 30000, Fingerprint: "f-" + id,
-		Work: &wire.RunRequest_Model{Model: &wire.ModelWork{Version: toWire(v1), Prompt: "hello", PromptTokens: 100, MaxTokens: 100}}}
+		Work: &wire.RunRequest_Model{Model: &wire.ModelWork{Version: wire.FromVersion(v1), Prompt: "hello", PromptTokens: 100, MaxTokens: 100}}}
 }
 
 func callRequest(id, method, path, key string) *wire.RunRequest {
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -30,7 +30,7 @@
 
 func requestOf(id string, v endpoint.Version) *wire.RunRequest {
 	r := modelRequest(id)
-	r.GetModel().Version = toWire(v)
+	r.GetModel().Version = wire.FromVersion(v)
 	return r
 }
 
@@ -166,7 +166,7 @@
 func TestRecallReleasesExportedKV(t *testing.T) {
 	bubble(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
 		require.True(t, reserve(f, "held", 1000, 0).GetGranted())
-		reply, err := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: toWire(v1), DeadlineMs: 5000, Epoch: 1})
+		reply, err := f.Prefill(t.Context(), &wire.PrefillRequest{Reservation: "held", RequestId: "r", Prompt: "x", Version: wire.FromVersion(v1), DeadlineMs: 5000, Epoch: 1})
 		require.NoError(t, err)
 		require.NotNil(t, reply.GetHandle())
 		f.peer.set(snapshot(t, 2, textOf("1", "finish", "b1")))
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	if r.begun() && !sameVersion(wireVersion(target.Version), r.version) && !d.stillServed(snap, target, r.version) {
+	if r.begun() && !sameVersion(wire.FromVersion(target.Version), r.version) && !d.stillServed(snap, target, r.version) {
 		return errkind.New(errkind.StreamBroken, "the version of the started answer is no longer served")
 	}
 	r.snap, r.target = snap, target
@@ -243,12 +243,12 @@
 
 // stillServed reports whether an endpoint of the target holds v, which a rollout is replacing.
 func (d *dispatcher) stillServed(snap *fleet.Snapshot, target fleet.Target, v *wire.Version) bool {
-	if _, recalled := snap.Recalled(versionOf(v)); recalled {
+	if _, recalled := snap.Recalled(wire.ToVersion(v)); recalled {
 		return false
 	}
 	return slices.ContainsFunc(target.Endpoints, func(name string) bool {
 		node, ok := d.members.Endpoint(name)
-		return ok && node.Live && slices.ContainsFunc(node.Loaded, func(l endpoint.Version) bool { return sameVersion(wireVersion(l), v) })
+		return ok && node.Live && slices.ContainsFunc(node.Loaded, func(l endpoint.Version) bool { return sameVersion(wire.FromVersion(l), v) })
 	})
 }
 
@@ -256,7 +256,7 @@
 // that the target's replaces. A started answer keeps its version.
 func (r *request) versionAt(node member.Node) endpoint.Version {
 	if r.version != nil {
-		return versionOf(r.version)
+		return wire.ToVersion(r.version)
 	}
 	want := r.target.Version
 	if slices.Contains(node.Loaded, want) {
@@ -407,7 +407,7 @@
 func (d *dispatcher) mayAnswer(r *request, want, v *wire.Version) *errkind.Error {
 	snap := d.epochs.Snapshot()
 	if !d.opts.Disabled.RecallCheck {
-		if item, recalled := snap.Recalled(versionOf(v)); recalled {
+		if item, recalled := snap.Recalled(wire.ToVersion(v)); recalled {
 			return errkind.New(errkind.Recalled, item+" is recalled")
 		}
 		if !sameVersion(want, v) {
@@ -430,7 +430,7 @@
 	if snap == r.snap || snap.Text.Settings.RecallStreams != fleet.RecallCut || d.opts.Disabled.RecallCheck {
 		return nil
 	}
-	if item, recalled := snap.Recalled(versionOf(v)); recalled {
+	if item, recalled := snap.Recalled(wire.ToVersion(v)); recalled {
 		return errkind.New(errkind.Recalled, item+" was recalled during the answer").WithRun(errkind.Ran)
 	}
 	return nil
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -147,7 +147,7 @@
 	}
 	if r.isChat() {
 		m.Work = &wire.RunRequest_Model{Model: &wire.ModelWork{
-			Version:      wireVersion(v),
+			Version:      wire.FromVersion(v),
 			Prompt:       r.prompt,
 			PromptTokens: r.promptTokens,
 			MaxTokens:    r.maxTokens,
@@ -168,16 +168,6 @@
 	return m
 }
 
-func wireVersion(v endpoint.Version) *wire.Version {
-	return &wire.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
-		AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch}
-}
-
-func versionOf(v *wire.Version) endpoint.Version {
-	return endpoint.Version{Model: v.GetModel(), Version: v.GetVersion(), Adapter: v.GetAdapter(), Batch: v.GetBatch(),
-		AdapterVersion: v.GetAdapterVersion(), AdapterBatch: v.GetAdapterBatch()}
-}
-
 // sameVersion ignores the batch, which names a delivery of the same weights.
 func sameVersion(a, b *wire.Version) bool {
 	return a.GetModel() == b.GetModel() && a.GetVersion() == b.GetVersion() && a.GetAdapter() == b.GetAdapter() &&
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -221,7 +221,7 @@
 		WaitMs:      wait.Milliseconds(),
 		LeaseMs:     s.d.timing.Lease.Milliseconds(),
 		Epoch:       s.r.snap.Epoch,
-		Version:     wireVersion(s.version),
+		Version:     wire.FromVersion(s.version),
 	})
 	if err != nil {
 		return unreachable(err)
@@ -289,7 +289,7 @@
 		Reservation: seg.reservation,
 		RequestId:   s.r.id,
 		Prompt:      seg.text,
-		Version:     wireVersion(s.version),
+		Version:     wire.FromVersion(s.version),
 		Imported:    imported,
 		Class:       string(s.r.class()),
 		DeadlineMs:  max(remaining.Milliseconds(), 1),
@@ -351,7 +351,7 @@
 	last := segments[len(segments)-1]
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.margin(s.r))
 	work := a.message.GetModel()
-	work.Version = wireVersion(s.version) // that of the other segments
+	work.Version = wire.FromVersion(s.version) // that of the other segments
 	work.Prompt = last.text
 	work.PromptTokens = int64(endpoint.CountTokens(last.text))
 	work.Imported = handles(segments[:len(segments)-1])
--- a/member/table.go
+++ b/member/table.go
@@ -373,8 +373,7 @@
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
 		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
-			n.Loaded = append(n.Loaded, endpoint.Version{Model: v.Model, Version: v.Version, Adapter: v.Adapter, Batch: v.Batch,
-				AdapterVersion: v.AdapterVersion, AdapterBatch: v.AdapterBatch})
+			n.Loaded = append(n.Loaded, wire.ToVersion(v))
 		}
 	}
 	return n
