--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -206,7 +206,7 @@
 	}
 	for i, node := range entries {
 		option := f.o.Daemons.Entry(EntryConfig{Node: node, CallersListen: f.o.Listen[i],
-			OperatorTokenHashes: []string{OperatorName + "=" + hexSHA256(OperatorToken)}, Services: f.platform.ServicesFrom(node.FailureDomain),
+			OperatorTokenHashes: []string{OperatorName + "=" + fleet.Hash([]byte(OperatorToken))}, Services: f.platform.ServicesFrom(node.FailureDomain),
 			Seeds: seeds, Dial: f.network.Dialer(node.FailureDomain, node.Name), Log: f.o.Log})
 		if err := f.startApp(ctx, option); err != nil {
 			return errors.Wrap(err, node.Name)
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -59,7 +59,7 @@
 	return func(c EntryConfig) fx.Option {
 		mux := http.NewServeMux()
 		mux.HandleFunc("PUT /v1/fleet", func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Authorization") != "Bearer "+OperatorToken || OperatorName+"="+hexSHA256(OperatorToken) != c.OperatorTokenHashes[0] {
+			if r.Header.Get("Authorization") != "Bearer "+OperatorToken || OperatorName+"="+fleet.Hash([]byte(OperatorToken)) != c.OperatorTokenHashes[0] {
 				w.WriteHeader(http.StatusUnauthorized)
 				return
 			}
--- a/internal/dev/text.go
+++ b/internal/dev/text.go
@@ -1,8 +1,6 @@
 package dev
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"regexp"
 	"slices"
@@ -20,11 +18,6 @@
 	workspace     = "bilberry-dev"
 )
 
-func hexSHA256(s string) string {
-	sum := sha256.Sum256([]byte(s))
-	return hex.EncodeToString(sum[:])
-}
-
 var workspacesLine = regexp.MustCompile(`(?m)^workspaces:[ \t]*(\{\}[ \t]*)?(#.*)?$`)
 
 // withCallerKey returns the text with a workspace for CallerKey, if no workspace accepts the key yet.
@@ -36,7 +29,7 @@
 	if _, _, ok := s.WorkspaceByKey(CallerKey); ok {
 		return raw, s, nil
 	}
-	entry := fmt.Sprintf("workspaces:\n  %s:\n    key_hashes: [%q]", workspace, hexSHA256(CallerKey))
+	entry := fmt.Sprintf("workspaces:\n  %s:\n    key_hashes: [%q]", workspace, fleet.Hash([]byte(CallerKey)))
 	if loc := workspacesLine.FindIndex(raw); loc != nil {
 		raw = slices.Concat(raw[:loc[0]], []byte(entry), raw[loc[1]:])
 	} else {
