--- a/blame/blame.go
+++ b/blame/blame.go
@@ -15,7 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/ring"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
@@ -61,7 +61,7 @@
 
 // Options configures a Tracker.
 type Options struct {
-	Table      platform.Table       // nil: memory and gossip only
+	Table      cloud.Table          // nil: memory and gossip only
 	TTL        func() time.Duration // nil: DefaultTTL
 	Capacity   int                  // 0: DefaultCapacity
 	Log        *logrus.Logger       // nil: the standard logger
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -9,37 +9,37 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 )
 
 // fakeTable is a table of rows with conditional writes.
 type fakeTable struct {
-	platform.Table
+	cloud.Table
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]cloud.Row
 	down bool
 }
 
-func (f *fakeTable) Commit(_ context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (f *fakeTable) Commit(_ context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	w := writes[0]
 	if row := f.rows[w.Key]; row.Version != w.Expect {
-		return nil, &platform.ConditionError{Current: row}
+		return nil, &cloud.ConditionError{Current: row}
 	}
-	row := platform.Row{Key: w.Key, Version: w.Expect + 1, Value: w.Value, Expires: time.Now().Add(w.TTL)}
+	row := cloud.Row{Key: w.Key, Version: w.Expect + 1, Value: w.Value, Expires: time.Now().Add(w.TTL)}
 	f.rows[w.Key] = row
-	return []platform.Row{row}, nil
+	return []cloud.Row{row}, nil
 }
 
-func (f *fakeTable) Scan(_ context.Context, _, after string, _ int) (rows []platform.Row, err error) {
+func (f *fakeTable) Scan(_ context.Context, _, after string, _ int) (rows []cloud.Row, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	for key, row := range f.rows {
 		if key > after {
@@ -52,7 +52,7 @@
 // Guards against a crash at one entry that another entry does not count.
 func TestCrashesAddUpThroughTheTable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := &fakeTable{rows: map[string]platform.Row{}}
+		table := &fakeTable{rows: map[string]cloud.Row{}}
 		a, b := New(Options{Table: table}), New(Options{Table: table})
 		assert.Equal(t, Unproven, a.Check("p"))
 		assert.Equal(t, Suspect, a.Crashed(t.Context(), "p", "model-1"))
@@ -66,7 +66,7 @@
 // Guards against the rule failing while the table is down: gossip carries it, and the table catches up.
 func TestCrashesAddUpThroughGossipWhileTableIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := &fakeTable{rows: map[string]platform.Row{}, down: true}
+		table := &fakeTable{rows: map[string]cloud.Row{}, down: true}
 		a, b := New(Options{Table: table}), New(Options{Table: table})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = a.Run(ctx) }()
@@ -93,7 +93,7 @@
 // Guards against innocent requests that stay suspects, and against one crash that counts twice.
 func TestInnocentSuspectsAreCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := &fakeTable{rows: map[string]platform.Row{}}
+		table := &fakeTable{rows: map[string]cloud.Row{}}
 		a, b := New(Options{Table: table}), New(Options{})
 		a.Crashed(t.Context(), "p", "model-1")
 		assert.Equal(t, Suspect, a.Crashed(t.Context(), "p", "model-1"), "two requests lost in one crash")
--- a/blame/rows.go
+++ b/blame/rows.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // Run loads the table's records and writes queued ones until ctx ends.
@@ -46,7 +46,7 @@
 	}
 }
 
-func (t *Tracker) mergeRow(row platform.Row) {
+func (t *Tracker) mergeRow(row cloud.Row) {
 	var r Record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		t.opts.Log.WithError(err).WithField("row", row.Key).Warn("unreadable blame record")
@@ -69,8 +69,8 @@
 		if !ok {
 			return nil
 		}
-		_, err := t.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: value, TTL: ttl})
-		var lost *platform.ConditionError
+		_, err := t.opts.Table.Commit(ctx, cloud.Write{Key: key, Expect: expect, Value: value, TTL: ttl})
+		var lost *cloud.ConditionError
 		if !errors.As(err, &lost) {
 			return errors.Wrap(err, "write blame record")
 		}
--- a/platform/platform.go
+++ b/cloud/cloud.go
@@ -1,6 +1,6 @@
-// Package platform declares the interfaces of the services that the operators' platform provides: a transactional
+// Package cloud declares the interfaces of the services that the operators' platform provides: a transactional
 // table, an object store, a rate-limited weight store and the list of VMs. Daemons depend only on these interfaces.
-package platform
+package cloud
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 // Errors of the platform's services.
 var (
 	// ErrUnavailable means that the service did not take the call; nothing was written.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("cloud: service unavailable")
 	// ErrInDoubt means that the answer was lost; a write may have taken effect.
-	ErrInDoubt = errors.New("platform: answer lost, the write may have taken effect")
+	ErrInDoubt = errors.New("cloud: answer lost, the write may have taken effect")
 	// ErrRateLimited means that the service refused the call for its rate; nothing was written.
-	ErrRateLimited = errors.New("platform: rate limited")
+	ErrRateLimited = errors.New("cloud: rate limited")
 	// ErrConditionFailed means that a row's version differs from the expected one; nothing was written.
-	ErrConditionFailed = errors.New("platform: condition failed")
+	ErrConditionFailed = errors.New("cloud: condition failed")
 	// ErrNotFound means that the row or object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("cloud: not found")
 )
 
 // Row is one row of the table. Version starts at 1 and grows by one with each write; 0 stands for an absent row.
--- a/platform/platformhttp/client.go
+++ b/cloud/cloudhttp/client.go
@@ -1,4 +1,4 @@
-package platformhttp
+package cloudhttp
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 )
 
 type client struct {
@@ -22,12 +22,12 @@
 }
 
 // New returns the platform's services at a base URL. A nil client is http.DefaultClient.
-func New(base string, c *http.Client) platform.Services {
+func New(base string, c *http.Client) cloud.Services {
 	if c == nil {
 		c = http.DefaultClient
 	}
 	cl := &client{base: strings.TrimRight(base, "/"), http: c}
-	return platform.Services{Table: table{cl}, Objects: objects{cl}, Weights: weights{cl}, VMs: vms{cl}}
+	return cloud.Services{Table: table{cl}, Objects: objects{cl}, Weights: weights{cl}, VMs: vms{cl}}
 }
 
 // errTransport marks a call that got no usable answer, so that it may or may not have taken effect.
@@ -65,7 +65,7 @@
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(cloud.ErrUnavailable, err.Error())
 	}
 	return errors.Wrap(errTransport, err.Error())
 }
@@ -92,7 +92,7 @@
 
 func unavailable(err error) error {
 	if errors.Is(err, errTransport) {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(cloud.ErrUnavailable, err.Error())
 	}
 	return err
 }
@@ -106,15 +106,15 @@
 
 type table struct{ *client }
 
-// Get implements platform.Table.
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements cloud.Table.
+func (t table) Get(ctx context.Context, key string) (cloud.Row, error) {
+	var row cloud.Row
 	err := t.read(ctx, PathRow, url.Values{"key": {key}}, &row)
 	return row, err
 }
 
-// Commit implements platform.Table. Without a usable answer the write is in doubt, unless no connection was made.
-func (t table) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+// Commit implements cloud.Table. Without a usable answer the write is in doubt, unless no connection was made.
+func (t table) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	body, err := json.Marshal(Commit{Writes: writes})
 	if err != nil {
 		return nil, errors.Wrap(err, "commit")
@@ -132,13 +132,13 @@
 
 func inDoubt(ctx context.Context, err error) error {
 	if errors.Is(err, errTransport) || ctx.Err() != nil {
-		return errors.Wrap(platform.ErrInDoubt, err.Error())
+		return errors.Wrap(cloud.ErrInDoubt, err.Error())
 	}
 	return err
 }
 
-// Scan implements platform.Table.
-func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements cloud.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var rows Rows
 	err := t.read(ctx, PathScan, query, &rows)
@@ -147,13 +147,13 @@
 
 type objects struct{ *client }
 
-// Put implements platform.ObjectStore. Objects are immutable, so a put without an answer can be repeated.
+// Put implements cloud.ObjectStore. Objects are immutable, so a put without an answer can be repeated.
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
 	_, err := o.do(ctx, http.MethodPut, PathObject, url.Values{"name": {name}}, data)
 	return unavailable(err)
 }
 
-// Get implements platform.ObjectStore.
+// Get implements cloud.ObjectStore.
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
 	data, err := o.do(ctx, http.MethodGet, PathObject, url.Values{"name": {name}}, nil)
 	return data, unavailable(err)
@@ -161,7 +161,7 @@
 
 type weights struct{ *client }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements cloud.WeightStore.
 func (w weights) Fetch(ctx context.Context, name string) (string, error) {
 	data, err := w.do(ctx, http.MethodPost, PathWeights, url.Values{"name": {name}}, nil)
 	if err != nil {
@@ -174,8 +174,8 @@
 
 type vms struct{ *client }
 
-// List implements platform.VMList.
-func (v vms) List(ctx context.Context) ([]platform.VM, error) {
+// List implements cloud.VMList.
+func (v vms) List(ctx context.Context) ([]cloud.VM, error) {
 	var list VMs
 	err := v.read(ctx, PathVMs, nil, &list)
 	return list.VMs, err
--- a/platform/platformhttp/wire.go
+++ b/cloud/cloudhttp/wire.go
@@ -1,13 +1,13 @@
-// Package platformhttp is the client of the platform's services over JSON and HTTP. It also declares the messages and
+// Package cloudhttp is the client of the platform's services over JSON and HTTP. It also declares the messages and
 // the mapping between errors and HTTP answers that both sides share.
-package platformhttp
+package cloudhttp
 
 import (
 	"net/http"
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 )
 
 // Paths of the platform's services.
@@ -25,17 +25,17 @@
 
 // Commit is the body of a commit.
 type Commit struct {
-	Writes []platform.Write `json:"writes"`
+	Writes []cloud.Write `json:"writes"`
 }
 
 // Rows is the answer to a commit or a scan.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []cloud.Row `json:"rows"`
 }
 
 // VMs is the answer of the VM list.
 type VMs struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []cloud.VM `json:"vms"`
 }
 
 // Ticket is the answer of the weight store.
@@ -45,9 +45,9 @@
 
 // Failure is the body of an error answer.
 type Failure struct {
-	Code    string        `json:"code"`
-	Message string        `json:"message,omitempty"`
-	Current *platform.Row `json:"current,omitempty"` // code condition_failed
+	Code    string     `json:"code"`
+	Message string     `json:"message,omitempty"`
+	Current *cloud.Row `json:"current,omitempty"` // code condition_failed
 }
 
 type mapping struct {
@@ -57,11 +57,11 @@
 }
 
 var mappings = []mapping{
-	{"condition_failed", http.StatusConflict, platform.ErrConditionFailed},
-	{"in_doubt", http.StatusGatewayTimeout, platform.ErrInDoubt},
-	{"rate_limited", http.StatusTooManyRequests, platform.ErrRateLimited},
-	{"not_found", http.StatusNotFound, platform.ErrNotFound},
-	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
+	{"condition_failed", http.StatusConflict, cloud.ErrConditionFailed},
+	{"in_doubt", http.StatusGatewayTimeout, cloud.ErrInDoubt},
+	{"rate_limited", http.StatusTooManyRequests, cloud.ErrRateLimited},
+	{"not_found", http.StatusNotFound, cloud.ErrNotFound},
+	{"unavailable", http.StatusServiceUnavailable, cloud.ErrUnavailable},
 }
 
 // FailureOf returns the HTTP status and body for an error of a platform service.
@@ -71,7 +71,7 @@
 			continue
 		}
 		f := Failure{Code: m.code}
-		var condition *platform.ConditionError
+		var condition *cloud.ConditionError
 		if errors.As(err, &condition) {
 			f.Current = &condition.Current
 		}
@@ -83,7 +83,7 @@
 // Err returns the typed error of a Failure, or nil if the code is not known.
 func (f Failure) Err() error {
 	if f.Current != nil {
-		return &platform.ConditionError{Current: *f.Current}
+		return &cloud.ConditionError{Current: *f.Current}
 	}
 	for _, m := range mappings {
 		if m.code == f.Code {
--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -8,11 +8,11 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/internal/entry"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
-	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 type cli struct {
@@ -60,7 +60,7 @@
 		TLS:                 c.TLS,
 		CallersListen:       c.CallersListen,
 		OperatorTokenHashes: c.OperatorTokenHashes,
-		Services:            platformhttp.New(c.URL, transport.HTTPClient(nil, nil)),
+		Services:            cloudhttp.New(c.URL, transport.HTTPClient(nil, nil)),
 		Seeds:               c.Seeds,
 		Log:                 log,
 		Policy:              c.Policy,
--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -13,11 +13,11 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 const (
@@ -42,7 +42,7 @@
 // AcceptorOptions configure an Acceptor.
 type AcceptorOptions struct {
 	Node     string // name of the accepting entry, for the audit trail
-	Services platform.Services
+	Services cloud.Services
 	Store    *Store
 	Fleet    Fleet
 	Log      *logrus.Logger // may be nil
@@ -274,9 +274,9 @@
 		case err == nil:
 			a.options.Store.Adopt(next)
 			return won, nil
-		case errors.Is(err, platform.ErrConditionFailed):
+		case errors.Is(err, cloud.ErrConditionFailed):
 			return a.afterConflict(ctx, sub, next, inDoubt)
-		case errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited):
+		case errors.Is(err, cloud.ErrUnavailable) || errors.Is(err, cloud.ErrRateLimited):
 		default:
 			inDoubt = true
 		}
@@ -286,14 +286,14 @@
 	}
 }
 
-func (a *Acceptor) commitOnce(ctx context.Context, writes []platform.Write) error {
+func (a *Acceptor) commitOnce(ctx context.Context, writes []cloud.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := a.options.Services.Table.Commit(ctx, writes...)
 	return err
 }
 
-func (a *Acceptor) transaction(sub Submission, won Current, next *fleet.Snapshot, version int64) ([]platform.Write, error) {
+func (a *Acceptor) transaction(sub Submission, won Current, next *fleet.Snapshot, version int64) ([]cloud.Write, error) {
 	value, err := json.Marshal(won)
 	if err != nil {
 		return nil, err
@@ -305,9 +305,9 @@
 	if err != nil {
 		return nil, err
 	}
-	writes := []platform.Write{{Key: CurrentKey, Expect: version, Value: value}, {Key: auditKey(next.Epoch), Value: audit}}
+	writes := []cloud.Write{{Key: CurrentKey, Expect: version, Value: value}, {Key: auditKey(next.Epoch), Value: audit}}
 	if a.options.Unconditional {
-		writes[0].Expect, writes[1].Expect = platform.AnyVersion, platform.AnyVersion
+		writes[0].Expect, writes[1].Expect = cloud.AnyVersion, cloud.AnyVersion
 	}
 	return writes, nil
 }
@@ -393,7 +393,7 @@
 		key := fmt.Sprintf("%s-refused-%020d-%s-%s", auditKey(r.Epoch), record.Time.UnixNano(), sub.ID, rand.Text()[:8])
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
-		_, err = a.options.Services.Table.Commit(ctx, platform.Write{Key: key, Value: value})
+		_, err = a.options.Services.Table.Commit(ctx, cloud.Write{Key: key, Value: value})
 	}
 	if err != nil {
 		a.options.Log.WithError(err).WithFields(logrus.Fields{"submission": sub.ID, "outcome": record.Outcome}).
--- a/epoch/current.go
+++ b/epoch/current.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // Keys of the table and names of the object store.
@@ -37,11 +37,11 @@
 func auditKey(epoch int64) string { return fmt.Sprintf("%s%012d", AuditPrefix, epoch) }
 
 // readCurrent returns the row fleet/current; an absent row gives version 0 and epoch 0.
-func readCurrent(ctx context.Context, table platform.Table) (Current, int64, error) {
+func readCurrent(ctx context.Context, table cloud.Table) (Current, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := table.Get(ctx, CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, cloud.ErrNotFound) {
 		return Current{}, 0, nil
 	}
 	if err != nil {
@@ -55,7 +55,7 @@
 }
 
 // fetch reads the text of a row from the object store and indexes it.
-func fetch(ctx context.Context, objects platform.ObjectStore, c Current) (*fleet.Snapshot, error) {
+func fetch(ctx context.Context, objects cloud.ObjectStore, c Current) (*fleet.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	raw, err := objects.Get(ctx, ObjectName(c.Hash))
@@ -75,7 +75,7 @@
 // Poller reads the current epoch from the table. The entries together read about ten times per second at any size.
 type Poller struct {
 	Store    *Store
-	Services platform.Services
+	Services cloud.Services
 	Entries  func() int // number of live entries, this one included
 	Observe  func(err error)
 }
--- a/internal/agent/compose.go
+++ b/internal/agent/compose.go
@@ -7,11 +7,11 @@
 	"github.com/pkg/errors"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/member"
 	"github.com/bilberrylink/bilberrylink/peer"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // stopTimeout bounds a graceful stop. It leaves time for an attempt with the longest deadline.
@@ -42,7 +42,7 @@
 		Name:          o.Node.Name,
 		Addr:          o.Node.Addr(),
 		FailureDomain: o.Node.FailureDomain,
-		Role:          platform.RoleAgent,
+		Role:          cloud.RoleAgent,
 		Endpoint:      o.Endpoint,
 		EndpointKind:  o.EndpointKind,
 		Incarnation:   params.Incarnation,
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -13,13 +13,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -299,45 +299,45 @@
 // fakeTable is a table whose commits can be lost before or after they took effect.
 type fakeTable struct {
 	mu         sync.Mutex
-	rows       map[string]platform.Row
+	rows       map[string]cloud.Row
 	down       bool
 	loseAnswer int // commits that take effect and answer ErrInDoubt
 }
 
-func (t *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *fakeTable) Get(_ context.Context, key string) (cloud.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return cloud.Row{}, cloud.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return cloud.Row{}, cloud.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *fakeTable) Commit(_ context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (t *fakeTable) Commit(_ context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	w := writes[0]
 	current := t.rows[w.Key]
-	if w.Expect != current.Version && w.Expect != platform.AnyVersion {
-		return nil, &platform.ConditionError{Current: current}
+	if w.Expect != current.Version && w.Expect != cloud.AnyVersion {
+		return nil, &cloud.ConditionError{Current: current}
 	}
-	row := platform.Row{Key: w.Key, Version: current.Version + 1, Value: w.Value}
+	row := cloud.Row{Key: w.Key, Version: current.Version + 1, Value: w.Value}
 	t.rows[w.Key] = row
 	if t.loseAnswer > 0 {
 		t.loseAnswer--
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
-	return []platform.Row{row}, nil
+	return []cloud.Row{row}, nil
 }
 
-func (t *fakeTable) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+func (t *fakeTable) Scan(context.Context, string, string, int) ([]cloud.Row, error) {
 	return nil, nil
 }
 
@@ -364,11 +364,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if name == w.missing {
-		return "", platform.ErrNotFound
+		return "", cloud.ErrNotFound
 	}
 	if w.refuse > 0 {
 		w.refuse--
-		return "", platform.ErrRateLimited
+		return "", cloud.ErrRateLimited
 	}
 	w.fetched = append(w.fetched, name)
 	return "ticket-" + name, nil
@@ -420,12 +420,12 @@
 // newFixture starts an agent without a listener. It must be called inside a synctest bubble.
 func newFixture(t *testing.T, kind string, change func(*Options)) *fixture {
 	f := &fixture{t: t, engine: newEngine(), service: new(fakeService), weights: new(fakeWeights), sink: new(fakeSink),
-		table: &fakeTable{rows: make(map[string]platform.Row)},
+		table: &fakeTable{rows: make(map[string]cloud.Row)},
 		peer:  &fakePeer{changed: make(chan struct{}), nodes: make(map[string]member.Node), snapshot: snapshot(t, 1, textOf("1", "finish", ""))}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	opts := Options{Node: settings.Node{Name: "a1"}, Endpoint: "e1", EndpointKind: kind, Log: log, Crashes: f.sink,
-		Services: platform.Services{Table: f.table, Weights: f.weights},
+		Services: cloud.Services{Table: f.table, Weights: f.weights},
 		Peer:     func(PeerParams) (Peer, error) { return f.peer, nil }}
 	if kind == fleet.KindModel {
 		opts.Engine = f.engine
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -9,11 +9,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -25,7 +25,7 @@
 	EndpointKind string // fleet.KindModel or fleet.KindPlain
 	Engine       endpoint.Engine
 	Service      endpoint.Service
-	Services     platform.Services
+	Services     cloud.Services
 	Seeds        []string // addresses of entries
 	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
 	Listen       func(ctx context.Context, network, addr string) (net.Listener, error) // nil: the default listener
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/fleet"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 const (
@@ -237,7 +237,7 @@
 	a.orderState.backoff = min(max(2*a.orderState.backoff, ticketBackoffMin), ticketBackoffMax)
 	a.orderState.next = time.Now().Add(a.orderState.backoff/2 + rand.N(a.orderState.backoff))
 	a.metrics.orders.WithLabelValues("no_ticket").Inc()
-	if !errors.Is(err, platform.ErrRateLimited) && !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, cloud.ErrRateLimited) && !errors.Is(err, cloud.ErrUnavailable) {
 		a.setOrderFault("weights: " + err.Error())
 	}
 }
--- a/internal/agent/recall_test.go
+++ b/internal/agent/recall_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -154,11 +154,11 @@
 		record := new(wire.NodeRecord)
 		f.describe(record)
 		require.Empty(t, record.GetFault())
-		require.Contains(t, record.GetOrderFault(), platform.ErrNotFound.Error())
+		require.Contains(t, record.GetOrderFault(), cloud.ErrNotFound.Error())
 		f.engine.set(func(e *fakeEngine) { e.ignoreOrder, e.report.Loaded = true, nil })
 		time.Sleep(2 * time.Second)
 		f.describe(record)
-		require.Contains(t, record.GetFault(), platform.ErrNotFound.Error(), "with nothing loaded it serves nothing")
+		require.Contains(t, record.GetFault(), cloud.ErrNotFound.Error(), "with nothing loaded it serves nothing")
 	})
 }
 
--- a/internal/dev/connect.go
+++ b/internal/dev/connect.go
@@ -7,9 +7,9 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // Dial is the dialer of one node.
@@ -20,7 +20,7 @@
 	Node                settings.Node
 	CallersListen       string
 	OperatorTokenHashes []string // NAME=HASH, see operator.ParseToken
-	Services            platform.Services
+	Services            cloud.Services
 	Seeds               []string
 	Dial                Dial
 	Log                 *logrus.Logger
@@ -33,7 +33,7 @@
 	EndpointKind string
 	Engine       endpoint.Engine
 	Service      endpoint.Service
-	Services     platform.Services
+	Services     cloud.Services
 	Seeds        []string
 	Dial         Dial
 	Log          *logrus.Logger
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -17,12 +17,12 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
 	"github.com/bilberrylink/bilberrylink/internal/standin/faultnet"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // Options configures a Fleet.
@@ -198,7 +198,7 @@
 	entries := make([]settings.Node, len(f.o.Listen))
 	seeds := make([]string, len(f.o.Listen))
 	for i := range entries {
-		node, err := f.node(fmt.Sprintf("entry-%d", i+1), i, platform.RoleEntry)
+		node, err := f.node(fmt.Sprintf("entry-%d", i+1), i, cloud.RoleEntry)
 		if err != nil {
 			return err
 		}
@@ -217,7 +217,7 @@
 
 func (f *Fleet) startAgents(ctx context.Context, seeds []string) error {
 	for i, name := range slices.Concat(f.engines, f.services) {
-		node, err := f.node("agent-"+name, i, platform.RoleAgent, name)
+		node, err := f.node("agent-"+name, i, cloud.RoleAgent, name)
 		if err != nil {
 			return err
 		}
@@ -248,14 +248,14 @@
 }
 
 // node reserves a loopback address for a daemon and lists it as a VM.
-func (f *Fleet) node(name string, i int, role platform.VMRole, endpoints ...string) (settings.Node, error) {
+func (f *Fleet) node(name string, i int, role cloud.VMRole, endpoints ...string) (settings.Node, error) {
 	addr, err := f.reserveAddr()
 	if err != nil {
 		return settings.Node{}, err
 	}
 	domain := f.domains[i%len(f.domains)]
 	f.network.Register(addr, domain, append([]string{name}, endpoints...)...)
-	f.platform.SetVM(platform.VM{Name: name, Addr: addr, FailureDomain: domain, State: platform.VMLive, Role: role})
+	f.platform.SetVM(cloud.VM{Name: name, Addr: addr, FailureDomain: domain, State: cloud.VMLive, Role: role})
 	return settings.Node{Name: name, FailureDomain: domain, Listen: addr}, nil
 }
 
--- a/internal/entry/connect.go
+++ b/internal/entry/connect.go
@@ -9,13 +9,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/blame"
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/once"
 	"github.com/bilberrylink/bilberrylink/peer"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -56,7 +56,7 @@
 		Name:          o.Node.Name,
 		Addr:          o.Node.Addr(),
 		FailureDomain: o.Node.FailureDomain,
-		Role:          platform.RoleEntry,
+		Role:          cloud.RoleEntry,
 		Incarnation:   uuid.NewString(),
 		Seeds:         o.Seeds,
 		Services:      o.Services,
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -15,12 +15,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/invariant"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/route"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
@@ -381,7 +381,7 @@
 	assert.Equal(t, "recorded", order(b).body)
 
 	b = newBench(t, newFleet(t, lose), Disabled{})
-	b.once.down = platform.ErrUnavailable
+	b.once.down = cloud.ErrUnavailable
 	assert.Contains(t, order(b).body, `"kind":"outcome_unknown"`)
 
 	off := newBench(t, newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frames) { out.abort() }), Disabled{Settle: true})
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -9,18 +9,18 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // Options configures an entry.
 type Options struct {
 	Node                settings.Node
 	TLS                 settings.TLS
-	CallersListen       string            // host:port for callers and operators
-	OperatorTokenHashes []string          // NAME=HASH or HASH, see operator.ParseToken
-	Services            platform.Services // the platform
-	Seeds               []string          // internal addresses of some other nodes
+	CallersListen       string         // host:port for callers and operators
+	OperatorTokenHashes []string       // NAME=HASH or HASH, see operator.ParseToken
+	Services            cloud.Services // the platform
+	Seeds               []string       // internal addresses of some other nodes
 	Dial                func(ctx context.Context, network, addr string) (net.Conn, error)
 	Listen              func(ctx context.Context, network, addr string) (net.Listener, error) // nil: the default listener
 	Log                 *logrus.Logger
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // tableDelay is the response time of the table and the object store.
@@ -20,7 +20,7 @@
 // Table is an in-memory table and object store with faults.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]cloud.Row
 	objects map[string][]byte
 	down    bool
 	lose    bool
@@ -30,7 +30,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &Table{rows: make(map[string]cloud.Row), objects: make(map[string][]byte)}
 }
 
 // SetDown makes every call fail with ErrUnavailable.
@@ -54,26 +54,26 @@
 	return t.reads, t.writes
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements cloud.Table.
+func (t *Table) Get(ctx context.Context, key string) (cloud.Row, error) {
 	if err := timing.Sleep(ctx, tableDelay); err != nil {
-		return platform.Row{}, err
+		return cloud.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return cloud.Row{}, cloud.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, cloud.ErrNotFound
 	}
 	return row, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+// Commit implements cloud.Table.
+func (t *Table) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return nil, err
 	}
@@ -81,28 +81,28 @@
 	defer t.mu.Unlock()
 	t.writes++
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	for _, w := range writes {
-		if held := t.rows[w.Key]; w.Expect != platform.AnyVersion && held.Version != w.Expect {
+		if held := t.rows[w.Key]; w.Expect != cloud.AnyVersion && held.Version != w.Expect {
 			held.Key = w.Key
-			return nil, &platform.ConditionError{Current: held}
+			return nil, &cloud.ConditionError{Current: held}
 		}
 	}
-	rows := make([]platform.Row, 0, len(writes))
+	rows := make([]cloud.Row, 0, len(writes))
 	for _, w := range writes {
-		row := platform.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: w.Value}
+		row := cloud.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: w.Value}
 		t.rows[w.Key] = row
 		rows = append(rows, row)
 	}
 	if t.lose {
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements cloud.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error) {
 	if err := timing.Sleep(ctx, tableDelay); err != nil {
 		return nil, err
 	}
@@ -110,9 +110,9 @@
 	defer t.mu.Unlock()
 	t.reads++
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []cloud.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, t.rows[key])
@@ -122,7 +122,7 @@
 }
 
 // Objects returns the object store, which shares the table's faults.
-func (t *Table) Objects() platform.ObjectStore { return objects{t} }
+func (t *Table) Objects() cloud.ObjectStore { return objects{t} }
 
 type objects struct{ table *Table }
 
@@ -133,7 +133,7 @@
 	o.table.mu.Lock()
 	defer o.table.mu.Unlock()
 	if o.table.down {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	o.table.objects[name] = slices.Clone(data)
 	return nil
@@ -146,11 +146,11 @@
 	o.table.mu.Lock()
 	defer o.table.mu.Unlock()
 	if o.table.down {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	data, ok := o.table.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, cloud.ErrNotFound
 	}
 	return data, nil
 }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -8,10 +8,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/peer"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -46,7 +46,7 @@
 	Name   string
 	Addr   string
 	Domain string
-	Role   platform.VMRole
+	Role   cloud.VMRole
 
 	mu       sync.Mutex
 	peer     *peer.Peer
@@ -61,10 +61,10 @@
 func NewWorld(o Options) *World {
 	w := &World{options: o, Table: NewTable(), byAddr: make(map[string]*Node), cut: make(map[string]bool)}
 	for i := range o.Entries + o.Agents {
-		n := &Node{world: w, Domain: DomainName(i % o.Domains), Role: platform.RoleEntry, resumed: make(chan struct{})}
+		n := &Node{world: w, Domain: DomainName(i % o.Domains), Role: cloud.RoleEntry, resumed: make(chan struct{})}
 		n.Name, n.Addr = fmt.Sprintf("entry-%04d", i), fmt.Sprintf("entry-%04d:1", i)
 		if i >= o.Entries {
-			n.Role, n.Name, n.Addr = platform.RoleAgent, fmt.Sprintf("agent-%04d", i), fmt.Sprintf("agent-%04d:1", i)
+			n.Role, n.Name, n.Addr = cloud.RoleAgent, fmt.Sprintf("agent-%04d", i), fmt.Sprintf("agent-%04d:1", i)
 		}
 		close(n.resumed)
 		w.Nodes = append(w.Nodes, n)
@@ -109,11 +109,11 @@
 // tableDomain stands for the table's own location: a domain that is cut off has no table.
 const tableDomain = "table"
 
-// List implements platform.VMList.
-func (w *World) List(context.Context) ([]platform.VM, error) {
-	vms := make([]platform.VM, 0, len(w.Nodes))
+// List implements cloud.VMList.
+func (w *World) List(context.Context) ([]cloud.VM, error) {
+	vms := make([]cloud.VM, 0, len(w.Nodes))
 	for _, n := range w.Nodes {
-		vms = append(vms, platform.VM{Name: n.Name, Addr: n.Addr, FailureDomain: n.Domain, State: platform.VMLive, Role: n.Role})
+		vms = append(vms, cloud.VM{Name: n.Name, Addr: n.Addr, FailureDomain: n.Domain, State: cloud.VMLive, Role: n.Role})
 	}
 	return vms, nil
 }
@@ -127,7 +127,7 @@
 	o := n.world.options
 	store := epoch.NewFaultyStore(n.Domain, o.Faulty)
 	gate := nodeTable{n}
-	services := platform.Services{Table: gate, Objects: nodeObjects{n}, VMs: n.world}
+	services := cloud.Services{Table: gate, Objects: nodeObjects{n}, VMs: n.world}
 	p, err := peer.New(peer.Options{Name: n.Name, Addr: n.Addr, FailureDomain: n.Domain, Role: n.Role, Endpoint: endpointOf(n),
 		Incarnation: incarnation, Services: services, Client: n.client, Store: store, PollOnly: o.PollOnly, Self: n.report})
 	if err != nil {
@@ -144,7 +144,7 @@
 		defer close(done)
 		var wg sync.WaitGroup
 		wg.Go(func() { _ = p.Run(ctx) }) // ends with the context only
-		if n.Role == platform.RoleEntry {
+		if n.Role == cloud.RoleEntry {
 			wg.Go(func() { _ = acceptor.Run(ctx) }) // ends with the context only
 		}
 		wg.Wait()
@@ -154,7 +154,7 @@
 
 // report adds what an agent of a model engine reports, so that messages have their usual size.
 func (n *Node) report(r *wire.NodeRecord) {
-	if n.Role != platform.RoleAgent {
+	if n.Role != cloud.RoleAgent {
 		return
 	}
 	r.Load = &wire.Load{Endpoint: r.Endpoint, Sequence: uint64(time.Now().UnixMilli()), QueuedPrefill: 250_000, KvFree: 400_000,
@@ -163,7 +163,7 @@
 }
 
 func endpointOf(n *Node) string {
-	if n.Role == platform.RoleAgent {
+	if n.Role == cloud.RoleAgent {
 		return "endpoint-" + n.Name
 	}
 	return ""
@@ -296,28 +296,28 @@
 		return err
 	}
 	if n.world.separated(n.Domain, tableDomain) {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	return nil
 }
 
 type nodeTable struct{ node *Node }
 
-func (t nodeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t nodeTable) Get(ctx context.Context, key string) (cloud.Row, error) {
 	if err := t.node.reach(ctx); err != nil {
-		return platform.Row{}, err
+		return cloud.Row{}, err
 	}
 	return t.node.world.Table.Get(ctx, key)
 }
 
-func (t nodeTable) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (t nodeTable) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	if err := t.node.reach(ctx); err != nil {
 		return nil, err
 	}
 	return t.node.world.Table.Commit(ctx, writes...)
 }
 
-func (t nodeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t nodeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error) {
 	if err := t.node.reach(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/outcomes/fleet_test.go
+++ b/internal/outcomes/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/agent"
 	"github.com/bilberrylink/bilberrylink/internal/entry"
@@ -27,7 +28,6 @@
 	"github.com/bilberrylink/bilberrylink/internal/standin"
 	"github.com/bilberrylink/bilberrylink/internal/standin/faultnet"
 	"github.com/bilberrylink/bilberrylink/invariant"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -183,17 +183,17 @@
 
 func (r *run) start() {
 	for i := range 3 {
-		r.entries = append(r.entries, r.addNode(fmt.Sprintf("entry-%d", i+1), i, platform.RoleEntry, ""))
+		r.entries = append(r.entries, r.addNode(fmt.Sprintf("entry-%d", i+1), i, cloud.RoleEntry, ""))
 	}
 	for i := range 4 {
 		name := fmt.Sprintf("model-%d", i+1)
 		r.platform.AddEngine(name, standin.EngineOptions{})
-		r.agents = append(r.agents, r.addNode("agent-"+name, i, platform.RoleAgent, name))
+		r.agents = append(r.agents, r.addNode("agent-"+name, i, cloud.RoleAgent, name))
 	}
 	for i := range 3 {
 		name := fmt.Sprintf("counter-%d", i+1)
 		r.platform.AddService(name, standin.ServiceOptions{})
-		r.agents = append(r.agents, r.addNode("agent-"+name, i, platform.RoleAgent, name))
+		r.agents = append(r.agents, r.addNode("agent-"+name, i, cloud.RoleAgent, name))
 	}
 	for _, n := range r.nodes() {
 		n.start()
@@ -204,10 +204,10 @@
 
 func (r *run) nodes() []*node { return append(append([]*node(nil), r.entries...), r.agents...) }
 
-func (r *run) addNode(name string, i int, role platform.VMRole, endpoint string) *node {
+func (r *run) addNode(name string, i int, role cloud.VMRole, endpoint string) *node {
 	n := &node{run: r, name: name, domain: string("abc"[i%3]), addr: name + ":1", callersAddr: name + ":80", endpoint: endpoint}
 	r.faultnet.Register(n.addr, n.domain, n.name, endpoint)
-	r.platform.SetVM(platform.VM{Name: name, Addr: n.addr, FailureDomain: n.domain, State: platform.VMLive, Role: role})
+	r.platform.SetVM(cloud.VM{Name: name, Addr: n.addr, FailureDomain: n.domain, State: cloud.VMLive, Role: role})
 	return n
 }
 
--- a/internal/outcomes/network_test.go
+++ b/internal/outcomes/network_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 var errRefused = errors.New("connection refused")
@@ -282,32 +282,32 @@
 
 // hostTable holds the writes of a paused process and sends them late.
 type hostTable struct {
-	platform.Table
+	cloud.Table
 	host *host
 }
 
-func (t hostTable) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (t hostTable) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	held, alive := t.host.pass()
 	if !alive {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	if held {
 		ctx = context.WithoutCancel(ctx)
 	}
 	rows, err := t.Table.Commit(ctx, writes...)
 	if _, alive = t.host.pass(); !alive {
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
 	return rows, err
 }
 
 // steadyList shows no VM as leaving.
-type steadyList struct{ platform.VMList }
+type steadyList struct{ cloud.VMList }
 
-func (l steadyList) List(ctx context.Context) ([]platform.VM, error) {
+func (l steadyList) List(ctx context.Context) ([]cloud.VM, error) {
 	vms, err := l.VMList.List(ctx)
 	for i := range vms {
-		vms[i].State = platform.VMLive
+		vms[i].State = cloud.VMLive
 	}
 	return vms, err
 }
--- a/internal/processes/harness_test.go
+++ b/internal/processes/harness_test.go
@@ -23,11 +23,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
+	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/internal/load"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
-	"github.com/bilberrylink/bilberrylink/platform"
-	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 // Waits of the tests. They only bound a failing test; a passing one ends earlier.
@@ -209,7 +209,7 @@
 		callers := next()
 		f.callers = append(f.callers, "http://"+callers)
 		name := fmt.Sprintf("entry-%d", i+1)
-		args := f.node(o, name, seeds[i], i, platform.RoleEntry)
+		args := f.node(o, name, seeds[i], i, cloud.RoleEntry)
 		args = append(args, "--seeds", strings.Join(seeds, ","), "--listen", callers, "--balancer-lag", "500ms",
 			"--operator-token-hash", hexSHA256(operatorToken))
 		f.entries = append(f.entries, f.process(name, "bilberry-entry", args...))
@@ -219,7 +219,7 @@
 		if i >= len(engines) {
 			kind, path = "plain", standin.PathService
 		}
-		args := f.node(o, "agent-"+name, next(), i, platform.RoleAgent)
+		args := f.node(o, "agent-"+name, next(), i, cloud.RoleAgent)
 		args = append(args, "--seeds", strings.Join(seeds, ","), "--endpoint", name, "--endpoint-kind", kind,
 			"--endpoint-url", f.standin+path+name)
 		f.agents[name] = f.process("agent-"+name, "bilberry-agent", args...)
@@ -243,15 +243,15 @@
 }
 
 // node lists a VM and returns the settings that entries and agents share.
-func (f *fleet) node(o fleetOptions, name, addr string, i int, role platform.VMRole) []string {
+func (f *fleet) node(o fleetOptions, name, addr string, i int, role cloud.VMRole) []string {
 	advertised := addr
 	if o.advertise != nil {
 		advertised = o.advertise(name, addr)
 	}
 	f.internal[name] = addr
 	domain := domains[i%len(domains)]
-	body, err := json.Marshal(platformhttp.VMs{VMs: []platform.VM{{Name: name, Addr: advertised, FailureDomain: domain,
-		State: platform.VMLive, Role: role}}})
+	body, err := json.Marshal(cloudhttp.VMs{VMs: []cloud.VM{{Name: name, Addr: advertised, FailureDomain: domain,
+		State: cloud.VMLive, Role: role}}})
 	require.NoError(f.t, err)
 	f.put(standin.PathVM, string(body))
 	args := []string{"--name", name, "--failure-domain", domain, "--listen-internal", addr,
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 func TestUnknownFaultsChangeNothing(t *testing.T) {
@@ -45,33 +45,33 @@
 func TestFaultsDoWhatTheyDescribe(t *testing.T) {
 	checked := map[string]func(t *testing.T, p *Platform){
 		`{"table_down":true}`: func(t *testing.T, p *Platform) {
-			_, err := p.table.Commit(t.Context(), platform.Write{Key: "k"})
-			require.ErrorIs(t, err, platform.ErrUnavailable)
+			_, err := p.table.Commit(t.Context(), cloud.Write{Key: "k"})
+			require.ErrorIs(t, err, cloud.ErrUnavailable)
 			require.Empty(t, p.table.rows)
 		},
 		`{"table_delay_ms":700}`: func(t *testing.T, p *Platform) {
 			begin := time.Now()
 			_, err := p.table.Get(t.Context(), "k")
-			require.ErrorIs(t, err, platform.ErrNotFound)
+			require.ErrorIs(t, err, cloud.ErrNotFound)
 			require.GreaterOrEqual(t, time.Since(begin), 700*time.Millisecond)
 		},
 		`{"table_lose_answers":1}`: func(t *testing.T, p *Platform) {
-			_, err := p.table.Commit(t.Context(), platform.Write{Key: "k"})
-			require.ErrorIs(t, err, platform.ErrInDoubt)
+			_, err := p.table.Commit(t.Context(), cloud.Write{Key: "k"})
+			require.ErrorIs(t, err, cloud.ErrInDoubt)
 			_, err = p.table.Get(t.Context(), "k")
 			require.NoError(t, err, "the write must have taken effect")
-			_, err = p.table.Commit(t.Context(), platform.Write{Key: "k2"})
+			_, err = p.table.Commit(t.Context(), cloud.Write{Key: "k2"})
 			require.NoError(t, err, "only one answer is lost")
 		},
 		`{"objects_down":true}`: func(t *testing.T, p *Platform) {
-			require.ErrorIs(t, p.objects.Put(t.Context(), "o", nil), platform.ErrUnavailable)
+			require.ErrorIs(t, p.objects.Put(t.Context(), "o", nil), cloud.ErrUnavailable)
 		},
 		`{"weights_down":true}`: func(t *testing.T, p *Platform) {
 			_, err := p.weights.Fetch(t.Context(), "m@1")
-			require.ErrorIs(t, err, platform.ErrUnavailable)
+			require.ErrorIs(t, err, cloud.ErrUnavailable)
 		},
 		`{"vm_list_lag_ms":5000,"vm_leaving":["entry-1"]}`: func(t *testing.T, p *Platform) {
-			p.SetVM(platform.VM{Name: "entry-1", State: platform.VMLive})
+			p.SetVM(cloud.VM{Name: "entry-1", State: cloud.VMLive})
 			time.Sleep(4 * time.Second)
 			vms, err := p.vms.List(t.Context())
 			require.NoError(t, err)
@@ -79,7 +79,7 @@
 			time.Sleep(time.Second)
 			vms, err = p.vms.List(t.Context())
 			require.NoError(t, err)
-			require.Equal(t, platform.VMLeaving, vms[0].State)
+			require.Equal(t, cloud.VMLeaving, vms[0].State)
 		},
 		`{"engine_crash":"model-1"}`: func(t *testing.T, p *Platform) {
 			require.ErrorIs(t, p.Engine("model-1").Cancel(t.Context(), "a"), endpoint.ErrDown)
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -11,11 +11,11 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
+	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/endpoint/endpointhttp"
 	"github.com/bilberrylink/bilberrylink/fleet"
-	"github.com/bilberrylink/bilberrylink/platform"
-	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 // Paths of the controls, and of the endpoints below the listener's base URL.
@@ -88,7 +88,7 @@
 }
 
 func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
-	var list platformhttp.VMs
+	var list cloudhttp.VMs
 	if !readJSON(w, r, &list) {
 		return
 	}
@@ -99,13 +99,13 @@
 }
 
 func (p *Platform) platformRoutes(r *mux.Router) {
-	r.HandleFunc(platformhttp.PathRow, p.getRow).Methods(http.MethodGet)
-	r.HandleFunc(platformhttp.PathCommit, p.postCommit).Methods(http.MethodPost)
-	r.HandleFunc(platformhttp.PathScan, p.getScan).Methods(http.MethodGet)
-	r.HandleFunc(platformhttp.PathObject, p.getObject).Methods(http.MethodGet)
-	r.HandleFunc(platformhttp.PathObject, p.putObject).Methods(http.MethodPut)
-	r.HandleFunc(platformhttp.PathWeights, p.postWeights).Methods(http.MethodPost)
-	r.HandleFunc(platformhttp.PathVMs, p.getVMs).Methods(http.MethodGet)
+	r.HandleFunc(cloudhttp.PathRow, p.getRow).Methods(http.MethodGet)
+	r.HandleFunc(cloudhttp.PathCommit, p.postCommit).Methods(http.MethodPost)
+	r.HandleFunc(cloudhttp.PathScan, p.getScan).Methods(http.MethodGet)
+	r.HandleFunc(cloudhttp.PathObject, p.getObject).Methods(http.MethodGet)
+	r.HandleFunc(cloudhttp.PathObject, p.putObject).Methods(http.MethodPut)
+	r.HandleFunc(cloudhttp.PathWeights, p.postWeights).Methods(http.MethodPost)
+	r.HandleFunc(cloudhttp.PathVMs, p.getVMs).Methods(http.MethodGet)
 }
 
 func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
@@ -115,15 +115,15 @@
 
 // postCommit breaks the connection when the answer is lost, so that the client sees what a real loss looks like.
 func (p *Platform) postCommit(w http.ResponseWriter, r *http.Request) {
-	var commit platformhttp.Commit
+	var commit cloudhttp.Commit
 	if !readJSON(w, r, &commit) {
 		return
 	}
 	rows, err := p.table.Commit(r.Context(), commit.Writes...)
-	if errors.Is(err, platform.ErrInDoubt) {
+	if errors.Is(err, cloud.ErrInDoubt) {
 		panic(http.ErrAbortHandler)
 	}
-	platformAnswer(w, platformhttp.Rows{Rows: rows}, err)
+	platformAnswer(w, cloudhttp.Rows{Rows: rows}, err)
 }
 
 func (p *Platform) getScan(w http.ResponseWriter, r *http.Request) {
@@ -134,7 +134,7 @@
 		return
 	}
 	rows, err := p.table.Scan(r.Context(), q.Get("prefix"), q.Get("after"), limit)
-	platformAnswer(w, platformhttp.Rows{Rows: rows}, err)
+	platformAnswer(w, cloudhttp.Rows{Rows: rows}, err)
 }
 
 func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
@@ -157,17 +157,17 @@
 
 func (p *Platform) postWeights(w http.ResponseWriter, r *http.Request) {
 	ticket, err := p.weights.Fetch(r.Context(), r.URL.Query().Get("name"))
-	platformAnswer(w, platformhttp.Ticket{Ticket: ticket}, err)
+	platformAnswer(w, cloudhttp.Ticket{Ticket: ticket}, err)
 }
 
 func (p *Platform) getVMs(w http.ResponseWriter, r *http.Request) {
 	vms, err := p.vms.List(r.Context())
-	platformAnswer(w, platformhttp.VMs{VMs: vms}, err)
+	platformAnswer(w, cloudhttp.VMs{VMs: vms}, err)
 }
 
 func platformAnswer(w http.ResponseWriter, v any, err error) {
 	if err != nil {
-		status, f := platformhttp.FailureOf(err)
+		status, f := cloudhttp.FailureOf(err)
 		writeJSON(w, status, f)
 		return
 	}
@@ -329,7 +329,7 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformhttp.MaxBodyBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cloudhttp.MaxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
--- a/internal/standin/http_test.go
+++ b/internal/standin/http_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
+	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/endpoint/endpointhttp"
-	"github.com/bilberrylink/bilberrylink/platform"
-	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 func served(t *testing.T) (*Platform, string) {
@@ -38,18 +38,18 @@
 
 func TestPlatformOverHTTP(t *testing.T) {
 	p, url := served(t)
-	s := platformhttp.New(url, nil)
+	s := cloudhttp.New(url, nil)
 	ctx := t.Context()
-	rows, err := s.Table.Commit(ctx, platform.Write{Key: "a/1 ?&", Value: []byte{0, 255}, TTL: time.Hour}, platform.Write{Key: "a/2"})
+	rows, err := s.Table.Commit(ctx, cloud.Write{Key: "a/1 ?&", Value: []byte{0, 255}, TTL: time.Hour}, cloud.Write{Key: "a/2"})
 	require.NoError(t, err)
 	row, err := s.Table.Get(ctx, "a/1 ?&")
 	require.NoError(t, err)
 	require.True(t, rows[0].Expires.Equal(row.Expires))
 	require.Equal(t, []byte{0, 255}, row.Value)
 	_, err = s.Table.Get(ctx, "none")
-	require.ErrorIs(t, err, platform.ErrNotFound)
-	_, err = s.Table.Commit(ctx, platform.Write{Key: "a/2"})
-	var condition *platform.ConditionError
+	require.ErrorIs(t, err, cloud.ErrNotFound)
+	_, err = s.Table.Commit(ctx, cloud.Write{Key: "a/2"})
+	var condition *cloud.ConditionError
 	require.ErrorAs(t, err, &condition)
 	require.EqualValues(t, 1, condition.Current.Version)
 	rows, err = s.Table.Scan(ctx, "a/", "a/1 ?&", 5)
@@ -62,7 +62,7 @@
 	ticket, err := s.Weights.Fetch(ctx, "ledger@1")
 	require.NoError(t, err)
 	require.NotEmpty(t, ticket)
-	p.SetVM(platform.VM{Name: "entry-1", State: platform.VMLive, Role: platform.RoleEntry})
+	p.SetVM(cloud.VM{Name: "entry-1", State: cloud.VMLive, Role: cloud.RoleEntry})
 	require.NoError(t, p.faults.Merge([]byte(`{"vm_list_lag_ms":0}`)))
 	vms, err := s.VMs.List(ctx)
 	require.NoError(t, err)
@@ -72,28 +72,28 @@
 // A lost answer must be in doubt, and a connection that was never made must not be.
 func TestPlatformTransportErrors(t *testing.T) {
 	p, url := served(t)
-	s := platformhttp.New(url, nil)
+	s := cloudhttp.New(url, nil)
 	require.NoError(t, p.faults.Merge([]byte(`{"table_lose_answers":1}`)))
-	_, err := s.Table.Commit(t.Context(), platform.Write{Key: "k"})
-	require.ErrorIs(t, err, platform.ErrInDoubt)
+	_, err := s.Table.Commit(t.Context(), cloud.Write{Key: "k"})
+	require.ErrorIs(t, err, cloud.ErrInDoubt)
 	_, err = s.Table.Get(t.Context(), "k")
 	require.NoError(t, err, "the write took effect")
 	require.NoError(t, p.faults.Merge([]byte(`{"table_down":true}`)))
-	_, err = s.Table.Commit(t.Context(), platform.Write{Key: "k2"})
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = s.Table.Commit(t.Context(), cloud.Write{Key: "k2"})
+	require.ErrorIs(t, err, cloud.ErrUnavailable)
 	require.NoError(t, p.faults.Merge([]byte(`{"reset":true,"table_delay_ms":60000}`)))
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = s.Table.Commit(ctx, platform.Write{Key: "k3"})
-	require.ErrorIs(t, err, platform.ErrInDoubt)
-	_, err = platformhttp.New(refused(t), nil).Table.Commit(t.Context(), platform.Write{Key: "k"})
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = s.Table.Commit(ctx, cloud.Write{Key: "k3"})
+	require.ErrorIs(t, err, cloud.ErrInDoubt)
+	_, err = cloudhttp.New(refused(t), nil).Table.Commit(t.Context(), cloud.Write{Key: "k"})
+	require.ErrorIs(t, err, cloud.ErrUnavailable)
 	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }))
 	defer broken.Close()
-	_, err = platformhttp.New(broken.URL, nil).Table.Commit(t.Context(), platform.Write{Key: "k"})
-	require.ErrorIs(t, err, platform.ErrInDoubt)
-	_, err = platformhttp.New(broken.URL, nil).Table.Get(t.Context(), "k")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = cloudhttp.New(broken.URL, nil).Table.Commit(t.Context(), cloud.Write{Key: "k"})
+	require.ErrorIs(t, err, cloud.ErrInDoubt)
+	_, err = cloudhttp.New(broken.URL, nil).Table.Get(t.Context(), "k")
+	require.ErrorIs(t, err, cloud.ErrUnavailable)
 }
 
 func TestEngineOverHTTP(t *testing.T) {
@@ -210,15 +210,15 @@
 func TestPartitionCutsThePlatform(t *testing.T) {
 	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
 		require.NoError(t, p.faults.Merge([]byte(`{"partition":[["north","platform"],["south"]]}`)))
-		_, err := p.ServicesFrom("north").Table.Commit(t.Context(), platform.Write{Key: "k"})
+		_, err := p.ServicesFrom("north").Table.Commit(t.Context(), cloud.Write{Key: "k"})
 		require.NoError(t, err)
 		south := p.ServicesFrom("south").Table
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err = south.Get(ctx, "k")
-		require.ErrorIs(t, err, platform.ErrUnavailable)
-		_, err = south.Commit(ctx, platform.Write{Key: "k2"})
-		require.ErrorIs(t, err, platform.ErrInDoubt)
+		require.ErrorIs(t, err, cloud.ErrUnavailable)
+		_, err = south.Commit(ctx, cloud.Write{Key: "k2"})
+		require.ErrorIs(t, err, cloud.ErrInDoubt)
 		require.NoError(t, p.faults.Merge([]byte(`{"reset":true}`)))
 		_, err = south.Get(t.Context(), "k")
 		require.NoError(t, err)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 )
 
 // Options configures the emulators. Zero values take the defaults.
@@ -86,7 +86,7 @@
 		opts: o, faults: f, counters: c, table: newTable(o, f, c),
 		objects:  &objectStore{faults: f, objects: make(map[string][]byte)},
 		weights:  &weightStore{faults: f, counters: c, limit: limiter(o.WeightsPerSecond * o.TimeScale), tickets: make(map[string]string)},
-		vms:      &vmList{faults: f, vms: make(map[string]platform.VM)},
+		vms:      &vmList{faults: f, vms: make(map[string]cloud.VM)},
 		engines:  make(map[string]*Engine),
 		services: make(map[string]*Service),
 	}
@@ -103,12 +103,12 @@
 func (p *Platform) Counters() *Counters { return p.counters }
 
 // Services returns the platform's services without a network between.
-func (p *Platform) Services() platform.Services {
-	return platform.Services{Table: p.table, Objects: p.objects, Weights: p.weights, VMs: p.vms}
+func (p *Platform) Services() cloud.Services {
+	return cloud.Services{Table: p.table, Objects: p.objects, Weights: p.weights, VMs: p.vms}
 }
 
 // SetVM adds or replaces a VM of the list; readers see it after the list's lag.
-func (p *Platform) SetVM(vm platform.VM) { p.vms.Set(vm) }
+func (p *Platform) SetVM(vm cloud.VM) { p.vms.Set(vm) }
 
 // RemoveVM drops a VM from the list; readers see it after the list's lag.
 func (p *Platform) RemoveVM(name string) { p.vms.Remove(name) }
@@ -217,9 +217,9 @@
 
 // ServicesFrom returns the platform's services as a node in a failure domain reaches them. While the domain is cut off,
 // calls wait until the partition heals or their context ends.
-func (p *Platform) ServicesFrom(domain string) platform.Services {
+func (p *Platform) ServicesFrom(domain string) cloud.Services {
 	g := gate{faults: p.faults, domain: domain}
-	return platform.Services{Table: gatedTable{g, p.table}, Objects: gatedObjects{g, p.objects},
+	return cloud.Services{Table: gatedTable{g, p.table}, Objects: gatedObjects{g, p.objects},
 		Weights: gatedWeights{g, p.weights}, VMs: gatedVMs{g, p.vms}}
 }
 
@@ -236,7 +236,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+			return errors.Wrap(cloud.ErrUnavailable, ctx.Err().Error())
 		case <-changed:
 		}
 	}
@@ -244,27 +244,27 @@
 
 type gatedTable struct {
 	gate
-	next platform.Table
+	next cloud.Table
 }
 
-// Get implements platform.Table.
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements cloud.Table.
+func (t gatedTable) Get(ctx context.Context, key string) (cloud.Row, error) {
 	if err := t.pass(ctx); err != nil {
-		return platform.Row{}, err
+		return cloud.Row{}, err
 	}
 	return t.next.Get(ctx, key)
 }
 
-// Commit implements platform.Table. A caller that gave up waiting cannot know whether the write left its node.
-func (t gatedTable) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+// Commit implements cloud.Table. A caller that gave up waiting cannot know whether the write left its node.
+func (t gatedTable) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	if err := t.pass(ctx); err != nil {
-		return nil, errors.Wrap(platform.ErrInDoubt, err.Error())
+		return nil, errors.Wrap(cloud.ErrInDoubt, err.Error())
 	}
 	return t.next.Commit(ctx, writes...)
 }
 
-// Scan implements platform.Table.
-func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements cloud.Table.
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error) {
 	if err := t.pass(ctx); err != nil {
 		return nil, err
 	}
@@ -273,10 +273,10 @@
 
 type gatedObjects struct {
 	gate
-	next platform.ObjectStore
+	next cloud.ObjectStore
 }
 
-// Put implements platform.ObjectStore.
+// Put implements cloud.ObjectStore.
 func (s gatedObjects) Put(ctx context.Context, name string, data []byte) error {
 	if err := s.pass(ctx); err != nil {
 		return err
@@ -284,7 +284,7 @@
 	return s.next.Put(ctx, name, data)
 }
 
-// Get implements platform.ObjectStore.
+// Get implements cloud.ObjectStore.
 func (s gatedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := s.pass(ctx); err != nil {
 		return nil, err
@@ -294,10 +294,10 @@
 
 type gatedWeights struct {
 	gate
-	next platform.WeightStore
+	next cloud.WeightStore
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements cloud.WeightStore.
 func (s gatedWeights) Fetch(ctx context.Context, name string) (string, error) {
 	if err := s.pass(ctx); err != nil {
 		return "", err
@@ -307,11 +307,11 @@
 
 type gatedVMs struct {
 	gate
-	next platform.VMList
+	next cloud.VMList
 }
 
-// List implements platform.VMList.
-func (l gatedVMs) List(ctx context.Context) ([]platform.VM, error) {
+// List implements cloud.VMList.
+func (l gatedVMs) List(ctx context.Context) ([]cloud.VM, error) {
 	if err := l.pass(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 var testVersion = endpoint.Version{Model: "ledger", Version: "1", Batch: "b1"}
@@ -73,14 +73,14 @@
 	var group sync.WaitGroup
 	for i := range writers {
 		group.Go(func() {
-			_, err := p.table.Commit(ctx, platform.Write{Key: "a"}, platform.Write{Key: fmt.Sprint("b", i)})
+			_, err := p.table.Commit(ctx, cloud.Write{Key: "a"}, cloud.Write{Key: fmt.Sprint("b", i)})
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
 				won++
 				return
 			}
-			var condition *platform.ConditionError
+			var condition *cloud.ConditionError
 			if !errors.As(err, &condition) || condition.Current.Version != 1 {
 				t.Errorf("unexpected error %v", err)
 			}
@@ -96,11 +96,11 @@
 func TestTableRowsExpireAndScanInOrder(t *testing.T) {
 	onVirtualTime(t, Options{}, func(t *testing.T, p *Platform) {
 		ctx := t.Context()
-		_, err := p.table.Commit(ctx, platform.Write{Key: "k/1", TTL: time.Minute}, platform.Write{Key: "k/2"}, platform.Write{Key: "k/3"})
+		_, err := p.table.Commit(ctx, cloud.Write{Key: "k/1", TTL: time.Minute}, cloud.Write{Key: "k/2"}, cloud.Write{Key: "k/3"})
 		require.NoError(t, err)
 		time.Sleep(time.Minute)
 		_, err = p.table.Get(ctx, "k/1")
-		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorIs(t, err, cloud.ErrNotFound)
 		rows, err := p.table.Scan(ctx, "k/", "k/2", 10)
 		require.NoError(t, err)
 		require.Len(t, rows, 1)
@@ -112,11 +112,11 @@
 	onVirtualTime(t, Options{TableWritesPerSecond: 100}, func(t *testing.T, p *Platform) {
 		written := 0
 		for range 2000 { // two seconds at the virtual clock
-			_, err := p.table.Commit(t.Context(), platform.Write{Key: "k", Expect: platform.AnyVersion})
+			_, err := p.table.Commit(t.Context(), cloud.Write{Key: "k", Expect: cloud.AnyVersion})
 			if err == nil {
 				written++
 			} else {
-				require.ErrorIs(t, err, platform.ErrRateLimited)
+				require.ErrorIs(t, err, cloud.ErrRateLimited)
 				time.Sleep(time.Millisecond)
 			}
 		}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // limiter allows perSecond events with a burst of a tenth of a second.
@@ -30,61 +30,61 @@
 	delay  time.Duration
 
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]cloud.Row
 }
 
 func newTable(o Options, f *Faults, c *Counters) *table {
 	return &table{faults: f, counts: c, reads: limiter(o.TableReadsPerSecond * o.TimeScale),
 		writes: limiter(o.TableWritesPerSecond * o.TimeScale), delay: o.scaled(o.TableDelay),
-		rows: make(map[string]platform.Row)}
+		rows: make(map[string]cloud.Row)}
 }
 
 // enter applies the delay, the outage and the rate limit of a call.
 func (t *table) enter(ctx context.Context, limit *rate.Limiter, n int) error {
 	if t.faults.State().TableDown {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	if !limit.AllowN(time.Now(), min(n, limit.Burst())) {
-		return platform.ErrRateLimited
+		return cloud.ErrRateLimited
 	}
 	return timing.Sleep(ctx, t.delay+milliseconds(t.faults.State().TableDelayMS))
 }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements cloud.Table.
+func (t *table) Get(ctx context.Context, key string) (cloud.Row, error) {
 	if err := t.enter(ctx, t.reads, 1); err != nil {
-		return platform.Row{}, err
+		return cloud.Row{}, err
 	}
 	t.counts.tableCall(key, 1, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.live(key, time.Now())
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return cloud.Row{}, cloud.ErrNotFound
 	}
 	return row, nil
 }
 
 // live returns an unexpired row; an expired one is removed.
-func (t *table) live(key string, now time.Time) (platform.Row, bool) {
+func (t *table) live(key string, now time.Time) (cloud.Row, bool) {
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, false
+		return cloud.Row{}, false
 	}
 	if !row.Expires.IsZero() && !now.Before(row.Expires) {
 		delete(t.rows, key)
-		return platform.Row{}, false
+		return cloud.Row{}, false
 	}
 	row.Value = bytes.Clone(row.Value)
 	return row, true
 }
 
-// Commit implements platform.Table. A context that ends during the delay is reported as in doubt although nothing was
+// Commit implements cloud.Table. A context that ends during the delay is reported as in doubt although nothing was
 // written, because a real client could not tell.
-func (t *table) Commit(ctx context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (t *table) Commit(ctx context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	if err := t.enter(ctx, t.writes, len(writes)); err != nil {
 		if ctx.Err() != nil {
-			return nil, errors.Wrap(platform.ErrInDoubt, err.Error())
+			return nil, errors.Wrap(cloud.ErrInDoubt, err.Error())
 		}
 		return nil, err
 	}
@@ -93,34 +93,34 @@
 	}
 	rows, err := t.apply(writes)
 	if err == nil && t.faults.loseAnswer() {
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
 	return rows, err
 }
 
-func (t *table) apply(writes []platform.Write) ([]platform.Row, error) {
+func (t *table) apply(writes []cloud.Write) ([]cloud.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, w := range writes {
 		row, _ := t.live(w.Key, now)
-		if w.Expect != platform.AnyVersion && w.Expect != row.Version {
+		if w.Expect != cloud.AnyVersion && w.Expect != row.Version {
 			row.Key = w.Key
-			return nil, &platform.ConditionError{Current: row}
+			return nil, &cloud.ConditionError{Current: row}
 		}
 	}
-	rows := make([]platform.Row, 0, len(writes))
+	rows := make([]cloud.Row, 0, len(writes))
 	for _, w := range writes {
 		rows = append(rows, t.write(w, now))
 	}
 	return rows, nil
 }
 
-func (t *table) write(w platform.Write, now time.Time) platform.Row {
-	row := platform.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: bytes.Clone(w.Value)}
+func (t *table) write(w cloud.Write, now time.Time) cloud.Row {
+	row := cloud.Row{Key: w.Key, Version: t.rows[w.Key].Version + 1, Value: bytes.Clone(w.Value)}
 	if w.Delete {
 		delete(t.rows, w.Key)
-		return platform.Row{Key: w.Key}
+		return cloud.Row{Key: w.Key}
 	}
 	if w.TTL > 0 {
 		row.Expires = now.Add(w.TTL)
@@ -130,8 +130,8 @@
 	return row
 }
 
-// Scan implements platform.Table.
-func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements cloud.Table.
+func (t *table) Scan(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error) {
 	if err := t.enter(ctx, t.reads, 1); err != nil {
 		return nil, err
 	}
@@ -139,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	rows := []platform.Row{}
+	rows := []cloud.Row{}
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		if len(rows) == limit {
 			break
@@ -161,13 +161,13 @@
 	objects map[string][]byte
 }
 
-// Put implements platform.ObjectStore.
+// Put implements cloud.ObjectStore.
 func (s *objectStore) Put(ctx context.Context, name string, data []byte) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
 	if s.faults.State().ObjectsDown {
-		return platform.ErrUnavailable
+		return cloud.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,19 +178,19 @@
 	return nil
 }
 
-// Get implements platform.ObjectStore.
+// Get implements cloud.ObjectStore.
 func (s *objectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	if s.faults.State().ObjectsDown {
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data, ok := s.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, cloud.ErrNotFound
 	}
 	return bytes.Clone(data), nil
 }
@@ -205,21 +205,21 @@
 	tickets map[string]string // ticket to weight name, until redeemed
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements cloud.WeightStore.
 func (s *weightStore) Fetch(ctx context.Context, name string) (string, error) {
 	if err := ctx.Err(); err != nil {
 		return "", err
 	}
 	if s.faults.State().WeightsDown {
-		return "", platform.ErrUnavailable
+		return "", cloud.ErrUnavailable
 	}
 	if name == "" {
-		return "", platform.ErrNotFound
+		return "", cloud.ErrNotFound
 	}
 	allowed := s.limit.Allow()
 	s.counters.ticket(allowed)
 	if !allowed {
-		return "", platform.ErrRateLimited
+		return "", cloud.ErrRateLimited
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -242,14 +242,14 @@
 
 type vmChange struct {
 	at  time.Time
-	vms []platform.VM
+	vms []cloud.VM
 }
 
 type vmList struct {
 	faults *Faults
 
 	mu      sync.Mutex
-	vms     map[string]platform.VM
+	vms     map[string]cloud.VM
 	history []vmChange // oldest first; the list is empty before the first one
 }
 
@@ -257,7 +257,7 @@
 const vmHistory = 1024
 
 // Set adds or replaces a VM.
-func (l *vmList) Set(vm platform.VM) {
+func (l *vmList) Set(vm cloud.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms[vm.Name] = vm
@@ -282,11 +282,11 @@
 }
 
 func (l *vmList) record(leaving []string) {
-	vms := make([]platform.VM, 0, len(l.vms))
+	vms := make([]cloud.VM, 0, len(l.vms))
 	for _, name := range slices.Sorted(maps.Keys(l.vms)) {
 		vm := l.vms[name]
 		if slices.Contains(leaving, name) {
-			vm.State = platform.VMLeaving
+			vm.State = cloud.VMLeaving
 		}
 		vms = append(vms, vm)
 	}
@@ -296,15 +296,15 @@
 	}
 }
 
-// List implements platform.VMList.
-func (l *vmList) List(ctx context.Context) ([]platform.VM, error) {
+// List implements cloud.VMList.
+func (l *vmList) List(ctx context.Context) ([]cloud.VM, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	asOf := time.Now().Add(-milliseconds(l.faults.State().VMListLagMS))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var vms []platform.VM
+	var vms []cloud.VM
 	for _, change := range l.history {
 		if change.at.After(asOf) {
 			break
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -14,13 +14,13 @@
 	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
+	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
-	"github.com/bilberrylink/bilberrylink/platform"
-	"github.com/bilberrylink/bilberrylink/platform/platformhttp"
 )
 
 const (
@@ -46,13 +46,13 @@
 type client struct {
 	flags Flags
 	http  *http.Client
-	table platform.Table
+	table cloud.Table
 }
 
 func newClient(f Flags) *client {
 	// Chats keep many connections open; a small idle pool would open new ones all the time.
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: requestLimit}
-	return &client{flags: f, http: h, table: platformhttp.New(strings.TrimSuffix(f.Standin, "/"), h).Table}
+	return &client{flags: f, http: h, table: cloudhttp.New(strings.TrimSuffix(f.Standin, "/"), h).Table}
 }
 
 // call sends one request and returns the answer's body. An answer other than 200 is an error.
--- a/member/table.go
+++ b/member/table.go
@@ -12,8 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -43,7 +43,7 @@
 	born     time.Time        // when that record's sequence was produced, as far as known
 	heard    time.Time        // newest evidence that the node runs
 	failed   time.Time        // newest evidence that it does not answer
-	vm       platform.VM
+	vm       cloud.VM
 	listed   bool
 	dropped  time.Time // when the list dropped it
 	leaving  bool      // of the current incarnation, or said by the list
@@ -105,7 +105,7 @@
 
 // UpdateList takes over the platform's list. The list decides on leaving; it does not overrule heartbeats on whether a
 // node runs, since it lags.
-func (t *Table) UpdateList(vms []platform.VM) {
+func (t *Table) UpdateList(vms []cloud.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -114,7 +114,7 @@
 		named[vm.Name] = true
 		s := t.node(vm.Name)
 		s.vm, s.listed, s.dropped = vm, true, time.Time{}
-		if vm.State == platform.VMLeaving {
+		if vm.State == cloud.VMLeaving {
 			t.leaveLocked(vm.Name, s)
 		}
 	}
@@ -223,7 +223,7 @@
 	if len(s.retired) > retiredIncarnations {
 		s.retired = s.retired[1:]
 	}
-	s.leaving = s.listed && s.vm.State == platform.VMLeaving
+	s.leaving = s.listed && s.vm.State == cloud.VMLeaving
 	s.failed = time.Time{}
 }
 
@@ -369,7 +369,7 @@
 	n := Node{Name: name, Addr: s.vm.Addr, FailureDomain: s.vm.FailureDomain, Role: s.vm.Role, Leaving: s.leaving,
 		Live: t.live(s, now), Heard: s.heard, Epoch: s.epoch}
 	if r := s.record; r != nil {
-		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, platform.VMRole(r.Role)
+		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, cloud.VMRole(r.Role)
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
 		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
@@ -391,9 +391,9 @@
 	for _, name := range t.names {
 		n := t.describe(name, t.nodes[name], now)
 		switch {
-		case n.Role == platform.RoleEntry && t.mayBeLive(t.nodes[name], now):
+		case n.Role == cloud.RoleEntry && t.mayBeLive(t.nodes[name], now):
 			next.entries = append(next.entries, n)
-		case n.Role == platform.RoleAgent && n.Endpoint != "" && t.mayBeLive(t.nodes[name], now):
+		case n.Role == cloud.RoleAgent && n.Endpoint != "" && t.mayBeLive(t.nodes[name], now):
 			next.agents = append(next.agents, n)
 		}
 	}
@@ -450,7 +450,7 @@
 type Holder struct {
 	Name          string
 	FailureDomain string
-	Role          platform.VMRole
+	Role          cloud.VMRole
 	Epoch         int64
 	Heard         time.Time
 	Endpoint      string // agent: endpoint name
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -17,8 +17,8 @@
 		Incarnation: incarnation, Sequence: sequence}
 }
 
-func listed(state platform.VMState) []platform.VM {
-	return []platform.VM{{Name: "agent-1", Addr: "a:1", FailureDomain: "a", State: state, Role: platform.RoleAgent}}
+func listed(state cloud.VMState) []cloud.VM {
+	return []cloud.VM{{Name: "agent-1", Addr: "a:1", FailureDomain: "a", State: state, Role: cloud.RoleAgent}}
 }
 
 func live(t *testing.T, table *Table) bool {
@@ -30,7 +30,7 @@
 // Guards against work for a node that the list names before it has started.
 func TestListedButNeverHeardIsNotLive(t *testing.T) {
 	table := NewTable(Options{Name: "entry-1"})
-	table.UpdateList(listed(platform.VMLive))
+	table.UpdateList(listed(cloud.VMLive))
 	require.Empty(t, table.Agents())
 	require.Len(t, table.PossiblyServing(time.Second), 1, "acceptance must wait for it")
 }
@@ -39,7 +39,7 @@
 func TestDroppedByListButAnsweringStaysLive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := NewTable(Options{Name: "entry-1"})
-		table.UpdateList(listed(platform.VMLive))
+		table.UpdateList(listed(cloud.VMLive))
 		table.Observe(agent("i1", 1), true)
 		table.UpdateList(nil)
 		require.True(t, live(t, table))
@@ -72,7 +72,7 @@
 // Guards against new work for a leaving node, whoever says that it leaves.
 func TestLeavingIsFinal(t *testing.T) {
 	for name, leave := range map[string]func(*Table){
-		"list":   func(table *Table) { table.UpdateList(listed(platform.VMLeaving)) },
+		"list":   func(table *Table) { table.UpdateList(listed(cloud.VMLeaving)) },
 		"reply":  func(table *Table) { table.ObserveLeaving("model-01") },
 		"record": func(table *Table) { r := agent("i1", 2); r.Leaving = true; table.Observe(r, false) },
 	} {
@@ -154,7 +154,7 @@
 // between nodes that number the list alike.
 func TestAgesKeepNodesLive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		vms := []platform.VM{{Name: "agent-1"}, {Name: "entry-1"}, {Name: "entry-2"}}
+		vms := []cloud.VM{{Name: "agent-1"}, {Name: "entry-1"}, {Name: "entry-2"}}
 		near, far := NewTable(Options{Name: "entry-1"}), NewTable(Options{Name: "entry-2"})
 		near.UpdateList(vms)
 		far.UpdateList(vms)
--- a/member/view.go
+++ b/member/view.go
@@ -4,8 +4,8 @@
 import (
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -14,7 +14,7 @@
 	Name          string
 	Addr          string // host:port of the internal listener
 	FailureDomain string
-	Role          platform.VMRole
+	Role          cloud.VMRole
 	Endpoint      string // agent: endpoint name
 	EndpointKind  string // agent: fleet.KindModel or fleet.KindPlain
 	Incarnation   string
--- a/once/background.go
+++ b/once/background.go
@@ -7,9 +7,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/invariant"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // task is one write that is repeated until the table takes it.
@@ -113,7 +113,7 @@
 }
 
 // checkDone accepts a row that an earlier try of the same write has produced, or that has expired.
-func (s *Store) checkDone(c *Claim, current platform.Row) error {
+func (s *Store) checkDone(c *Claim, current cloud.Row) error {
 	if current.Version == 0 {
 		return nil
 	}
@@ -159,7 +159,7 @@
 	return err
 }
 
-func ownStarted(row platform.Row, c *Claim) bool {
+func ownStarted(row cloud.Row, c *Claim) bool {
 	rec, err := decode(row)
 	return err == nil && rec.Phase == PhaseStarted && rec.Nonce == c.nonce
 }
--- a/once/once.go
+++ b/once/once.go
@@ -13,10 +13,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/invariant"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
 )
 
@@ -32,8 +32,8 @@
 
 // Options of a Store. Table and Objects are required; zero values of the others take the defaults.
 type Options struct {
-	Table       platform.Table
-	Objects     platform.ObjectStore
+	Table       cloud.Table
+	Objects     cloud.ObjectStore
 	TTL         func() time.Duration // life of a row after its last write
 	InlineBytes int                  // largest answer kept in the row
 	Pending     int                  // bound of the background queue
@@ -135,7 +135,7 @@
 
 func newNonce() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
-func (s *Store) started(a Attempt, nonce string, row platform.Row) (Result, *Claim, error) {
+func (s *Store) started(a Attempt, nonce string, row cloud.Row) (Result, *Claim, error) {
 	c := &Claim{attempt: a, nonce: nonce, version: row.Version}
 	previous, loaded := s.open.Swap(a.row(), c)
 	twice := loaded && previous.(*Claim).attempt.Deadline.After(time.Now())
@@ -163,22 +163,22 @@
 	return result, nil, err
 }
 
-func conditionFailed(err error) (platform.Row, bool) {
-	var condition *platform.ConditionError
+func conditionFailed(err error) (cloud.Row, bool) {
+	var condition *cloud.ConditionError
 	if errors.As(err, &condition) {
 		return condition.Current, true
 	}
-	return platform.Row{}, false
+	return cloud.Row{}, false
 }
 
 func nothingWritten(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
+	return errors.Is(err, cloud.ErrUnavailable) || errors.Is(err, cloud.ErrRateLimited)
 }
 
 // settle resolves a lost answer of the write of rec. It reports whether the write won, with the current row. A write
 // that may still be on its way is repeated on the same condition, since only one of the two can win. It outlives a
 // cancelled context, but not the context's deadline.
-func (s *Store) settle(ctx context.Context, a Attempt, rec record) (row platform.Row, won bool, err error) {
+func (s *Store) settle(ctx context.Context, a Attempt, rec record) (row cloud.Row, won bool, err error) {
 	limit := time.Now().Add(s.opts.ResolveTime)
 	if deadline, ok := ctx.Deadline(); ok && deadline.Before(limit) {
 		limit = deadline
@@ -201,39 +201,39 @@
 			return row, decodeErr == nil && current.Nonce == rec.Nonce, decodeErr
 		}
 		if timing.Sleep(ctx, timing.Jitter(wait, 0.5)) != nil {
-			return platform.Row{}, false, err
+			return cloud.Row{}, false, err
 		}
 	}
 }
 
-func (s *Store) put(ctx context.Context, key string, expect int64, rec record) (platform.Row, error) {
+func (s *Store) put(ctx context.Context, key string, expect int64, rec record) (cloud.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 	defer cancel()
 	if s.opts.ignoreCondition {
-		expect = platform.AnyVersion
+		expect = cloud.AnyVersion
 	}
 	s.writes.Inc()
-	rows, err := s.opts.Table.Commit(ctx, platform.Write{Key: key, Expect: expect, Value: encode(rec), TTL: s.opts.TTL()})
+	rows, err := s.opts.Table.Commit(ctx, cloud.Write{Key: key, Expect: expect, Value: encode(rec), TTL: s.opts.TTL()})
 	if err != nil {
-		return platform.Row{}, err
+		return cloud.Row{}, err
 	}
 	return rows[0], nil
 }
 
 // get returns a row, or the zero row with version 0 if it is absent.
-func (s *Store) get(ctx context.Context, key string) (platform.Row, error) {
+func (s *Store) get(ctx context.Context, key string) (cloud.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableCallTimeout)
 	defer cancel()
 	s.reads.Inc()
 	row, err := s.opts.Table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{Key: key}, nil
+	if errors.Is(err, cloud.ErrNotFound) {
+		return cloud.Row{Key: key}, nil
 	}
 	return row, err
 }
 
 // resolve says what a row means for a request. An empty request hash, of the caller or of the row, matches any.
-func (s *Store) resolve(ctx context.Context, row platform.Row, requestHash string) (Result, error) {
+func (s *Store) resolve(ctx context.Context, row cloud.Row, requestHash string) (Result, error) {
 	if row.Version == 0 {
 		return Result{State: Absent}, nil
 	}
@@ -312,7 +312,7 @@
 }
 
 // neverRuns reports whether a row proves that the attempt was not executed and cannot start any more.
-func neverRuns(a Attempt, row platform.Row) bool {
+func neverRuns(a Attempt, row cloud.Row) bool {
 	if row.Version <= a.Expect {
 		return row.Version != a.Expect // the row on which the condition was made has expired: the condition fails for good
 	}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -12,14 +12,14 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/invariant"
-	"github.com/bilberrylink/bilberrylink/platform"
 )
 
 // store is a table and object store in memory. Each commit takes the next element of script.
 type store struct {
 	mu        sync.Mutex
-	rows      map[string]platform.Row
+	rows      map[string]cloud.Row
 	objects   map[string][]byte
 	script    []string // ok, down, lost (takes effect, no answer), dropped (no effect, no answer)
 	down      bool
@@ -28,21 +28,21 @@
 	commits   int
 }
 
-func (s *store) Get(_ context.Context, key string) (platform.Row, error) {
+func (s *store) Get(_ context.Context, key string) (cloud.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gets++
 	row, ok := s.rows[key]
 	switch {
 	case s.down:
-		return platform.Row{}, platform.ErrUnavailable
+		return cloud.Row{}, cloud.ErrUnavailable
 	case !ok:
-		return platform.Row{}, platform.ErrNotFound
+		return cloud.Row{}, cloud.ErrNotFound
 	}
 	return row, nil
 }
 
-func (s *store) Commit(_ context.Context, writes ...platform.Write) ([]platform.Row, error) {
+func (s *store) Commit(_ context.Context, writes ...cloud.Write) ([]cloud.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
@@ -56,24 +56,24 @@
 	}
 	switch step {
 	case "down":
-		return nil, platform.ErrUnavailable
+		return nil, cloud.ErrUnavailable
 	case "dropped":
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
 	w := writes[0]
 	current := s.rows[w.Key]
-	if w.Expect != platform.AnyVersion && w.Expect != current.Version {
-		return nil, &platform.ConditionError{Current: current}
+	if w.Expect != cloud.AnyVersion && w.Expect != current.Version {
+		return nil, &cloud.ConditionError{Current: current}
 	}
-	row := platform.Row{Key: w.Key, Version: current.Version + 1, Value: w.Value}
+	row := cloud.Row{Key: w.Key, Version: current.Version + 1, Value: w.Value}
 	s.rows[w.Key] = row
 	if step == "lost" {
-		return nil, platform.ErrInDoubt
+		return nil, cloud.ErrInDoubt
 	}
-	return []platform.Row{row}, nil
+	return []cloud.Row{row}, nil
 }
 
-func (s *store) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+func (s *store) Scan(context.Context, string, string, int) ([]cloud.Row, error) { return nil, nil }
 
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
@@ -95,7 +95,7 @@
 	defer o.mu.Unlock()
 	data, ok := o.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, cloud.ErrNotFound
 	}
 	return data, nil
 }
@@ -104,7 +104,7 @@
 func run(t *testing.T, test func(t *testing.T, s *Store, table *store)) {
 	synctest.Test(t, func(t *testing.T) {
 		defer invariant.SetHandler(func(name, detail string) { t.Errorf("%s: %s", name, detail) })()
-		table := &store{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+		table := &store{rows: make(map[string]cloud.Row), objects: make(map[string][]byte)}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		s := New(Options{Table: table, Objects: objects{table}, Log: log, InlineBytes: 8})
@@ -283,7 +283,7 @@
 func TestSecondStartIsReported(t *testing.T) {
 	var names []string
 	defer invariant.SetHandler(func(name, _ string) { names = append(names, name) })()
-	s := New(Options{Table: &store{rows: make(map[string]platform.Row)}, ignoreCondition: true})
+	s := New(Options{Table: &store{rows: make(map[string]cloud.Row)}, ignoreCondition: true})
 	for _, id := range []string{"a1", "a2"} {
 		_, claim, err := s.Begin(t.Context(), attempt(id, 0))
 		require.NoError(t, err)
--- a/once/row.go
+++ b/once/row.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 )
 
 // Phase is the state written in a row.
@@ -87,7 +87,7 @@
 	return "once/" + url.PathEscape(workspace) + "/" + url.PathEscape(key)
 }
 
-func decode(row platform.Row) (record, error) {
+func decode(row cloud.Row) (record, error) {
 	var rec record
 	err := json.Unmarshal(row.Value, &rec)
 	return rec, errors.Wrapf(err, "decode row %s", row.Key)
--- a/peer/example_test.go
+++ b/peer/example_test.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
 	"github.com/bilberrylink/bilberrylink/peer"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -20,7 +20,7 @@
 	defer cancel()
 
 	nodes := make(map[string]*peer.Peer)
-	start := func(name, addr string, role platform.VMRole) *peer.Peer {
+	start := func(name, addr string, role cloud.VMRole) *peer.Peer {
 		node, err := peer.New(peer.Options{Name: name, Addr: addr, FailureDomain: "north", Role: role, Incarnation: name,
 			Seeds: []string{"entry:1"}, Services: store.ServicesFrom("north"), Interval: 50 * time.Millisecond,
 			Client: func(addr string) wire.Peer { return nodes[addr] }})
@@ -30,7 +30,7 @@
 		nodes[addr] = node
 		return node
 	}
-	entry, agent := start("entry", "entry:1", platform.RoleEntry), start("agent", "agent:1", platform.RoleAgent)
+	entry, agent := start("entry", "entry:1", cloud.RoleEntry), start("agent", "agent:1", cloud.RoleAgent)
 	acceptor := epoch.NewAcceptor(epoch.AcceptorOptions{Node: "entry", Services: store.ServicesFrom("north"),
 		Store: entry.Epochs(), Fleet: entry})
 	for _, run := range []func(context.Context) error{entry.Run, agent.Run, acceptor.Run} {
--- a/peer/options.go
+++ b/peer/options.go
@@ -9,8 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -46,12 +46,12 @@
 	Name          string
 	Addr          string // host:port by which other nodes reach this one
 	FailureDomain string
-	Role          platform.VMRole
+	Role          cloud.VMRole
 	Endpoint      string // agent: endpoint name
 	EndpointKind  string // agent: fleet.KindModel or fleet.KindPlain
 	Incarnation   string // differs at each start
 	Seeds         []string
-	Services      platform.Services
+	Services      cloud.Services
 	Client        func(addr string) wire.Peer
 	Interval      time.Duration          // between exchanges; 0: DefaultInterval
 	Self          func(*wire.NodeRecord) // fills load, loaded versions, leaving and fault; may be nil
@@ -71,11 +71,11 @@
 	switch {
 	case o.Name == "" || o.Addr == "" || o.Incarnation == "":
 		return errors.New("peer: name, address and incarnation are required")
-	case o.Role != platform.RoleEntry && o.Role != platform.RoleAgent:
+	case o.Role != cloud.RoleEntry && o.Role != cloud.RoleAgent:
 		return errors.Errorf("peer: unknown role %q", o.Role)
 	case o.Client == nil:
 		return errors.New("peer: a client is required")
-	case o.Role == platform.RoleEntry && (o.Services.Table == nil || o.Services.Objects == nil):
+	case o.Role == cloud.RoleEntry && (o.Services.Table == nil || o.Services.Objects == nil):
 		return errors.New("peer: an entry needs the table and the object store")
 	}
 	if o.Interval <= 0 {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/member"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/ring"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
@@ -55,10 +55,10 @@
 // Run exchanges until ctx ends and returns the context's error.
 func (p *Peer) Run(ctx context.Context) error {
 	loops := []func(context.Context){p.exchangeLoop, p.askLoop, p.listLoop}
-	if p.options.Role == platform.RoleEntry {
+	if p.options.Role == cloud.RoleEntry {
 		loops = append(loops, p.pushLoop, p.urgentLoop)
 	}
-	if p.options.Role == platform.RoleEntry || p.options.PollOnly {
+	if p.options.Role == cloud.RoleEntry || p.options.PollOnly {
 		loops = append(loops, p.pollLoop)
 	}
 	var wg sync.WaitGroup
@@ -185,7 +185,7 @@
 		req.Epoch = 0
 	}
 	p.mu.Unlock()
-	if p.options.Role == platform.RoleEntry && req.Records == nil && req.CollectEpoch == 0 {
+	if p.options.Role == cloud.RoleEntry && req.Records == nil && req.CollectEpoch == 0 {
 		req.Records = p.members.Records(maxRecordBytes, "")
 		req.Updates = p.members.Updates(maxUpdates)
 		req.Unheard = p.members.Unheard(maxUnheard)
@@ -216,7 +216,7 @@
 	p.apply(reply.Change)
 	p.store.ObserveInForce(reply.InForce)
 	p.store.Merge(start, reply.Epoch, reply.Evidence)
-	if p.options.Role == platform.RoleAgent && reply.Epoch < p.store.Epoch() {
+	if p.options.Role == cloud.RoleAgent && reply.Epoch < p.store.Epoch() {
 		p.send(ctx, addr, reply.Epoch)
 	}
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,18 +13,18 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/fleet"
-	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
 // idleTable answers no call, as a table that is down does.
-type idleTable struct{ platform.Table }
+type idleTable struct{ cloud.Table }
 
-type noObjects struct{ platform.ObjectStore }
+type noObjects struct{ cloud.ObjectStore }
 
-func (idleTable) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnavailable
+func (idleTable) Get(context.Context, string) (cloud.Row, error) {
+	return cloud.Row{}, cloud.ErrUnavailable
 }
 
 // network connects peers by address. Replies and requests are copied, as a real connection does.
@@ -58,10 +58,10 @@
 }
 func (b *blames) Merge(records []*wire.BlameRecord) { b.merged = append(b.merged, records...) }
 
-func newPeer(t *testing.T, n network, name string, role platform.VMRole, change func(*Options)) *Peer {
+func newPeer(t *testing.T, n network, name string, role cloud.VMRole, change func(*Options)) *Peer {
 	o := Options{Name: name, Addr: name, FailureDomain: "a", Role: role, Incarnation: "i1", Client: n.client,
-		Services: platform.Services{Table: idleTable{}, Objects: noObjects{}}, Registerer: prometheus.NewRegistry()}
-	if role == platform.RoleAgent {
+		Services: cloud.Services{Table: idleTable{}, Objects: noObjects{}}, Registerer: prometheus.NewRegistry()}
+	if role == cloud.RoleAgent {
 		o.Endpoint, o.EndpointKind = "endpoint-"+name, fleet.KindModel
 	}
 	if change != nil {
@@ -69,7 +69,7 @@
 	}
 	p, err := New(o)
 	require.NoError(t, err)
-	if role == platform.RoleEntry {
+	if role == cloud.RoleEntry {
 		n.peers.Store(name, p)
 	}
 	return p
@@ -100,14 +100,14 @@
 func TestAgentCarriesTextBetweenEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		behind := newPeer(t, n, "entry-1", platform.RoleEntry, nil)
-		agent := newPeer(t, n, "agent-1", platform.RoleAgent, func(o *Options) { o.Seeds = []string{"entry-1"} })
+		behind := newPeer(t, n, "entry-1", cloud.RoleEntry, nil)
+		agent := newPeer(t, n, "agent-1", cloud.RoleAgent, func(o *Options) { o.Seeds = []string{"entry-1"} })
 		adopt(t, agent, 3)
 		stop := start(t, behind, agent)
 		defer stop()
 		time.Sleep(3 * time.Second)
 		require.Equal(t, int64(3), behind.Epochs().Epoch(), "the entry cannot ask an agent; the agent sends")
-		ahead := newPeer(t, n, "entry-2", platform.RoleEntry, func(o *Options) { o.Seeds = []string{"entry-1"} })
+		ahead := newPeer(t, n, "entry-2", cloud.RoleEntry, func(o *Options) { o.Seeds = []string{"entry-1"} })
 		defer start(t, ahead)()
 		time.Sleep(5 * time.Second)
 		adopt(t, ahead, 4)
@@ -121,10 +121,10 @@
 func TestIncrementWithFallbackToWholeText(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		a := newPeer(t, n, "entry-1", platform.RoleEntry, nil)
+		a := newPeer(t, n, "entry-1", cloud.RoleEntry, nil)
 		adopt(t, a, 1)
 		adopt(t, a, 2)
-		b := newPeer(t, n, "entry-2", platform.RoleEntry, func(o *Options) { o.Seeds = []string{"entry-1"} })
+		b := newPeer(t, n, "entry-2", cloud.RoleEntry, func(o *Options) { o.Seeds = []string{"entry-1"} })
 		adopt(t, b, 1)
 		sent, _ := a.Bytes()
 		_, err := b.exchange(t.Context(), "entry-1", &wire.ExchangeRequest{})
@@ -133,7 +133,7 @@
 		after, _ := a.Bytes()
 		require.Less(t, after-sent, 600.0)
 
-		restarted := newPeer(t, n, "entry-2", platform.RoleEntry, func(o *Options) { o.Incarnation = "i2" })
+		restarted := newPeer(t, n, "entry-2", cloud.RoleEntry, func(o *Options) { o.Incarnation = "i2" })
 		adopt(t, a, 3)
 		reply, err := a.pushTo(t.Context(), a.Members().Entries()[1])
 		require.NoError(t, err)
@@ -146,7 +146,7 @@
 func TestMessagesAreBounded(t *testing.T) {
 	n := newNetwork()
 	sink := &blames{}
-	a := newPeer(t, n, "entry-1", platform.RoleEntry, func(o *Options) { o.Blames = sink })
+	a := newPeer(t, n, "entry-1", cloud.RoleEntry, func(o *Options) { o.Blames = sink })
 	for i := range 500 {
 		a.Members().Observe(&wire.NodeRecord{Name: fmt.Sprint("agent-", i), Role: "agent", Incarnation: "i", Sequence: 1}, true)
 	}
@@ -172,7 +172,7 @@
 // evidence taken from requests.
 func TestEvidenceComesFromRepliesOnly(t *testing.T) {
 	n := newNetwork()
-	a := newPeer(t, n, "entry-1", platform.RoleEntry, nil)
+	a := newPeer(t, n, "entry-1", cloud.RoleEntry, nil)
 	s, faults := fleet.NewSnapshot(1, []byte("settings: {failure_domains: [a, b, c]}\n"))
 	require.Empty(t, faults)
 	a.Epochs().Adopt(s)
@@ -189,12 +189,12 @@
 func TestAgentLearnsOfWatchedEndpointsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
-		a := newPeer(t, n, "entry-1", platform.RoleEntry, nil)
+		a := newPeer(t, n, "entry-1", cloud.RoleEntry, nil)
 		for i := range 500 {
 			a.Members().Observe(&wire.NodeRecord{Name: fmt.Sprint("agent-", i), Endpoint: fmt.Sprint("e-", i), Role: "agent", Incarnation: "i", Sequence: 1}, true)
 		}
 		var watch []string
-		b := newPeer(t, n, "agent", platform.RoleAgent, func(o *Options) { o.Watch = func() []string { return watch } })
+		b := newPeer(t, n, "agent", cloud.RoleAgent, func(o *Options) { o.Watch = func() []string { return watch } })
 		_, err := b.exchange(t.Context(), "entry-1", &wire.ExchangeRequest{})
 		require.NoError(t, err)
 		require.Len(t, b.Members().Agents(), 1, "itself")
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -38,7 +38,7 @@
 
 // askIfBehind queues a request for the sender's text. The sender's claim alone proves nothing.
 func (p *Peer) askIfBehind(req *wire.ExchangeRequest) {
-	if req.Sender.Epoch <= p.store.Epoch() || platform.VMRole(req.Sender.Role) != platform.RoleEntry {
+	if req.Sender.Epoch <= p.store.Epoch() || cloud.VMRole(req.Sender.Role) != cloud.RoleEntry {
 		return
 	}
 	if err := p.asks.Push(req.Sender.Addr); err != nil {
@@ -49,7 +49,7 @@
 func (p *Peer) reply(req *wire.ExchangeRequest) *wire.ExchangeReply {
 	reply := &wire.ExchangeReply{Sender: p.self()}
 	switch {
-	case platform.VMRole(req.Sender.Role) == platform.RoleAgent:
+	case cloud.VMRole(req.Sender.Role) == cloud.RoleAgent:
 		reply.KnownEntries = p.someEntries()
 		reply.Records = append(p.members.LeavingRecord(req.Sender.Name), p.members.EndpointRecords(req.Watch[:min(len(req.Watch), maxWatch)])...)
 	case len(req.Lacking) > 0:
