Serve callers on the users' platform: gateway, placement, roster, exchange and the platform's adapter

bilberry-gateway runs as one process on each entry VM. platform/ decodes settings, the store's rows and the HTTP of callers and endpoints into the product's types; gateway, placement, roster, catalog, engine and exchange decide.

--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,166 @@
+// Package catalog holds one version of the operator's configuration as the gateway uses it: routes, services and the
+// workspaces that own API keys. A Snapshot never changes once it is built.
+package catalog
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/bilberrylink/bilberrylink/engine"
+)
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// Kinds of routes.
+const (
+	NonIdempotent Kind = iota // at most once for each caller attempt
+	Idempotent                // any number of times
+	Stream                    // a series of events; at most once unless the route is resumable
+)
+
+// String names the kind in logs and metrics.
+func (k Kind) String() string {
+	return [...]string{"non_idempotent", "idempotent", "stream"}[k]
+}
+
+// Share is one service of a route and its weight in the split.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one rule of the operator: which requests go to which services, and within which limits.
+type Route struct {
+	Name        string
+	Host        string // lower case, no port
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // longest time that a caller is kept waiting; 0: no bound
+	Goal        time.Duration // time to the answer, or to the first event, that callers call good
+	PauseGoal   time.Duration // longest pause between events that callers call good; streams only
+	MaxAttempts int           // endpoints that one request may be sent to
+	Priority    int           // 0 is the most urgent
+	Public      bool          // no API key is asked for
+	Resumable   bool          // a stream may go on at another endpoint
+	Split       []Share
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Allows reports whether the route may send requests to a service.
+func (r *Route) Allows(service string) bool {
+	for _, s := range r.Split {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// PickService draws a service by the weights of the split; x is uniform in [0, 1).
+func (r *Route) PickService(x float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	x *= total
+	for _, s := range r.Split {
+		if x < s.Weight {
+			return s.Service
+		}
+		x -= s.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// RandomService draws a service by the weights of the split.
+func (r *Route) RandomService() string { return r.PickService(rand.Float64()) }
+
+// Service is one service of the operator.
+type Service struct {
+	Name           string
+	MaxConnections int           // connections that one endpoint accepts from all callers together; 0: unknown
+	Engine         *engine.Model // timing of a model engine; nil for plain services
+}
+
+// Workspace is the owner of API keys.
+type Workspace struct {
+	Name     string
+	Priority *int // takes precedence over the route's priority if set
+}
+
+// Snapshot is one version of the configuration.
+type Snapshot struct {
+	Epoch       int64         // version given by the operator
+	IdleTimeout time.Duration // time that callers may leave a connection idle
+	MaxBody     int64         // bytes; 0: no bound
+	MaxHeader   int           // bytes; 0: no bound
+	NeedsKey    bool          // API keys are in use
+
+	services map[string]*Service
+	hosts    map[string][]*Route // by falling length of prefix
+	keys     map[string]*Workspace
+}
+
+// New returns a snapshot of the given parts. keys maps an API key to its workspace; nil means that keys are not in use.
+func New(epoch int64, routes []*Route, services []*Service, keys map[string]*Workspace) *Snapshot {
+	s := &Snapshot{
+		Epoch:    epoch,
+		NeedsKey: keys != nil,
+		services: make(map[string]*Service, len(services)),
+		hosts:    make(map[string][]*Route),
+		keys:     keys,
+	}
+	for _, v := range services {
+		s.services[v.Name] = v
+	}
+	for _, r := range routes {
+		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+	}
+	for _, list := range s.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return s
+}
+
+// Service returns a service, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Services returns the names of all services, sorted.
+func (s *Snapshot) Services() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Match returns the route with the longest prefix of path on host, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, ok := s.hosts[host]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			list = s.hosts[host[:i]]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns the owner of an API key, or nil.
+func (s *Snapshot) Workspace(key string) *Workspace { return s.keys[key] }
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,51 @@
+// Package engine models the timing of a model engine that works in passes: in each pass it reads waiting prompts and
+// then lets every running request write some tokens. All requests of a pass wait for all of it.
+package engine
+
+import "time"
+
+// Model holds the timing of one kind of engine.
+type Model struct {
+	Slots         int     // requests that write at once
+	MemoryTokens  int     // tokens of context that fit into memory
+	Stride        int     // token steps of a pass with writers, and tokens of an event
+	StepMs        float64 // time of a token step without writers
+	StepWriterMs  float64 // time that each writer adds to a step
+	ContextMs     float64 // time that 1,000 tokens of context of a writer add to a step
+	ReadPerMs     float64 // prompt tokens read in a millisecond; 0: unknown
+	PairsMs       float64 // time for a million pairs of a token and an earlier token
+	HopMs         float64 // time that memory held by other endpoints adds to a step
+	MeanPrompt    int     // usual prompt tokens
+	MeanOutput    int     // usual output tokens
+	ReportLag     time.Duration
+	SplitsPrompts bool // prompts may be read by several endpoints together
+}
+
+const million = 1e6
+
+// Read returns the time in which one engine reads 1/parts of a prompt: its tokens, and its part of the pairs.
+func (m *Model) Read(tokens, parts int) time.Duration {
+	if m == nil || m.ReadPerMs <= 0 {
+		return 0
+	}
+	n, k := float64(tokens), float64(max(parts, 1))
+	ms := n/k/m.ReadPerMs + n*n/2/k/million*m.PairsMs
+	return millis(ms)
+}
+
+// Pass returns the time of a pass without reading, with some writers whose contexts hold context tokens in all.
+func (m *Model) Pass(writers, context int) time.Duration {
+	if m == nil {
+		return 0
+	}
+	step := m.StepMs + float64(writers)*m.StepWriterMs + float64(context)/1000*m.ContextMs
+	return millis(step * float64(max(m.Stride, 1)))
+}
+
+// Write returns the time in which a request writes output tokens when each pass takes pass.
+func (m *Model) Write(output int, pass time.Duration) time.Duration {
+	stride := max(m.Stride, 1)
+	return time.Duration((output+stride-1)/stride) * pass
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Event is one event of a stream with the empty line that ends it.
+type Event struct {
+	Raw []byte
+	ID  int64 // -1: none
+}
+
+// EventSplitter cuts a byte stream into whole events. What follows the last whole event is kept back, so that a broken
+// stream never passes a part of an event on.
+type EventSplitter struct{ rest []byte }
+
+// Push adds bytes and returns the events that are now whole. They are valid until the next call.
+func (s *EventSplitter) Push(p []byte) []Event {
+	s.rest = append(s.rest, p...)
+	var events []Event
+	start := 0
+	for {
+		end := eventEnd(s.rest[start:])
+		if end < 0 {
+			break
+		}
+		raw := bytes.Clone(s.rest[start : start+end])
+		events = append(events, Event{Raw: raw, ID: eventID(raw)})
+		start += end
+	}
+	s.rest = append(s.rest[:0], s.rest[start:]...)
+	return events
+}
+
+// Rest returns the bytes after the last whole event.
+func (s *EventSplitter) Rest() []byte { return s.rest }
+
+// eventEnd returns the length of the first event with its empty line, or -1.
+func eventEnd(p []byte) int {
+	lf := bytes.Index(p, []byte("\n\n"))
+	crlf := bytes.Index(p, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (lf < 0 || crlf < lf):
+		return crlf + 4
+	case lf >= 0:
+		return lf + 2
+	}
+	return -1
+}
+
+// eventID returns the number in the event's id line, or -1.
+func eventID(raw []byte) int64 {
+	for line := range bytes.Lines(raw) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			return -1
+		}
+		return id
+	}
+	return -1
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,464 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/placement"
+	"github.com/bilberrylink/bilberrylink/roster"
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Name    string // unique name of the process, part of the IDs of reservations
+	Zone    string // failure domain of the process
+	Catalog func() *catalog.Snapshot
+	Roster  *roster.Roster
+	Board   *placement.Board
+	Budget  *RepeatBudget
+	Crashes *Crashes
+	Backend Backend
+	Log     *logrus.Logger
+	Metrics *Metrics
+	Now     func() time.Time
+}
+
+// Gateway runs requests. It is safe for concurrent use.
+type Gateway struct {
+	opts    Options
+	tickets atomic.Uint64
+	active  atomic.Int64
+}
+
+// New returns a Gateway.
+func New(opts Options) *Gateway {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Gateway{opts: opts}
+}
+
+// Active returns the number of requests that are being served.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// run is the state of one request.
+type run struct {
+	g         *Gateway
+	r         *Request
+	caller    Caller
+	service   *catalog.Service
+	sends     int
+	tried     []string
+	whole     bool // no splitting any more
+	notRun    bool // no attempt so far may have run
+	begun     bool // the head of an answer has been sent
+	last      int64
+	events    int
+	first     time.Duration // until the first event
+	reason    string        // of the latest failure
+	at        string        // endpoint of the latest attempt
+	parts     int
+	predicted time.Duration
+}
+
+// Serve runs a request and answers the caller. ctx ends when the caller leaves.
+func (g *Gateway) Serve(ctx context.Context, r *Request, caller Caller) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	name := r.Route.RandomService()
+	service := g.opts.Catalog().Service(name)
+	if service == nil {
+		service = &catalog.Service{Name: name}
+	}
+	n := &run{g: g, r: r, caller: caller, service: service, notRun: true, last: r.ResumeAfter}
+	g.opts.Budget.Earn(name)
+	ctx, cancel := context.WithDeadline(ctx, end(r).Add(-answerMargin))
+	defer cancel()
+	n.serve(ctx)
+}
+
+func (n *run) serve(ctx context.Context) {
+	if n.g.opts.Crashes.Blamed(n.r.Fingerprint) {
+		n.refuse(failure{kind: errkind.PromptBlamed, notRun: true, reason: "call has crashed endpoints"}, 0)
+		return
+	}
+	for {
+		f, done := n.attempt(ctx)
+		if done {
+			n.finish("answered", "")
+			return
+		}
+		n.reason = f.reason
+		now := n.g.opts.Now()
+		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			n.finish("canceled", f.reason)
+			n.caller.Abort()
+			return
+		}
+		if f.kind == errkind.Canceled || !n.again(f, now) {
+			n.refuse(f, n.retryAfter())
+			return
+		}
+		n.log("retried").WithFields(logrus.Fields{"reason": f.reason, "resume_after": n.last}).Info("request goes to another endpoint")
+		n.g.opts.Metrics.retries.WithLabelValues(f.reason).Inc()
+	}
+}
+
+// again reports whether another attempt follows and pays for it.
+func (n *run) again(f failure, now time.Time) bool {
+	if f.kind == errkind.NoEndpoint || n.g.opts.Crashes.Blamed(n.r.Fingerprint) {
+		return false
+	}
+	if !mayRepeat(n.r, f, n.sends, now) {
+		return false
+	}
+	return f.paid || n.sends == 0 || n.g.opts.Budget.Spend(n.service.Name)
+}
+
+// retryAfter tells a refused caller when to come back: after a third of the time left at most, since callers who have
+// to wait longer come back at that time anyway.
+func (n *run) retryAfter() time.Duration {
+	left := end(n.r).Sub(n.g.opts.Now())
+	return min(max(left/10, retryPause), max(left/3, 0))
+}
+
+// refuse ends a request without an answer of an endpoint.
+func (n *run) refuse(f failure, retryAfter time.Duration) {
+	kind := finalKind(f, n.notRun)
+	n.finish("refused", f.reason)
+	n.g.opts.Metrics.refusals.WithLabelValues(string(kind)).Inc()
+	if n.begun {
+		n.caller.Abort()
+		return
+	}
+	n.caller.Refuse(kind, retryAfter)
+}
+
+func (n *run) log(event string) *logrus.Entry {
+	return n.g.opts.Log.WithFields(logrus.Fields{"event": event, "request": n.r.ID, "endpoint": n.at, "sends": n.sends})
+}
+
+// finish writes the one line that each request gets.
+func (n *run) finish(outcome, reason string) {
+	took := n.g.opts.Now().Sub(n.r.Arrived)
+	n.g.opts.Metrics.observe(n.r, outcome, took, n.first)
+	entry := n.log(outcome).WithFields(logrus.Fields{
+		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": n.parts,
+		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events,
+		"predicted_ms": n.predicted.Milliseconds(), "not_run": n.notRun,
+	})
+	if reason != "" {
+		entry = entry.WithField("reason", reason)
+	}
+	if outcome == "answered" {
+		entry.Debug("request ended")
+		return
+	}
+	entry.Info("request ended")
+}
+
+// attempt sends the request once. done means that the caller has a final answer.
+func (n *run) attempt(ctx context.Context) (f failure, done bool) {
+	if ctx.Err() != nil {
+		return n.ended(ctx), false
+	}
+	p, held, f, ok := n.plan(ctx)
+	if !ok {
+		return f, false
+	}
+	defer n.release(p, held)
+	return n.send(ctx, p, held)
+}
+
+// ended is the failure of a request whose time is over or whose caller has left.
+func (n *run) ended(ctx context.Context) failure {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure{kind: errkind.DeadlineExceeded, notRun: n.sends == 0, reason: "time is over"}
+	}
+	return failure{kind: errkind.Canceled, notRun: n.sends == 0, reason: "caller left"}
+}
+
+// chosen is a plan with its endpoints resolved.
+type chosen struct {
+	placement.Plan
+	endpoints []*roster.Endpoint
+}
+
+// plan chooses endpoints and reserves memory where the plan asks for it.
+func (n *run) plan(ctx context.Context) (*chosen, []string, failure, bool) {
+	usable := n.g.opts.Roster.Usable(n.service.Name)
+	if len(usable) == 0 {
+		return nil, nil, failure{kind: errkind.NoEndpoint, notRun: true, reason: "no endpoint"}, false
+	}
+	byID := make(map[string]*roster.Endpoint, len(usable))
+	cands := n.candidates(usable, byID)
+	p, ok := n.choose(cands)
+	if !ok {
+		return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "no room for the prompt"}, false
+	}
+	c := &chosen{Plan: p}
+	for _, id := range p.Endpoints {
+		c.endpoints = append(c.endpoints, byID[id])
+	}
+	n.parts, n.predicted = len(p.Endpoints), p.Predicted
+	if p.Reserve == nil {
+		return c, nil, failure{}, true
+	}
+	held, ok := n.reserve(ctx, c)
+	if !ok {
+		n.release(c, held)
+		return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "memory not reserved"}, false
+	}
+	return c, held, failure{}, true
+}
+
+func (n *run) candidates(usable []*roster.Endpoint, byID map[string]*roster.Endpoint) []placement.Candidate {
+	cands := make([]placement.Candidate, 0, len(usable))
+	add := func(skipTried bool) {
+		for _, e := range usable {
+			if skipTried && contains(n.tried, e.ID) {
+				continue
+			}
+			rate, pace := n.g.opts.Roster.Health(e)
+			byID[e.ID] = e
+			cands = append(cands, placement.Candidate{ID: e.ID, Near: e.Zone == n.g.opts.Zone, FailureRate: rate, Pace: pace})
+		}
+	}
+	add(true)
+	if len(cands) == 0 {
+		add(false)
+	}
+	return cands
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *run) choose(cands []placement.Candidate) (placement.Plan, bool) {
+	now := n.g.opts.Now()
+	if n.service.Engine == nil || n.r.Tokens == 0 {
+		return n.g.opts.Board.ChoosePlain(cands, now)
+	}
+	return n.g.opts.Board.Choose(n.service.Engine, cands, placement.Request{
+		Tokens: n.r.Tokens, Output: n.r.Output, Goal: n.r.Route.Goal, PauseGoal: n.r.Route.PauseGoal,
+		Waited: now.Sub(n.r.Arrived), Whole: n.whole,
+	}, now)
+}
+
+// reserve sets the memory of a plan aside, at all endpoints at once. held[i] is the reservation at endpoint i.
+func (n *run) reserve(ctx context.Context, c *chosen) (held []string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	held = make([]string, len(c.endpoints))
+	type result struct {
+		i  int
+		ok bool
+	}
+	results, asked := make(chan result, len(held)), 0
+	for i, tokens := range c.Reserve {
+		if tokens == 0 {
+			continue
+		}
+		held[i] = n.g.opts.Name + "-" + strconv.FormatUint(n.g.tickets.Add(1), 36)
+		asked++
+		go func() {
+			ok, err := n.g.opts.Backend.Reserve(ctx, c.endpoints[i], held[i], tokens, reserveHold)
+			if err != nil {
+				n.log("reserve_failed").WithError(err).WithField("at", c.endpoints[i].ID).Warn("memory could not be reserved")
+			}
+			results <- result{i, ok && err == nil}
+		}()
+	}
+	ok = true
+	for range asked {
+		if r := <-results; !r.ok {
+			ok = false
+		}
+	}
+	return held, ok
+}
+
+// release ends the jobs and reservations of an attempt. Reservations are released in the background: the answer does
+// not wait for them.
+func (n *run) release(c *chosen, held []string) {
+	n.g.opts.Board.Remove(c.Jobs)
+	for i, id := range held {
+		if id == "" {
+			continue
+		}
+		go n.releaseOne(c.endpoints[i], id)
+	}
+}
+
+// releaseTries bounds the releases of one reservation; after that its lease ends it.
+const releaseTries = 3
+
+func (n *run) releaseOne(e *roster.Endpoint, id string) {
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout/releaseTries)
+		err := n.g.opts.Backend.Release(ctx, e, id)
+		cancel()
+		if err == nil {
+			return
+		}
+		n.log("release_failed").WithError(err).WithField("at", e.ID).Warn("reservation could not be released")
+	}
+}
+
+// send delivers the request to the endpoints of a plan and relays the answer.
+func (n *run) send(ctx context.Context, c *chosen, held []string) (failure, bool) {
+	lead := c.endpoints[0]
+	n.at = lead.ID
+	if !n.g.opts.Roster.Allowed(lead) {
+		return failure{kind: errkind.Draining, notRun: true, reason: "endpoint left while the request was prepared"}, false
+	}
+	n.tried = append(n.tried, lead.ID)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := newWatchdog(n.headSilence(), cancel)
+	defer watch.stop()
+	sent := n.g.opts.Now()
+	answer, err := n.g.opts.Backend.Send(ctx, &Send{
+		Request: n.r, Endpoint: lead, Left: end(n.r).Sub(sent), Helpers: helpers(c, held), ResumeAfter: n.last,
+	})
+	if err != nil {
+		return n.sendFailed(ctx, lead, err, watch), false
+	}
+	n.sends++
+	defer answer.Body.Close()
+	return n.answer(ctx, c, answer, watch, sent)
+}
+
+// helpers lists the endpoints of a plan for the receiving one; its own reservation goes first.
+func helpers(c *chosen, held []string) []Helper {
+	var list []Helper
+	for i, e := range c.endpoints {
+		id := ""
+		if held != nil {
+			id = held[i]
+		}
+		if i == 0 && id == "" {
+			continue
+		}
+		list = append(list, Helper{Addr: e.Addr, Reservation: id})
+	}
+	return list
+}
+
+// headSilence is the wait for the head of an answer before another endpoint is tried.
+func (n *run) headSilence() time.Duration {
+	left := end(n.r).Sub(n.g.opts.Now())
+	if !n.r.Route.Repeatable() || n.sends+1 >= n.r.Route.MaxAttempts {
+		return left
+	}
+	if n.r.Route.Kind == catalog.Stream {
+		return min(max(silence(n.r.Route), 2*n.predicted), left)
+	}
+	return time.Duration(float64(left) * plainSilence)
+}
+
+// sendFailed classifies a send without an answer.
+func (n *run) sendFailed(ctx context.Context, e *roster.Endpoint, err error, watch *watchdog) failure {
+	var se *SendError
+	sent := !errors.As(err, &se) || se.Sent
+	if sent {
+		n.sends++
+		n.notRun = false
+	}
+	if watch.expired() {
+		n.avoid(e, "silent")
+		return failure{kind: errkind.EndpointFailed, notRun: !sent, reason: "endpoint silent"}
+	}
+	if ctx.Err() != nil {
+		return n.endedAfter(ctx, sent)
+	}
+	n.avoid(e, err.Error())
+	if sent {
+		n.g.opts.Crashes.Crashed(n.r.Fingerprint)
+	}
+	return failure{kind: errkind.EndpointFailed, notRun: !sent, reason: "connection failed"}
+}
+
+func (n *run) endedAfter(ctx context.Context, sent bool) failure {
+	f := n.ended(ctx)
+	f.notRun = !sent
+	return f
+}
+
+func (n *run) avoid(e *roster.Endpoint, cause string) {
+	if n.g.opts.Roster.Report(e, roster.Unreachable) {
+		n.log("endpoint_avoided").WithField("cause", cause).Info("endpoint is avoided for a while")
+	}
+}
+
+// answer relays an answer whose head has arrived.
+func (n *run) answer(ctx context.Context, c *chosen, a *Answer, watch *watchdog, sent time.Time) (failure, bool) {
+	lead := c.endpoints[0]
+	if a.Misplaced || a.Leaving && a.NotRun {
+		n.g.opts.Roster.Report(lead, roster.Leaving)
+		n.log("endpoint_left").WithField("status", a.Status).Info("endpoint is leaving or has been replaced")
+	}
+	if a.NotRun || a.Misplaced {
+		n.whole = n.whole || len(c.endpoints) > 1
+		return failure{kind: errkind.Overloaded, notRun: true, reason: "endpoint refused " + strconv.Itoa(a.Status)}, false
+	}
+	n.notRun = false
+	if n.r.Route.Kind == catalog.Stream && a.Status == 200 && a.Genuine {
+		return n.stream(ctx, c, a, watch, sent)
+	}
+	return n.relayWhole(ctx, lead, a, watch)
+}
+
+// relayWhole relays an answer that is complete before its first byte is passed on.
+func (n *run) relayWhole(ctx context.Context, e *roster.Endpoint, a *Answer, watch *watchdog) (failure, bool) {
+	body, err := io.ReadAll(a.Body)
+	if err != nil || !a.Genuine {
+		if ctx.Err() != nil && !watch.expired() {
+			return n.endedAfter(ctx, true), false
+		}
+		n.g.opts.Roster.Report(e, roster.Failed)
+		return failure{kind: errkind.EndpointFailed, reason: "incomplete answer"}, false
+	}
+	if a.Status >= 500 {
+		n.g.opts.Roster.Report(e, roster.Failed)
+		f := failure{kind: errkind.EndpointFailed, reason: "endpoint failed " + strconv.Itoa(a.Status)}
+		if !n.begun && !n.again(f, n.g.opts.Now()) {
+			n.reason = f.reason
+			return n.pass(a, body)
+		}
+		f.paid = true
+		return f, false
+	}
+	n.g.opts.Roster.Report(e, roster.Good)
+	if n.begun {
+		return failure{kind: errkind.StreamBroken, reason: "resumed stream answered " + strconv.Itoa(a.Status)}, false
+	}
+	return n.pass(a, body)
+}
+
+// pass hands a whole answer to the caller.
+func (n *run) pass(a *Answer, body []byte) (failure, bool) {
+	n.begun = true
+	n.first = n.g.opts.Now().Sub(n.r.Arrived)
+	a.Length = int64(len(body))
+	n.caller.Begin(a)
+	if err := n.caller.Write(body); err != nil {
+		return failure{kind: errkind.Canceled, reason: "caller left"}, false
+	}
+	n.g.opts.Crashes.Finished(n.r.Fingerprint)
+	return failure{}, true
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics of a gateway.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics of a gateway.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_requests_total", Help: "Requests by kind and outcome."}, []string{"kind", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_retries_total", Help: "Further attempts by the reason of the one before."}, []string{"reason"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_refusals_total", Help: "Requests without an endpoint's answer by error kind."}, []string{"error"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bilberry_gateway_request_seconds", Help: "Time from a request's arrival to its end.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bilberry_gateway_first_event_seconds", Help: "Time from a request's arrival to the first part of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.requests, m.retries, m.refusals, m.duration, m.first)
+	}
+	return m
+}
+
+func (m *Metrics) observe(r *Request, outcome string, took, first time.Duration) {
+	kind := r.Route.Kind.String()
+	m.requests.WithLabelValues(kind, outcome).Inc()
+	m.duration.WithLabelValues(kind).Observe(took.Seconds())
+	if first > 0 {
+		m.first.WithLabelValues(kind).Observe(first.Seconds())
+	}
+}
--- /dev/null
+++ b/gateway/policy.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/errkind"
+)
+
+// Times of the gateway.
+const (
+	// answerMargin is kept at the end of a caller's time to write the final answer.
+	answerMargin = 20 * time.Millisecond
+	// leastLeft is the least time for which a request is still sent.
+	leastLeft = 30 * time.Millisecond
+	// retryPause is the shortest time after which a refused caller is asked to come back.
+	retryPause = 300 * time.Millisecond
+	// leastPatience is how long callers of streams wait for an event at least before they give up.
+	leastPatience = 2 * time.Second
+	// Callers give a stream up after a gap of these multiples of its goals.
+	patienceGoals  = 4
+	patiencePauses = 8
+	// silenceShare is the part of that patience after which the gateway tries another endpoint.
+	silenceShare = 0.6
+	// plainSilence is the share of a repeatable plain request's time after which another endpoint is tried.
+	plainSilence = 0.4
+	// reserveTimeout bounds the wait for a reservation; endpoints answer within milliseconds.
+	reserveTimeout = 300 * time.Millisecond
+	// reserveHold is the life of a reservation until it is renewed or released.
+	reserveHold = 12 * time.Second
+	// releaseTimeout bounds the wait for a release.
+	releaseTimeout = 1500 * time.Millisecond
+)
+
+// patience returns the gap between events after which callers give a stream up.
+func patience(r *catalog.Route) time.Duration {
+	return max(leastPatience, patienceGoals*r.Goal, patiencePauses*r.PauseGoal)
+}
+
+// silence returns the time without progress after which an attempt is given up for another one.
+func silence(r *catalog.Route) time.Duration {
+	return time.Duration(float64(patience(r)) * silenceShare)
+}
+
+// end returns the time at which a request gets its final answer.
+func end(r *Request) time.Time {
+	e := r.Deadline
+	if r.Route.Timeout > 0 {
+		if t := r.Arrived.Add(r.Route.Timeout); e.IsZero() || t.Before(e) {
+			e = t
+		}
+	}
+	if e.IsZero() {
+		e = r.Arrived.Add(defaultTimeout)
+	}
+	return e
+}
+
+// defaultTimeout bounds requests without any bound of their own.
+const defaultTimeout = 60 * time.Second
+
+// failure describes an attempt that gave the caller nothing.
+type failure struct {
+	kind   errkind.Kind
+	notRun bool // certain not to have run at the endpoint
+	paid   bool // the repeat is already taken from the budget
+	reason string
+}
+
+// mayRepeat reports whether another attempt is safe and has time; attempts counts the sends so far.
+func mayRepeat(r *Request, f failure, sends int, now time.Time) bool {
+	if sends >= max(r.Route.MaxAttempts, 1) {
+		return false
+	}
+	if !f.notRun && !r.Route.Repeatable() {
+		return false
+	}
+	return end(r).Sub(now) > leastLeft
+}
+
+// finalKind returns the error kind of a request whose attempts are over. It promises "not run" only if all attempts
+// certainly did not run, or if the request may run again anyway.
+func finalKind(last failure, allNotRun bool) errkind.Kind {
+	if allNotRun {
+		if errkind.RuleOf(last.kind).Run == errkind.NotRun {
+			return last.kind
+		}
+		return errkind.Overloaded
+	}
+	if errkind.RuleOf(last.kind).Run == errkind.NotRun {
+		return errkind.EndpointFailed
+	}
+	return last.kind
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/roster"
+)
+
+// streamBuffer is the size of the read buffer of a stream; an event has about a hundred bytes.
+const streamBuffer = 4096
+
+// stream relays a stream event by event.
+func (n *run) stream(ctx context.Context, c *chosen, a *Answer, watch *watchdog, sent time.Time) (failure, bool) {
+	lead := c.endpoints[0]
+	var split EventSplitter
+	buf := make([]byte, streamBuffer)
+	started := false
+	watch.reset(n.gapSilence(started))
+	for {
+		k, err := a.Body.Read(buf)
+		for _, e := range split.Push(buf[:k]) {
+			if !started {
+				started = true
+				n.started(c, sent)
+			}
+			if f, ok := n.forward(a, e); !ok {
+				return f, false
+			}
+		}
+		if k > 0 {
+			watch.reset(n.gapSilence(started))
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(split.Rest()) == 0 && n.begun {
+			n.g.opts.Roster.Report(lead, roster.Good)
+			n.g.opts.Crashes.Finished(n.r.Fingerprint)
+			return failure{}, true
+		}
+		return n.broken(ctx, lead, err, watch, started), false
+	}
+}
+
+// started notes the first event of an attempt.
+func (n *run) started(c *chosen, sent time.Time) {
+	now := n.g.opts.Now()
+	n.g.opts.Board.Writing(c.Jobs)
+	if n.first == 0 {
+		n.first = now.Sub(n.r.Arrived)
+	}
+	if took := now.Sub(sent); c.Predicted > minPaceSample && len(c.endpoints) == 1 {
+		n.g.opts.Roster.ObservePace(c.endpoints[0], took.Seconds()/c.Predicted.Seconds())
+	}
+}
+
+// minPaceSample is the shortest prediction that says something about the speed of an endpoint.
+const minPaceSample = 40 * time.Millisecond
+
+// forward passes one event on. Events that the caller has are dropped, so that a resumed stream repeats none.
+func (n *run) forward(a *Answer, e Event) (failure, bool) {
+	if e.ID >= 0 && e.ID <= n.last {
+		return failure{}, true
+	}
+	if !n.begun {
+		n.begun = true
+		a.Length = -1
+		n.caller.Begin(a)
+	}
+	if err := n.caller.Write(e.Raw); err != nil {
+		return failure{kind: errkind.Canceled, reason: "caller left"}, false
+	}
+	if e.ID >= 0 {
+		n.last = e.ID
+	}
+	n.events++
+	return failure{}, true
+}
+
+// broken classifies a stream that ended before it was complete.
+func (n *run) broken(ctx context.Context, e *roster.Endpoint, err error, watch *watchdog, started bool) failure {
+	switch {
+	case watch.expired():
+		n.avoid(e, "silent")
+		return failure{kind: errkind.StreamBroken, reason: "stream silent"}
+	case ctx.Err() != nil:
+		return n.endedAfter(ctx, true)
+	}
+	n.g.opts.Roster.Report(e, roster.Failed)
+	if !started {
+		n.g.opts.Crashes.Crashed(n.r.Fingerprint)
+	}
+	n.log("stream_broken").WithError(err).WithField("resume_after", n.last).Info("stream ended early")
+	return failure{kind: errkind.StreamBroken, reason: "stream ended early"}
+}
+
+// gapSilence is the wait for the next event before another endpoint is tried.
+func (n *run) gapSilence(started bool) time.Duration {
+	if !n.r.Route.Resumable || n.sends >= n.r.Route.MaxAttempts {
+		return end(n.r).Sub(n.g.opts.Now())
+	}
+	s := silence(n.r.Route)
+	if !started {
+		s = max(s, 2*n.predicted)
+	}
+	return s
+}
+
+// watchdog cancels an attempt that makes no progress.
+type watchdog struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	fired bool
+}
+
+func newWatchdog(d time.Duration, cancel context.CancelFunc) *watchdog {
+	w := new(watchdog)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(d, func() {
+		w.mu.Lock()
+		w.fired = true
+		w.mu.Unlock()
+		cancel()
+	})
+	return w
+}
+
+func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
+func (w *watchdog) stop()                 { w.timer.Stop() }
+
+func (w *watchdog) expired() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fired
+}
--- /dev/null
+++ b/gateway/types.go
@@ -0,0 +1,92 @@
+// Package gateway runs callers' requests on endpoints: it chooses, sends, retries, resumes and refuses. It knows
+// neither the wire of the callers nor that of the endpoints; a Caller and a Backend translate.
+package gateway
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/roster"
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID          string
+	Route       *catalog.Route
+	Workspace   string
+	Fingerprint uint64 // equal for repeats of the same call by the same workspace
+	Arrived     time.Time
+	Deadline    time.Time // when the caller leaves; zero: not given
+	Tokens      int       // prompt tokens
+	MaxOutput   int       // largest number of output tokens
+	Output      int       // expected number of output tokens
+	ResumeAfter int64     // last event that the caller has; -1: from the start
+	Priority    int
+	Message     any // the caller's message, for the Backend
+}
+
+// Send is one request to one endpoint.
+type Send struct {
+	Request     *Request
+	Endpoint    *roster.Endpoint
+	Left        time.Duration // time that the endpoint may take
+	Helpers     []Helper
+	ResumeAfter int64 // last event that the caller has; -1: from the start
+}
+
+// Helper is an endpoint that reads a part of the prompt or holds a part of its context.
+type Helper struct {
+	Addr        string
+	Reservation string // empty: none
+}
+
+// Answer is the head of an endpoint's answer and its body.
+type Answer struct {
+	Status    int
+	NotRun    bool // the endpoint states that it did not run the request
+	Genuine   bool // carries the endpoint's signature
+	Misplaced bool // another endpoint has the address
+	Leaving   bool // the endpoint is shutting down
+	Culprit   string
+	Length    int64 // -1: not given
+	Message   any   // the endpoint's message, for the Caller
+	Body      io.ReadCloser
+}
+
+// SendError is the failure of a send.
+type SendError struct {
+	Sent bool // the endpoint may have received the request
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *SendError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Backend speaks to endpoints.
+type Backend interface {
+	// Send delivers a request and returns when the head of the answer is there. Ending ctx ends the request and the
+	// body. The error is a *SendError.
+	Send(ctx context.Context, s *Send) (*Answer, error)
+	// Reserve sets memory aside at an endpoint; ok is false if it has none.
+	Reserve(ctx context.Context, e *roster.Endpoint, id string, tokens int, hold time.Duration) (ok bool, err error)
+	// Release ends a reservation.
+	Release(ctx context.Context, e *roster.Endpoint, id string) error
+}
+
+// Caller receives the answer of one request.
+type Caller interface {
+	// Begin sends the head of an answer.
+	Begin(a *Answer)
+	// Write sends a part of the body and hands it to the network at once.
+	Write(p []byte) error
+	// Refuse answers with an error of the gateway. retryAfter is 0 if coming back is no use.
+	Refuse(kind errkind.Kind, retryAfter time.Duration)
+	// Abort ends the connection so that the answer does not look complete.
+	Abort()
+}
