Place long prompts by the order and passes of the engines; let them wait for a moment without harm

Cause: parts of split prompts are read before whole prompts, and what arrives in a pass waits for the next one; the first estimate took a first-come order and added up all reading as one pause. One prompt of 609,000 tokens over 16 endpoints then held up everything behind it. Silent attempts were given up without a repeat in the budget.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,6 +13,7 @@
 	StepWriterMs  float64 // time that each writer adds to a step
 	ContextMs     float64 // time that 1,000 tokens of context of a writer add to a step
 	ReadPerMs     float64 // prompt tokens read in a millisecond; 0: unknown
+	Chunk         int     // prompt tokens read in a step at most; 0: no bound
 	PairsMs       float64 // time for a million pairs of a token and an earlier token
 	HopMs         float64 // time that memory held by other endpoints adds to a step
 	MeanPrompt    int     // usual prompt tokens
@@ -30,6 +31,9 @@
 	}
 	n, k := float64(tokens), float64(max(parts, 1))
 	ms := n/k/m.ReadPerMs + n*n/2/k/million*m.PairsMs
+	if m.Chunk > 0 {
+		ms += n / k / float64(m.Chunk) * m.StepMs
+	}
 	return millis(ms)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,9 +33,10 @@
 
 // Gateway runs requests. It is safe for concurrent use.
 type Gateway struct {
-	opts    Options
-	tickets atomic.Uint64
-	active  atomic.Int64
+	opts     Options
+	tickets  atomic.Uint64
+	active   atomic.Int64
+	answered atomic.Uint64
 }
 
 // New returns a Gateway.
@@ -51,22 +52,27 @@
 
 // run is the state of one request.
 type run struct {
-	g         *Gateway
-	r         *Request
-	caller    Caller
-	service   *catalog.Service
-	sends     int
-	tried     []string
-	whole     bool // no splitting any more
-	notRun    bool // no attempt so far may have run
-	begun     bool // the head of an answer has been sent
-	last      int64
-	events    int
-	first     time.Duration // until the first event
-	reason    string        // of the latest failure
-	at        string        // endpoint of the latest attempt
-	parts     int
-	predicted time.Duration
+	g            *Gateway
+	r            *Request
+	caller       Caller
+	service      *catalog.Service
+	sends        int
+	tried        []string
+	whole        bool // no splitting any more
+	notRun       bool // no attempt so far may have run
+	begun        bool // the head of an answer has been sent
+	last         int64
+	events       int
+	first        time.Duration // until the first event
+	reason       string        // of the latest failure
+	at           string        // endpoint of the latest attempt
+	parts        int
+	cost         float64
+	waited       time.Duration // before the latest attempt was placed
+	reserveTries int
+	pause        time.Duration // longest pause between events so far
+	latest       time.Time     // of the latest event
+	predicted    time.Duration
 }
 
 // Serve runs a request and answers the caller. ctx ends when the caller leaves.
@@ -152,19 +158,29 @@
 	n.g.opts.Metrics.observe(n.r, outcome, took, n.first)
 	entry := n.log(outcome).WithFields(logrus.Fields{
 		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": n.parts,
-		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events,
+		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(), "cost": n.cost, "waited_ms": n.waited.Milliseconds(), "at_ms": n.g.opts.Now().UnixMilli(),
+		"output": n.r.Output, "goal_ms": n.r.Route.Goal.Milliseconds(),
 		"predicted_ms": n.predicted.Milliseconds(), "not_run": n.notRun,
 	})
 	if reason != "" {
 		entry = entry.WithField("reason", reason)
 	}
-	if outcome == "answered" {
+	if outcome == "answered" && !n.late() && n.g.answered.Add(1)%answerSample != 0 {
 		entry.Debug("request ended")
 		return
 	}
 	entry.Info("request ended")
 }
 
+// answerSample is the share of good answers that are logged, one in so many. All others are logged.
+const answerSample = 16
+
+// late reports whether an answer missed a goal of its route.
+func (n *run) late() bool {
+	r := n.r.Route
+	return r.Goal > 0 && n.first > r.Goal || r.PauseGoal > 0 && n.pause > r.PauseGoal
+}
+
 // attempt sends the request once. done means that the caller has a final answer.
 func (n *run) attempt(ctx context.Context) (f failure, done bool) {
 	if ctx.Err() != nil {
@@ -192,32 +208,57 @@
 	endpoints []*roster.Endpoint
 }
 
-// plan chooses endpoints and reserves memory where the plan asks for it.
+// plan chooses endpoints and reserves memory where the plan asks for it. A request that does better later waits.
 func (n *run) plan(ctx context.Context) (*chosen, []string, failure, bool) {
+	for {
+		c, verdict, f := n.choose()
+		if c == nil {
+			return nil, nil, f, false
+		}
+		if verdict == placement.Wait {
+			select {
+			case <-ctx.Done():
+				return nil, nil, n.endedAfter(ctx, n.sends > 0), false
+			case <-time.After(placement.WaitStep):
+			}
+			continue
+		}
+		n.parts, n.predicted, n.cost = len(c.Endpoints), c.Predicted, c.Cost
+		n.waited = n.g.opts.Now().Sub(n.r.Arrived)
+		if c.Reserve == nil {
+			return c, nil, failure{}, true
+		}
+		held, ok := n.reserve(ctx, c)
+		if ok {
+			return c, held, failure{}, true
+		}
+		n.release(c, held)
+		if n.reserveTries++; n.reserveTries >= maxReserveTries {
+			return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "memory not reserved"}, false
+		}
+	}
+}
+
+// maxReserveTries bounds the plans whose memory could not be reserved. Each try is a few orders, which are billed.
+const maxReserveTries = 4
+
+// choose makes one choice among the endpoints of the service.
+func (n *run) choose() (*chosen, placement.Verdict, failure) {
 	usable := n.g.opts.Roster.Usable(n.service.Name)
 	if len(usable) == 0 {
-		return nil, nil, failure{kind: errkind.NoEndpoint, notRun: true, reason: "no endpoint"}, false
+		return nil, placement.Full, failure{kind: errkind.NoEndpoint, notRun: true, reason: "no endpoint"}
 	}
 	byID := make(map[string]*roster.Endpoint, len(usable))
 	cands := n.candidates(usable, byID)
-	p, ok := n.choose(cands)
-	if !ok {
-		return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "no room for the prompt"}, false
+	p, verdict := n.place(cands)
+	if verdict == placement.Full {
+		return nil, verdict, failure{kind: errkind.Overloaded, notRun: true, reason: "no room for the prompt"}
 	}
 	c := &chosen{Plan: p}
 	for _, id := range p.Endpoints {
 		c.endpoints = append(c.endpoints, byID[id])
 	}
-	n.parts, n.predicted = len(p.Endpoints), p.Predicted
-	if p.Reserve == nil {
-		return c, nil, failure{}, true
-	}
-	held, ok := n.reserve(ctx, c)
-	if !ok {
-		n.release(c, held)
-		return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "memory not reserved"}, false
-	}
-	return c, held, failure{}, true
+	return c, verdict, failure{}
 }
 
 func (n *run) candidates(usable []*roster.Endpoint, byID map[string]*roster.Endpoint) []placement.Candidate {
@@ -248,10 +289,10 @@
 	return false
 }
 
-func (n *run) choose(cands []placement.Candidate) (placement.Plan, bool) {
+func (n *run) place(cands []placement.Candidate) (placement.Plan, placement.Verdict) {
 	now := n.g.opts.Now()
 	if n.service.Engine == nil || n.r.Tokens == 0 {
-		return n.g.opts.Board.ChoosePlain(cands, now)
+		return n.g.opts.Board.ChoosePlain(cands, now), placement.Go
 	}
 	return n.g.opts.Board.Choose(n.service.Engine, cands, placement.Request{
 		Tokens: n.r.Tokens, Output: n.r.Output, Goal: n.r.Route.Goal, PauseGoal: n.r.Route.PauseGoal,
@@ -329,7 +370,7 @@
 	n.tried = append(n.tried, lead.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := newWatchdog(n.headSilence(), cancel)
+	watch := n.watch(lead, cancel)
 	defer watch.stop()
 	sent := n.g.opts.Now()
 	answer, err := n.g.opts.Backend.Send(ctx, &Send{
@@ -339,6 +380,7 @@
 		return n.sendFailed(ctx, lead, err, watch), false
 	}
 	n.sends++
+	lead.Heard(n.g.opts.Now())
 	defer answer.Body.Close()
 	return n.answer(ctx, c, answer, watch, sent)
 }
@@ -359,18 +401,6 @@
 	return list
 }
 
-// headSilence is the wait for the head of an answer before another endpoint is tried.
-func (n *run) headSilence() time.Duration {
-	left := end(n.r).Sub(n.g.opts.Now())
-	if !n.r.Route.Repeatable() || n.sends+1 >= n.r.Route.MaxAttempts {
-		return left
-	}
-	if n.r.Route.Kind == catalog.Stream {
-		return min(max(silence(n.r.Route), 2*n.predicted), left)
-	}
-	return time.Duration(float64(left) * plainSilence)
-}
-
 // sendFailed classifies a send without an answer.
 func (n *run) sendFailed(ctx context.Context, e *roster.Endpoint, err error, watch *watchdog) failure {
 	var se *SendError
@@ -381,7 +411,7 @@
 	}
 	if watch.expired() {
 		n.avoid(e, "silent")
-		return failure{kind: errkind.EndpointFailed, notRun: !sent, reason: "endpoint silent"}
+		return failure{kind: errkind.EndpointFailed, notRun: !sent, paid: true, reason: "endpoint silent"}
 	}
 	if ctx.Err() != nil {
 		return n.endedAfter(ctx, sent)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -24,6 +24,9 @@
 	silenceShare = 0.6
 	// plainSilence is the share of a repeatable plain request's time after which another endpoint is tried.
 	plainSilence = 0.4
+	// aliveFor is the time for which an endpoint counts as working after it has sent something to any caller. Passes that
+	// read long prompts take up to about a second.
+	aliveFor = time.Second
 	// reserveTimeout bounds the wait for a reservation; endpoints answer within milliseconds.
 	reserveTimeout = 300 * time.Millisecond
 	// reserveHold is the life of a reservation until it is renewed or released.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/roster"
 )
@@ -21,7 +22,7 @@
 	var split EventSplitter
 	buf := make([]byte, streamBuffer)
 	started := false
-	watch.reset(n.gapSilence(started))
+	watch.reset()
 	for {
 		k, err := a.Body.Read(buf)
 		for _, e := range split.Push(buf[:k]) {
@@ -34,7 +35,8 @@
 			}
 		}
 		if k > 0 {
-			watch.reset(n.gapSilence(started))
+			lead.Heard(n.g.opts.Now())
+			watch.reset()
 		}
 		if err == nil {
 			continue
@@ -79,6 +81,11 @@
 	if e.ID >= 0 {
 		n.last = e.ID
 	}
+	now := n.g.opts.Now()
+	if !n.latest.IsZero() {
+		n.pause = max(n.pause, now.Sub(n.latest))
+	}
+	n.latest = now
 	n.events++
 	return failure{}, true
 }
@@ -88,7 +95,7 @@
 	switch {
 	case watch.expired():
 		n.avoid(e, "silent")
-		return failure{kind: errkind.StreamBroken, reason: "stream silent"}
+		return failure{kind: errkind.StreamBroken, paid: true, reason: "stream silent"}
 	case ctx.Err() != nil:
 		return n.endedAfter(ctx, true)
 	}
@@ -100,30 +107,27 @@
 	return failure{kind: errkind.StreamBroken, reason: "stream ended early"}
 }
 
-// gapSilence is the wait for the next event before another endpoint is tried.
-func (n *run) gapSilence(started bool) time.Duration {
-	if !n.r.Route.Resumable || n.sends >= n.r.Route.MaxAttempts {
-		return end(n.r).Sub(n.g.opts.Now())
-	}
-	s := silence(n.r.Route)
-	if !started {
-		s = max(s, 2*n.predicted)
-	}
-	return s
-}
-
-// watchdog cancels an attempt that makes no progress.
+// watchdog gives an attempt up that makes no progress, if another one is allowed.
 type watchdog struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	fired bool
+	mu     sync.Mutex
+	timer  *time.Timer
+	fired  bool
+	period time.Duration
 }
 
-func newWatchdog(d time.Duration, cancel context.CancelFunc) *watchdog {
-	w := new(watchdog)
+// watch starts the watchdog of an attempt. Nothing is given up as long as the endpoint answers others, short of the time
+// at which the caller leaves, or without a repeat in the budget: an endpoint that reads a long prompt is silent too, and
+// an attempt elsewhere begins from the start.
+func (n *run) watch(e *roster.Endpoint, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{period: n.silence()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(d, func() {
+	w.timer = time.AfterFunc(w.period, func() {
+		now := n.g.opts.Now()
+		if e.HeardSince(now.Add(-aliveFor)) || !n.repeatAllowed(now) || !n.g.opts.Budget.Spend(n.service.Name) {
+			w.reset()
+			return
+		}
 		w.mu.Lock()
 		w.fired = true
 		w.mu.Unlock()
@@ -132,8 +136,26 @@
 	return w
 }
 
-func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
-func (w *watchdog) stop()                 { w.timer.Stop() }
+// repeatAllowed reports whether a silent attempt may be followed by another one.
+func (n *run) repeatAllowed(now time.Time) bool {
+	return mayRepeat(n.r, failure{}, max(n.sends, 1), now)
+}
+
+// silence returns the time without progress after which another endpoint is tried.
+func (n *run) silence() time.Duration {
+	if n.r.Route.Kind == catalog.Stream {
+		return max(silence(n.r.Route), 2*n.predicted)
+	}
+	return time.Duration(float64(end(n.r).Sub(n.r.Arrived)) * plainSilence)
+}
+
+func (w *watchdog) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Reset(w.period)
+}
+
+func (w *watchdog) stop() { w.timer.Stop() }
 
 func (w *watchdog) expired() bool {
 	w.mu.Lock()
--- a/placement/board.go
+++ b/placement/board.go
@@ -131,16 +131,23 @@
 	b.peers[name], b.seen[name] = jobs, now
 }
 
-// load is the work at one endpoint.
+// load is the work at one endpoint. Engines read the parts of split prompts before whole prompts, and what arrives during
+// a pass waits for the next one.
 type load struct {
 	jobs    []*Job // by time of placement
 	writers int
 	context int
 	memory  int
-	backlog time.Duration // reading that is left
+	parts   time.Duration // reading left of parts of split prompts
+	whole   time.Duration // reading left of whole prompts
+	current time.Duration // reading of the pass under way, from its start
+	next    time.Duration // reading that waits for the next pass
 	pass    time.Duration // time of a pass without reading
 }
 
+// backlog is all reading that is left.
+func (l *load) backlog() time.Duration { return l.parts + l.whole }
+
 // overdueRead is the reading time assumed to be left of a job that should have ended: its endpoint is behind.
 const overdueRead = 30 * time.Millisecond
 
@@ -174,27 +181,62 @@
 // measure fills in the figures of a load from its jobs.
 func (l *load) measure(m *engine.Model, pace float64, now time.Time) {
 	sortByPlaced(l.jobs)
-	finish := now.Add(-time.Hour)
-	reading := 0
 	for _, j := range l.jobs {
 		l.memory += j.Memory
-		if j.Writing {
-			if j.Output > 0 {
-				l.writers++
-				l.context += j.Tokens
-			}
+		if j.Writing && j.Output > 0 {
+			l.writers++
+			l.context += j.Tokens
+		}
+	}
+	long := now.Add(-time.Hour)
+	parts := l.read(m, pace, true, long, now)
+	l.parts = max(parts.Sub(now), 0)
+	l.whole = max(l.read(m, pace, false, parts, now).Sub(now)-l.parts, 0)
+	l.pass = scale(m.Pass(l.writers, l.context), pace)
+	l.splitPasses(m, pace, now)
+}
+
+// read returns when the prompts of one kind have been read if the engine is free for them from a time on.
+func (l *load) read(m *engine.Model, pace float64, split bool, from, now time.Time) time.Time {
+	for _, j := range l.jobs {
+		if j.Writing || (j.Parts > 1) != split {
 			continue
 		}
-		reading++
-		if j.Placed.After(finish) {
-			finish = j.Placed
+		if j.Placed.After(from) {
+			from = j.Placed
+		}
+		from = from.Add(scale(m.Read(j.Tokens, j.Parts), pace))
+		if left := now.Add(overdueRead); from.Before(left) {
+			from = left
 		}
-		finish = finish.Add(scale(m.Read(j.Tokens, j.Parts), pace))
 	}
-	if reading > 0 {
-		l.backlog = max(finish.Sub(now), overdueRead)
+	return from
+}
+
+// splitPasses tells the reading of the pass under way from that of the next one: the pass began when the oldest job
+// could be read, and what was placed later waits.
+func (l *load) splitPasses(m *engine.Model, pace float64, now time.Time) {
+	var began time.Time
+	for _, j := range l.jobs {
+		if j.Writing {
+			continue
+		}
+		read := scale(m.Read(j.Tokens, j.Parts), pace)
+		switch {
+		case began.IsZero():
+			began = j.Placed
+			l.current = max(read, now.Sub(began))
+		case j.Placed.Sub(began) < passSlack:
+			l.current += read
+		case j.Placed.Sub(began) >= l.current:
+			began, l.current, l.next = j.Placed, l.next+read, 0
+		default:
+			l.next += read
+		}
 	}
-	l.pass = scale(m.Pass(l.writers, l.context), pace)
 }
 
+// passSlack is the time within which jobs are taken to enter the same pass: half a pass with few writers.
+const passSlack = 20 * time.Millisecond
+
 func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,8 +17,6 @@
 	baseValue   = 0.75
 	// waitWeight prices the first event's delay relative to its goal, for choices that are all in time.
 	waitWeight = 0.15
-	// workWeight prices a second of reading, so that prompts are not split further than helps.
-	workWeight = 0.02
 	// partWeight prices each part beyond the first: it may fail, and occupies one more endpoint.
 	partWeight = 0.004
 	// zoneWeight prices a crossing of failure domains, which adds delay and traffic.
@@ -27,6 +25,14 @@
 	failureWeight = 4.0
 	// slotWait is the assumed wait for a free slot.
 	slotWait = 600 * time.Millisecond
+	// blockFrom is the reading at an endpoint that short prompts bear beside their goals: a shorter block costs nothing.
+	blockFrom = 200 * time.Millisecond
+	// blockWeight prices a second of a longer block when all endpoints are free: what arrives can mostly go elsewhere.
+	// The price grows with the inverse square of the share of endpoints that are left free, up to blockMost.
+	blockWeight = 0.45
+	blockMost   = 5.0
+	// lateShare is the part of a request's value that is lost when its first event is late.
+	lateShare = 0.75
 	// pauseMargin is the share of a pause goal that may be used up by a predicted pause.
 	pauseMargin = 0.85
 	// goalMargin is the share of a goal that a predicted first event may take.
@@ -59,6 +65,9 @@
 	Whole     bool          // do not split, for instance after a part failed
 }
 
+// patience is the wait for a first event after which callers have mostly left, in multiples of the goal.
+const patience = 3.4
+
 // Plan is the result of a choice: Endpoints[0] receives the request, the others read parts of the prompt.
 type Plan struct {
 	Endpoints []string
@@ -75,26 +84,91 @@
 	cost float64
 }
 
-// Choose picks endpoints for a request to a model service and places its jobs on the board.
-// ok is false if the prompt does not fit into the memory of the candidates together.
-func (b *Board) Choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (p Plan, ok bool) {
+// Verdict is the kind of a choice.
+type Verdict int
+
+// Verdicts.
+const (
+	Go   Verdict = iota // the plan is placed
+	Wait                // a better plan is likely soon, and there is time
+	Full                // the prompt does not fit into the memory of the candidates together
+)
+
+// WaitStep is the pause until a waiting request chooses again: about half a pass.
+const WaitStep = 25 * time.Millisecond
+
+// Choose picks endpoints for a request to a model service. With Go, it places the plan's jobs on the board.
+func (b *Board) Choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (Plan, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	seats := b.seats(m, cands, now)
+	p, ok := cheapest(m, seats, r, now)
+	if !ok {
+		return Plan{}, roomLater(m, cands, r)
+	}
+	if shouldWait(m, seats, p, r, now) {
+		return p, Wait
+	}
+	p.Jobs = b.place(p, r, now)
+	return p, Go
+}
+
+func cheapest(m *engine.Model, seats []seat, r Request, now time.Time) (p Plan, ok bool) {
 	if len(seats) == 0 {
-		return Plan{}, false
+		return p, false
 	}
 	for _, parts := range partCounts(m, r, len(seats)) {
-		if plan, fits := planFor(m, seats, r, parts); fits && (!ok || plan.Cost < p.Cost) {
+		if plan, fits := planFor(m, seats, r, parts, now); fits && (!ok || plan.Cost < p.Cost) {
 			p, ok = plan, true
 		}
 	}
-	if ok {
-		p.Jobs = b.place(p, r, now)
-	}
 	return p, ok
 }
 
+// roomLater tells a prompt that fits once others have ended from one that never does.
+func roomLater(m *engine.Model, cands []Candidate, r Request) Verdict {
+	most := int(float64(m.MemoryTokens)*memoryMargin) * min(len(cands), maxReservations)
+	if r.Tokens+r.Output > most || r.Goal > 0 && level(r, r.Waited) > 0 {
+		return Full
+	}
+	return Wait
+}
+
+// waitHarm is the harm to others, relative to the own value, from which a request rather waits.
+const waitHarm = 0.08
+
+// shouldWait reports whether a long prompt does less harm when it starts later and loses nothing by that: it would come
+// no less in time if it could start with the endpoints free after another step.
+func shouldWait(m *engine.Model, seats []seat, p Plan, r Request, now time.Time) bool {
+	if r.Tokens < splitFrom || r.Goal <= 0 {
+		return false
+	}
+	free := make([]seat, len(seats))
+	for i := range seats {
+		free[i] = seat{Candidate: seats[i].Candidate, load: &load{pass: m.Pass(0, 0)}}
+	}
+	ideal, ok := cheapest(m, free, r, now)
+	if !ok || p.Cost-ideal.Cost < waitHarm*value(r.Tokens) {
+		return false
+	}
+	return level(r, r.Waited+WaitStep+ideal.Predicted) <= level(r, r.Waited+p.Predicted) &&
+		r.Waited+WaitStep+ideal.Predicted < scale(r.Goal, patience*patienceShare)
+}
+
+// patienceShare is the part of the callers' patience that a request may spend waiting.
+const patienceShare = 0.6
+
+// level tells a first event in time (0), late (1), and after callers have mostly left (2).
+func level(r Request, first time.Duration) int {
+	switch used := first.Seconds() / r.Goal.Seconds(); {
+	case used > patience:
+		return 2
+	case used > goalMargin:
+		return 1
+	}
+	return 0
+}
+
 func (b *Board) seats(m *engine.Model, cands []Candidate, now time.Time) []seat {
 	loads := b.snapshot(now)
 	seats := make([]seat, len(cands))
@@ -128,14 +202,14 @@
 func value(tokens int) float64 { return baseValue + float64(tokens)/valueTokens }
 
 // planFor returns the cheapest plan with so many parts.
-func planFor(m *engine.Model, seats []seat, r Request, parts int) (Plan, bool) {
+func planFor(m *engine.Model, seats []seat, r Request, parts int, now time.Time) (Plan, bool) {
 	read := m.Read(r.Tokens, parts)
 	for i := range seats {
-		seats[i].cost = partCost(m, &seats[i], r, read)
+		seats[i].cost = partCost(m, &seats[i], r, read, parts > 1, now)
 	}
 	slices.SortFunc(seats, func(a, b seat) int { return cmp.Compare(a.cost, b.cost) })
 	chosen := slices.Clone(seats[:parts])
-	lead := leadIndex(m, chosen, r)
+	lead := leadIndex(chosen, r)
 	chosen[0], chosen[lead] = chosen[lead], chosen[0]
 
 	plan := Plan{Cost: float64(parts-1) * partWeight}
@@ -144,28 +218,58 @@
 		s := &chosen[i]
 		plan.Cost += s.cost
 		plan.Endpoints = append(plan.Endpoints, s.ID)
-		slowest = max(slowest, s.load.backlog+scale(read, s.Pace))
+		slowest = max(slowest, s.wait(parts > 1)+scale(read, s.Pace))
 	}
-	plan.Predicted = slowest + chosen[0].load.pass
+	plan.Predicted = slowest + chosen[0].load.pass*3/2
 	if chosen[0].load.writers >= m.Slots {
 		plan.Predicted += slotWait
 	}
-	plan.Cost += waitCost(r, plan.Predicted) + read.Seconds()*float64(parts)*workWeight
+	plan.Cost += waitCost(r, plan.Predicted) + blockCost(seats, chosen, read)
 	return plan, plan.reserve(m, chosen, r)
 }
 
+// wait is the reading that comes before a new job at the endpoint.
+func (s *seat) wait(split bool) time.Duration {
+	if split {
+		return s.load.parts
+	}
+	return s.load.backlog()
+}
+
+// blockCost is what the reading of a plan costs short prompts that arrive meanwhile.
+func blockCost(seats, chosen []seat, read time.Duration) float64 {
+	var blocked time.Duration
+	free := 0
+	for i := range seats {
+		if seats[i].load.backlog() < blockFrom {
+			free++
+		}
+	}
+	for i := range chosen {
+		before := chosen[i].load.backlog()
+		after := before + scale(read, chosen[i].Pace)
+		blocked += max(after-blockFrom, 0) - max(before-blockFrom, 0)
+		if before < blockFrom && after >= blockFrom {
+			free--
+		}
+	}
+	share := max(float64(free)/float64(len(seats)), 0.01)
+	return blocked.Seconds() * min(blockWeight/share/share, blockMost)
+}
+
 // partCost is what a part of so much reading costs the others at an endpoint, and its risk.
-func partCost(m *engine.Model, s *seat, r Request, read time.Duration) float64 {
+func partCost(m *engine.Model, s *seat, r Request, read time.Duration, split bool, now time.Time) float64 {
 	l := s.load
 	read = scale(read, s.Pace)
-	before := l.backlog + l.pass
-	after := before + read
-	cost := s.FailureRate*failureWeight*value(r.Tokens)*0.2 + after.Seconds()*waitWeight
+	cost := s.FailureRate*failureWeight*value(r.Tokens)*0.2 + (s.wait(split)+read).Seconds()*waitWeight
 	if !s.Near {
 		cost += zoneWeight
 	}
 	for _, j := range l.jobs {
-		cost += harm(j, before, after)
+		if !j.Writing && !split {
+			continue // a whole prompt is read after those that wait
+		}
+		cost += l.harm(j, read, now)
 	}
 	if l.writers >= m.Slots {
 		cost += value(r.Tokens)
@@ -173,22 +277,24 @@
 	return cost
 }
 
-// harm is what a job loses when the pass at its endpoint grows from before to after.
-func harm(j *Job, before, after time.Duration) float64 {
+// harm is what a job loses by so much more reading at its endpoint.
+func (l *load) harm(j *Job, read time.Duration, now time.Time) float64 {
 	if j.Output == 0 {
 		return 0
 	}
-	goal := scale(j.PauseGoal, pauseMargin)
-	if !j.Writing {
+	var before, goal time.Duration
+	if j.Writing {
+		goal = scale(j.PauseGoal, pauseMargin)
+		before = l.pass + max(l.current, l.next)
+		read = max(l.pass+l.next+read-before, 0)
+	} else {
 		goal = scale(j.Goal, goalMargin)
+		before = now.Sub(j.Placed) + l.backlog() + l.pass
 	}
-	if goal <= 0 || before > goal {
+	if goal <= 0 || before > goal || before+read <= goal {
 		return 0
 	}
-	if after > goal {
-		return value(j.Tokens)
-	}
-	return 0
+	return lateShare * value(j.Tokens)
 }
 
 // waitCost is what a request loses by its own wait for the first event.
@@ -199,13 +305,16 @@
 	used := (predicted + r.Waited).Seconds() / r.Goal.Seconds()
 	cost := used * waitWeight * value(r.Tokens)
 	if used > goalMargin {
-		cost += value(r.Tokens)
+		cost += lateShare * value(r.Tokens)
+	}
+	if used > patience {
+		cost += (used - patience + 1) * value(r.Tokens)
 	}
 	return cost
 }
 
 // leadIndex returns the chosen endpoint with the most free memory: it holds the context while the answer is written.
-func leadIndex(m *engine.Model, chosen []seat, r Request) int {
+func leadIndex(chosen []seat, r Request) int {
 	best := 0
 	for i := range chosen {
 		if r.Tokens >= splitFrom && chosen[i].load.memory < chosen[best].load.memory {
@@ -266,13 +375,11 @@
 	slices.SortFunc(jobs, func(a, b *Job) int { return a.Placed.Compare(b.Placed) })
 }
 
-// ChoosePlain picks the endpoint of a plain service with the fewest jobs, near ones first among equals.
-func (b *Board) ChoosePlain(cands []Candidate, now time.Time) (Plan, bool) {
+// ChoosePlain picks the endpoint of a plain service with the fewest jobs, near ones first among equals. There must be a
+// candidate.
+func (b *Board) ChoosePlain(cands []Candidate, now time.Time) Plan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(cands) == 0 {
-		return Plan{}, false
-	}
 	loads := b.snapshot(now)
 	costOf := func(c Candidate) float64 {
 		cost := c.FailureRate*failureWeight + rand.Float64()*0.2
@@ -292,5 +399,5 @@
 	}
 	p := Plan{Endpoints: []string{cands[best].ID}, Cost: lowest}
 	p.Jobs = []uint64{b.add(Job{Endpoint: KeyOf(cands[best].ID), Parts: 1, Placed: now})}
-	return p, true
+	return p
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 import (
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,8 +46,15 @@
 type Endpoint struct {
 	Entry
 	health health
+	heard  atomic.Int64 // Unix nanoseconds of the latest byte from it; 0: none yet
 }
 
+// Heard notes that something came from the endpoint.
+func (e *Endpoint) Heard(now time.Time) { e.heard.Store(now.UnixNano()) }
+
+// HeardSince reports whether something came from the endpoint after t.
+func (e *Endpoint) HeardSince(t time.Time) bool { return e.heard.Load() > t.UnixNano() }
+
 type health struct {
 	failures    int       // connection failures in a row
 	avoid       time.Time // no new requests before it
