--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,7 +19,7 @@
 	// keepAlive is the longest pause between two states of a gateway.
 	keepAlive = 500 * time.Millisecond
 	// gather is the shortest pause: changes within it go out together. Much shorter than reading a prompt takes.
-	gather = 15 * time.Millisecond
+	gather = 3 * time.Millisecond
 	// peerLife is the silence after which a peer counts as gone: several states in a row were lost.
 	peerLife = 2500 * time.Millisecond
 	// crashSpan is the age up to which crashes are sent.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -25,6 +25,7 @@
 	jobsPerPart  = (maxDatagram - headerBytes - maxName - maxCrashes*crashBytes) / jobBytes
 	timeUnit     = 10 * time.Millisecond // of goals and ages
 	flagWriting  = 1
+	flagLate     = 2
 	flagStoreUp  = 1
 	flagStopping = 2
 )
@@ -81,6 +82,9 @@
 	if j.Writing {
 		flags |= flagWriting
 	}
+	if j.Late {
+		flags |= flagLate
+	}
 	return append(b, byte(clamp(j.Parts, math.MaxUint8)), flags)
 }
 
@@ -142,7 +146,8 @@
 	j.PauseGoal = time.Duration(r.u16()) * timeUnit
 	j.Placed = now.Add(-time.Duration(r.u16()) * timeUnit)
 	j.Parts = max(r.u8(), 1)
-	j.Writing = r.u8()&flagWriting != 0
+	flags := r.u8()
+	j.Writing, j.Late = flags&flagWriting != 0, flags&flagLate != 0
 	return j
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,7 @@
 
 // again reports whether another attempt follows and pays for it.
 func (n *run) again(f failure, now time.Time) bool {
-	if f.kind == errkind.NoEndpoint || n.g.opts.Crashes.Blamed(n.r.Fingerprint) {
+	if f.final || f.kind == errkind.NoEndpoint || n.g.opts.Crashes.Blamed(n.r.Fingerprint) {
 		return false
 	}
 	if !mayRepeat(n.r, f, n.sends, now) {
@@ -242,6 +242,13 @@
 // maxReserveTries bounds the plans whose memory could not be reserved. Each try is a few orders, which are billed.
 const maxReserveTries = 4
 
+// refusals are the failures of choices that place nothing. None of them is repeated at once.
+var refusals = map[placement.Verdict]failure{
+	placement.Full:      {kind: errkind.Overloaded, notRun: true, final: true, reason: "no room for the prompt"},
+	placement.TooLate:   {kind: errkind.DeadlineUnmeetable, notRun: true, final: true, reason: "too late for the caller"},
+	placement.TooCostly: {kind: errkind.Overloaded, notRun: true, final: true, reason: "endpoints are busy"},
+}
+
 // choose makes one choice among the endpoints of the service.
 func (n *run) choose() (*chosen, placement.Verdict, failure) {
 	usable := n.g.opts.Roster.Usable(n.service.Name)
@@ -251,8 +258,9 @@
 	byID := make(map[string]*roster.Endpoint, len(usable))
 	cands := n.candidates(usable, byID)
 	p, verdict := n.place(cands)
-	if verdict == placement.Full {
-		return nil, verdict, failure{kind: errkind.Overloaded, notRun: true, reason: "no room for the prompt"}
+	if f, refused := refusals[verdict]; refused {
+		n.cost, n.predicted, n.waited = p.Cost, p.Predicted, n.g.opts.Now().Sub(n.r.Arrived)
+		return nil, verdict, f
 	}
 	c := &chosen{Plan: p}
 	for _, id := range p.Endpoints {
@@ -296,10 +304,23 @@
 	}
 	return n.g.opts.Board.Choose(n.service.Engine, cands, placement.Request{
 		Tokens: n.r.Tokens, Output: n.r.Output, Goal: n.r.Route.Goal, PauseGoal: n.r.Route.PauseGoal,
-		Waited: now.Sub(n.r.Arrived), Whole: n.whole,
+		Waited: now.Sub(n.r.Arrived), Left: n.patience(now), Whole: n.whole,
 	}, now)
 }
 
+// patience returns the time until the caller leaves if no event comes.
+func (n *run) patience(now time.Time) time.Duration {
+	left := end(n.r).Sub(now)
+	if n.r.Route.Kind != catalog.Stream {
+		return left
+	}
+	from := n.r.Arrived
+	if !n.latest.IsZero() {
+		from = n.latest
+	}
+	return min(left, from.Add(placement.Patience(n.r.Route.Goal, n.r.Route.PauseGoal)).Sub(now))
+}
+
 // reserve sets the memory of a plan aside, at all endpoints at once. held[i] is the reservation at endpoint i.
 func (n *run) reserve(ctx context.Context, c *chosen) (held []string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/placement"
 )
 
 // Times of the gateway.
@@ -15,18 +16,13 @@
 	leastLeft = 30 * time.Millisecond
 	// retryPause is the shortest time after which a refused caller is asked to come back.
 	retryPause = 300 * time.Millisecond
-	// leastPatience is how long callers of streams wait for an event at least before they give up.
-	leastPatience = 2 * time.Second
-	// Callers give a stream up after a gap of these multiples of its goals.
-	patienceGoals  = 4
-	patiencePauses = 8
 	// silenceShare is the part of that patience after which the gateway tries another endpoint.
 	silenceShare = 0.6
 	// plainSilence is the share of a repeatable plain request's time after which another endpoint is tried.
 	plainSilence = 0.4
-	// aliveFor is the time for which an endpoint counts as working after it has sent something to any caller. Passes that
-	// read long prompts take up to about a second.
-	aliveFor = time.Second
+	// aliveFor is the time for which an endpoint counts as working after it has sent something to any caller, besides the
+	// pass that it is expected to be in.
+	aliveFor = 800 * time.Millisecond
 	// reserveTimeout bounds the wait for a reservation; endpoints answer within milliseconds.
 	reserveTimeout = 300 * time.Millisecond
 	// reserveHold is the life of a reservation until it is renewed or released.
@@ -35,14 +31,9 @@
 	releaseTimeout = 1500 * time.Millisecond
 )
 
-// patience returns the gap between events after which callers give a stream up.
-func patience(r *catalog.Route) time.Duration {
-	return max(leastPatience, patienceGoals*r.Goal, patiencePauses*r.PauseGoal)
-}
-
 // silence returns the time without progress after which an attempt is given up for another one.
 func silence(r *catalog.Route) time.Duration {
-	return time.Duration(float64(patience(r)) * silenceShare)
+	return time.Duration(float64(placement.Patience(r.Goal, r.PauseGoal)) * silenceShare)
 }
 
 // end returns the time at which a request gets its final answer.
@@ -66,6 +57,7 @@
 type failure struct {
 	kind   errkind.Kind
 	notRun bool // certain not to have run at the endpoint
+	final  bool // another attempt does not help
 	paid   bool // the repeat is already taken from the budget
 	reason string
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,9 +30,13 @@
 				started = true
 				n.started(c, sent)
 			}
+			wasLate := n.late()
 			if f, ok := n.forward(a, e); !ok {
 				return f, false
 			}
+			if !wasLate && n.late() {
+				n.g.opts.Board.Late(c.Jobs)
+			}
 		}
 		if k > 0 {
 			lead.Heard(n.g.opts.Now())
@@ -124,7 +128,7 @@
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.period, func() {
 		now := n.g.opts.Now()
-		if e.HeardSince(now.Add(-aliveFor)) || !n.repeatAllowed(now) || !n.g.opts.Budget.Spend(n.service.Name) {
+		if e.HeardSince(now.Add(-aliveFor-n.busy(e, now))) || !n.repeatAllowed(now) || !n.g.opts.Budget.Spend(n.service.Name) {
 			w.reset()
 			return
 		}
@@ -136,6 +140,15 @@
 	return w
 }
 
+// busy is the time that the endpoint may be silent because it reads prompts.
+func (n *run) busy(e *roster.Endpoint, now time.Time) time.Duration {
+	if n.service.Engine == nil {
+		return 0
+	}
+	_, pace := n.g.opts.Roster.Health(e)
+	return n.g.opts.Board.Busy(n.service.Engine, e.ID, pace, now) * 3 / 2
+}
+
 // repeatAllowed reports whether a silent attempt may be followed by another one.
 func (n *run) repeatAllowed(now time.Time) bool {
 	return mayRepeat(n.r, failure{}, max(n.sends, 1), now)
--- a/placement/board.go
+++ b/placement/board.go
@@ -35,6 +35,7 @@
 	PauseGoal time.Duration // 0: no writer here
 	Placed    time.Time
 	Writing   bool // the first event has arrived
+	Late      bool // has missed a goal; further delay costs its caller little
 }
 
 // Board knows the jobs that this gateway and its peers have placed. It is safe for concurrent use.
@@ -103,6 +104,18 @@
 	b.signal()
 }
 
+// Late marks jobs that have missed a goal.
+func (b *Board) Late(ids []uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		if j := b.own[id]; j != nil {
+			j.Late = true
+		}
+	}
+	b.signal()
+}
+
 // Remove ends jobs.
 func (b *Board) Remove(ids []uint64) {
 	b.mu.Lock()
@@ -136,6 +149,7 @@
 type load struct {
 	jobs    []*Job // by time of placement
 	writers int
+	leads   int // requests that are answered here, reading or writing: each takes a slot
 	context int
 	memory  int
 	parts   time.Duration // reading left of parts of split prompts
@@ -183,6 +197,9 @@
 	sortByPlaced(l.jobs)
 	for _, j := range l.jobs {
 		l.memory += j.Memory
+		if j.Output > 0 {
+			l.leads++
+		}
 		if j.Writing && j.Output > 0 {
 			l.writers++
 			l.context += j.Tokens
@@ -236,6 +253,18 @@
 	}
 }
 
+// Busy returns the time that an endpoint may take until its next event by what is placed there.
+func (b *Board) Busy(m *engine.Model, id string, pace float64, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.snapshot(now)[KeyOf(id)]
+	if l == nil {
+		return 0
+	}
+	l.measure(m, max(pace, 1), now)
+	return l.pass + max(l.current, l.next, l.backlog())
+}
+
 // passSlack is the time within which jobs are taken to enter the same pass: half a pass with few writers.
 const passSlack = 20 * time.Millisecond
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -31,6 +31,11 @@
 	// The price grows with the inverse square of the share of endpoints that are left free, up to blockMost.
 	blockWeight = 0.45
 	blockMost   = 5.0
+	// openWeight prices putting an answer with a short pause goal on an endpoint that has none: while there are such
+	// endpoints, long prompts are read there without harm.
+	openWeight = 0.05
+	// leadWeight prices each answer that an endpoint writes already: its passes grow, and its slots run out.
+	leadWeight = 0.012
 	// lateShare is the part of a request's value that is lost when its first event is late.
 	lateShare = 0.75
 	// pauseMargin is the share of a pause goal that may be used up by a predicted pause.
@@ -42,7 +47,13 @@
 	// maxParts bounds the endpoints of one prompt, the receiving one included: the engines take 16 helpers.
 	maxParts = 16
 	// splitFrom is the prompt length from which splitting is weighed.
-	splitFrom = 6000
+	splitFrom = 500
+	// waitFrom is the prompt length from which a request may wait for a better moment.
+	waitFrom = 6000
+	// waitGoal is the shortest goal that leaves time to wait: the reading that a request waits for takes some 100 ms.
+	waitGoal = 600 * time.Millisecond
+	// wholeWeight prices reading a prompt whole: parts of split prompts that come later are read before it.
+	wholeWeight = 0.1
 	// maxReservations bounds the endpoints that hold the memory of one prompt.
 	maxReservations = 6
 )
@@ -62,6 +73,7 @@
 	Goal      time.Duration
 	PauseGoal time.Duration
 	Waited    time.Duration // since the caller's request arrived
+	Left      time.Duration // until the caller leaves
 	Whole     bool          // do not split, for instance after a part failed
 }
 
@@ -89,9 +101,11 @@
 
 // Verdicts.
 const (
-	Go   Verdict = iota // the plan is placed
-	Wait                // a better plan is likely soon, and there is time
-	Full                // the prompt does not fit into the memory of the candidates together
+	Go        Verdict = iota // the plan is placed
+	Wait                     // a better plan is likely soon, and there is time
+	Full                     // the prompt does not fit into the memory of the candidates together
+	TooLate                  // the first event would come after the caller has left
+	TooCostly                // serving it would cost other callers more than it is worth
 )
 
 // WaitStep is the pause until a waiting request chooses again: about half a pass.
@@ -109,6 +123,12 @@
 	if shouldWait(m, seats, p, r, now) {
 		return p, Wait
 	}
+	if p.Predicted > r.Left {
+		return p, TooLate
+	}
+	if r.Tokens >= waitFrom && p.Cost > refuseHarm*value(r.Tokens) {
+		return p, TooCostly
+	}
 	p.Jobs = b.place(p, r, now)
 	return p, Go
 }
@@ -134,13 +154,17 @@
 	return Wait
 }
 
+// refuseHarm is the cost, relative to the own value, from which a request that has waited is refused. Its own lateness is
+// part of the cost.
+const refuseHarm = 3.0
+
 // waitHarm is the harm to others, relative to the own value, from which a request rather waits.
 const waitHarm = 0.08
 
 // shouldWait reports whether a long prompt does less harm when it starts later and loses nothing by that: it would come
 // no less in time if it could start with the endpoints free after another step.
 func shouldWait(m *engine.Model, seats []seat, p Plan, r Request, now time.Time) bool {
-	if r.Tokens < splitFrom || r.Goal <= 0 {
+	if r.Tokens < waitFrom || r.Goal < waitGoal {
 		return false
 	}
 	free := make([]seat, len(seats))
@@ -156,7 +180,7 @@
 }
 
 // patienceShare is the part of the callers' patience that a request may spend waiting.
-const patienceShare = 0.6
+const patienceShare = 0.75
 
 // level tells a first event in time (0), late (1), and after callers have mostly left (2).
 func level(r Request, first time.Duration) int {
@@ -221,9 +245,12 @@
 		slowest = max(slowest, s.wait(parts > 1)+scale(read, s.Pace))
 	}
 	plan.Predicted = slowest + chosen[0].load.pass*3/2
-	if chosen[0].load.writers >= m.Slots {
+	if chosen[0].load.leads >= m.Slots {
 		plan.Predicted += slotWait
 	}
+	if parts == 1 {
+		plan.Cost += wholeWeight
+	}
 	plan.Cost += waitCost(r, plan.Predicted) + blockCost(seats, chosen, read)
 	return plan, plan.reserve(m, chosen, r)
 }
@@ -265,18 +292,34 @@
 	if !s.Near {
 		cost += zoneWeight
 	}
+	if tight(r.PauseGoal) {
+		cost += float64(l.leads) * leadWeight
+		if !l.hasTight() {
+			cost += openWeight
+		}
+	}
 	for _, j := range l.jobs {
 		if !j.Writing && !split {
 			continue // a whole prompt is read after those that wait
 		}
 		cost += l.harm(j, read, now)
 	}
-	if l.writers >= m.Slots {
-		cost += value(r.Tokens)
-	}
 	return cost
 }
 
+// tight reports whether a pause goal leaves no room for reading a long prompt.
+func tight(pauseGoal time.Duration) bool { return pauseGoal > 0 && pauseGoal < 2*blockFrom }
+
+// hasTight reports whether the endpoint has a job that long prompts avoid.
+func (l *load) hasTight() bool {
+	for _, j := range l.jobs {
+		if j.Output > 0 && !j.Late && tight(j.PauseGoal) {
+			return true
+		}
+	}
+	return false
+}
+
 // harm is what a job loses by so much more reading at its endpoint.
 func (l *load) harm(j *Job, read time.Duration, now time.Time) float64 {
 	if j.Output == 0 {
@@ -291,12 +334,31 @@
 		goal = scale(j.Goal, goalMargin)
 		before = now.Sub(j.Placed) + l.backlog() + l.pass
 	}
-	if goal <= 0 || before > goal || before+read <= goal {
-		return 0
+	after := before + read
+	lost := 0.0
+	if leaves := scale(abandonment(j), pauseMargin); before <= leaves && after > leaves {
+		lost = 1 - lateShare
 	}
-	return lateShare * value(j.Tokens)
+	if !j.Late && goal > 0 && before <= goal && after > goal {
+		lost += lateShare
+	}
+	return lost * value(j.Tokens)
+}
+
+// Callers give a stream up after a gap of these multiples of its goals, or leastPatience.
+const (
+	leastPatience  = 2 * time.Second
+	patienceGoals  = 4
+	patiencePauses = 8
+)
+
+// Patience returns the gap without an event after which callers give a stream up.
+func Patience(goal, pauseGoal time.Duration) time.Duration {
+	return max(leastPatience, patienceGoals*goal, patiencePauses*pauseGoal)
 }
 
+func abandonment(j *Job) time.Duration { return Patience(j.Goal, j.PauseGoal) }
+
 // waitCost is what a request loses by its own wait for the first event.
 func waitCost(r Request, predicted time.Duration) float64 {
 	if r.Goal <= 0 {
