--- a/exchange/state.go
+++ b/exchange/state.go
@@ -22,7 +22,8 @@
 // State is what a gateway that cannot reach the store takes from one that can.
 type State struct {
 	Epoch     int64          `json:"epoch"`
-	Config    []byte         `json:"config"` // as the store holds it
+	Config    []byte         `json:"config"`  // as the store holds it
+	Settled   bool           `json:"settled"` // the store is up and lists all live endpoints
 	Endpoints []roster.Entry `json:"endpoints"`
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,7 +209,7 @@
 }
 
 // plan chooses endpoints and reserves memory where the plan asks for it. A request that does better later waits.
-func (n *run) plan(ctx context.Context) (*chosen, []string, failure, bool) {
+func (n *run) plan(ctx context.Context) (*chosen, *holdings, failure, bool) {
 	for {
 		c, verdict, f := n.choose()
 		if c == nil {
@@ -321,68 +321,14 @@
 	return min(left, from.Add(placement.Patience(n.r.Route.Goal, n.r.Route.PauseGoal)).Sub(now))
 }
 
-// reserve sets the memory of a plan aside, at all endpoints at once. held[i] is the reservation at endpoint i.
-func (n *run) reserve(ctx context.Context, c *chosen) (held []string, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	held = make([]string, len(c.endpoints))
-	type result struct {
-		i  int
-		ok bool
-	}
-	results, asked := make(chan result, len(held)), 0
-	for i, tokens := range c.Reserve {
-		if tokens == 0 {
-			continue
-		}
-		held[i] = n.g.opts.Name + "-" + strconv.FormatUint(n.g.tickets.Add(1), 36)
-		asked++
-		go func() {
-			ok, err := n.g.opts.Backend.Reserve(ctx, c.endpoints[i], held[i], tokens, reserveHold)
-			if err != nil {
-				n.log("reserve_failed").WithError(err).WithField("at", c.endpoints[i].ID).Warn("memory could not be reserved")
-			}
-			results <- result{i, ok && err == nil}
-		}()
-	}
-	ok = true
-	for range asked {
-		if r := <-results; !r.ok {
-			ok = false
-		}
-	}
-	return held, ok
-}
-
-// release ends the jobs and reservations of an attempt. Reservations are released in the background: the answer does
-// not wait for them.
-func (n *run) release(c *chosen, held []string) {
+// release ends the jobs and reservations of an attempt.
+func (n *run) release(c *chosen, held *holdings) {
 	n.g.opts.Board.Remove(c.Jobs)
-	for i, id := range held {
-		if id == "" {
-			continue
-		}
-		go n.releaseOne(c.endpoints[i], id)
-	}
-}
-
-// releaseTries bounds the releases of one reservation; after that its lease ends it.
-const releaseTries = 3
-
-func (n *run) releaseOne(e *roster.Endpoint, id string) {
-	for range releaseTries {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout/releaseTries)
-		err := n.g.opts.Backend.Release(ctx, e, id)
-		cancel()
-		if err == nil {
-			return
-		}
-		n.log("release_failed").WithError(err).WithField("at", e.ID).Warn("reservation could not be released")
-	}
+	held.release()
 }
 
 // send delivers the request to the endpoints of a plan and relays the answer.
-func (n *run) send(ctx context.Context, c *chosen, held []string) (failure, bool) {
+func (n *run) send(ctx context.Context, c *chosen, held *holdings) (failure, bool) {
 	lead := c.endpoints[0]
 	n.at = lead.ID
 	if !n.g.opts.Roster.Allowed(lead) {
@@ -407,12 +353,13 @@
 }
 
 // helpers lists the endpoints of a plan for the receiving one; its own reservation goes first.
-func helpers(c *chosen, held []string) []Helper {
+func helpers(c *chosen, held *holdings) []Helper {
 	var list []Helper
+	ids := held.ids()
 	for i, e := range c.endpoints {
 		id := ""
-		if held != nil {
-			id = held[i]
+		if ids != nil {
+			id = ids[i]
 		}
 		if i == 0 && id == "" {
 			continue
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -23,12 +23,6 @@
 	// aliveFor is the time for which an endpoint counts as working after it has sent something to any caller, besides the
 	// pass that it is expected to be in.
 	aliveFor = 800 * time.Millisecond
-	// reserveTimeout bounds the wait for a reservation; endpoints answer within milliseconds.
-	reserveTimeout = 300 * time.Millisecond
-	// reserveHold is the life of a reservation until it is renewed or released.
-	reserveHold = 12 * time.Second
-	// releaseTimeout bounds the wait for a release.
-	releaseTimeout = 1500 * time.Millisecond
 )
 
 // silence returns the time without progress after which an attempt is given up for another one.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -206,7 +206,7 @@
 
 func (d *daemon) state() exchange.State {
 	source, epoch := d.beliefs.current.Source()
-	return exchange.State{Epoch: epoch, Config: source, Endpoints: d.beliefs.roster.Entries()}
+	return exchange.State{Epoch: epoch, Config: source, Settled: d.beliefs.roster.Settled(), Endpoints: d.beliefs.roster.Entries()}
 }
 
 // announce puts the own address into the list of gateways and reads the others' from it.
@@ -291,7 +291,9 @@
 		}
 		if p.StoreUp {
 			d.beliefs.current.Confirm(time.Now())
-			d.beliefs.roster.Replace(s.Endpoints)
+		}
+		if p.StoreUp && s.Settled {
+			d.beliefs.roster.ReplaceFromPeer(s.Endpoints)
 			return
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,8 +19,6 @@
 	lapseGrace = 2200 * time.Millisecond
 	// lapseWindow is the time after an outage in which vanished entries are taken for lapsed ones.
 	lapseWindow = 3 * time.Second
-	// massRemoval is the number of entries that vanish at once from which an unnoticed outage is assumed.
-	massRemoval = 3
 	// firstPause is the time that an endpoint is left alone after a connection failure; it doubles up to maxPause. A
 	// crashed endpoint of the platform is back after some seconds.
 	firstPause = 400 * time.Millisecond
@@ -120,18 +118,42 @@
 func (r *Roster) Remove(ids ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.remove(ids, r.storeDown || r.now().Sub(r.storeBack) < lapseWindow)
+}
+
+// remove marks entries as gone; around says that they may have lapsed in an outage.
+func (r *Roster) remove(ids []string, around bool) {
 	now := r.now()
-	around := r.storeDown || now.Sub(r.storeBack) < lapseWindow || len(ids) >= massRemoval
 	for _, id := range ids {
-		if rec := r.records[id]; rec != nil && rec.gone.IsZero() {
+		rec := r.records[id]
+		if rec == nil {
+			continue
+		}
+		if rec.gone.IsZero() {
 			rec.gone, rec.lapsed = now, around
 		}
+		rec.lapsed = rec.lapsed && around
 	}
 }
 
 // Replace takes a full list of the store: what it lacks is removed. It returns the number of changed beliefs.
 func (r *Roster) Replace(entries []Entry) int {
-	changed := 0
+	changed, missing := r.observeAll(entries)
+	r.Remove(missing...)
+	return changed + len(missing)
+}
+
+// ReplaceFromPeer takes the list of a gateway whose store has been up for long enough that no entry is lapsed.
+func (r *Roster) ReplaceFromPeer(entries []Entry) int {
+	changed, missing := r.observeAll(entries)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(missing, false)
+	return changed + len(missing)
+}
+
+// observeAll takes all entries and returns the endpoints that they lack.
+func (r *Roster) observeAll(entries []Entry) (changed int, missing []string) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -139,16 +161,21 @@
 			changed++
 		}
 	}
-	var missing []string
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for id, rec := range r.records {
-		if !listed[id] && rec.gone.IsZero() {
+		if !listed[id] && (rec.gone.IsZero() || rec.lapsed) {
 			missing = append(missing, id)
 		}
 	}
-	r.mu.Unlock()
-	r.Remove(missing...)
-	return changed + len(missing)
+	return changed, missing
+}
+
+// Settled reports whether the store has been up for so long that entries which lapsed in an outage are back.
+func (r *Roster) Settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.storeDown && r.now().Sub(r.storeBack) >= lapseWindow
 }
 
 // StoreLost notes that the store does not answer; StoreRegained that it does again.
