--- a/roster/roster.go
+++ b/roster/roster.go
@@ -205,11 +205,7 @@
 	if !rec.lapsed {
 		return false
 	}
-	from := rec.gone
-	if r.storeBack.After(from) {
-		from = r.storeBack
-	}
-	return r.storeDown || now.Sub(from) < lapseGrace
+	return r.storeDown || now.Sub(r.storeBack) < lapseGrace
 }
 
 // Usable returns the endpoints of a service that may get new requests, in a fixed order. Endpoints that failed lately
@@ -220,7 +216,7 @@
 	now := r.now()
 	var calm, avoided []*Endpoint
 	for id, rec := range r.records {
-		if !rec.gone.IsZero() && now.Sub(rec.gone) > tombstoneLife {
+		if !rec.gone.IsZero() && now.Sub(rec.gone) > tombstoneLife && !r.usable(rec, now) {
 			delete(r.records, id)
 			continue
 		}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,152 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// clock is a settable time.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time          { return c.t }
+func (c *clock) advance(d time.Duration) { c.t = c.t.Add(d) }
+
+func newTest(ids ...string) (*Roster, *clock) {
+	c := &clock{t: time.Unix(1_700_000_000, 0)}
+	r := New(c.now)
+	for _, id := range ids {
+		r.Observe(Entry{ID: id, Service: "s", Addr: "10.0.0.1:1"})
+	}
+	return r, c
+}
+
+func usable(r *Roster) []string {
+	var ids []string
+	for _, e := range r.Usable("s") {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// Guards against requests to endpoints that have left: three leaving at once were once taken for a store outage.
+func TestRemovedEndpointsAreDroppedAtOnceWhileTheStoreAnswers(t *testing.T) {
+	r, _ := newTest("a", "b", "c", "d")
+	r.Remove("a", "b", "c")
+	require.Equal(t, []string{"d"}, usable(r))
+}
+
+// Guards against dropping live endpoints whose entries lapsed while the store was away.
+func TestLapsedEntriesStayInUseUntilTheGraceAfterTheReturn(t *testing.T) {
+	r, c := newTest("a", "b")
+	r.StoreLost()
+	r.Remove("a")
+	c.advance(time.Minute)
+	require.Equal(t, []string{"a", "b"}, usable(r))
+	r.StoreRegained()
+	c.advance(2 * time.Second)
+	require.Equal(t, []string{"a", "b"}, usable(r))
+	c.advance(300 * time.Millisecond)
+	require.Equal(t, []string{"b"}, usable(r))
+}
+
+// Guards against counting the grace from a removal that is learned after the return: requests then reached an endpoint
+// more than two seconds after it had left (hunt of szucs-tomlo, trouble-1 with seed 717405878498).
+func TestGraceCountsFromTheReturnOfTheStore(t *testing.T) {
+	r, c := newTest("a", "b")
+	r.StoreLost()
+	c.advance(5 * time.Second)
+	r.StoreRegained()
+	c.advance(850 * time.Millisecond)
+	r.Remove("a")
+	c.advance(1400 * time.Millisecond)
+	require.Equal(t, []string{"b"}, usable(r))
+}
+
+// Guards against an outage that is noticed by one table after the other restarting the grace.
+func TestStoreRegainedTwiceDoesNotExtendTheGrace(t *testing.T) {
+	r, c := newTest("a")
+	r.StoreLost()
+	r.Remove("a")
+	r.StoreRegained()
+	c.advance(2 * time.Second)
+	r.StoreRegained()
+	c.advance(time.Second)
+	require.Empty(t, usable(r))
+}
+
+// Guards against keeping an endpoint that left during a partial outage, although a peer's store says so.
+func TestPeerListRemovesEndpointsDuringAnOutage(t *testing.T) {
+	r, _ := newTest("a", "b")
+	r.StoreLost()
+	r.ReplaceFromPeer([]Entry{{ID: "b", Service: "s", Addr: "10.0.0.1:1"}})
+	require.Equal(t, []string{"b"}, usable(r))
+}
+
+// Guards against a late entry of an endpoint that has said that it leaves.
+func TestDrainingIsFinalForOneStart(t *testing.T) {
+	r, _ := newTest()
+	e := Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Born: 5}
+	r.Observe(e)
+	leaving := e
+	leaving.Draining = true
+	require.True(t, r.Observe(leaving))
+	require.False(t, r.Observe(e))
+	require.Empty(t, usable(r))
+	e.Born = 6
+	require.True(t, r.Observe(e))
+	require.Equal(t, []string{"a"}, usable(r))
+}
+
+// Guards against an entry that was written before a restart under the same identity.
+func TestEntriesOfAnEarlierStartAreIgnored(t *testing.T) {
+	r, _ := newTest()
+	r.Observe(Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Born: 6})
+	require.False(t, r.Observe(Entry{ID: "a", Service: "s", Addr: "10.0.0.9:1", Born: 5, Draining: true}))
+	require.Equal(t, []string{"a"}, usable(r))
+}
+
+// Guards against sending more requests to an endpoint that does not accept connections, and against having none left.
+func TestUnreachableEndpointsAreAvoidedUnlessAllAre(t *testing.T) {
+	r, c := newTest("a", "b")
+	e := r.Usable("s")[0]
+	require.True(t, r.Report(e, Unreachable))
+	require.Equal(t, []string{"b"}, usable(r))
+	r.Report(r.Usable("s")[0], Unreachable)
+	require.Equal(t, []string{"a", "b"}, usable(r))
+	c.advance(firstPause)
+	require.Equal(t, []string{"a", "b"}, usable(r))
+	r.Report(e, Unreachable)
+	c.advance(firstPause)
+	require.Equal(t, []string{"b"}, usable(r), "the pause doubles")
+	r.Report(e, Good)
+	require.Equal(t, []string{"a", "b"}, usable(r))
+}
+
+// Guards against a request that is sent to an endpoint that left after it was chosen.
+func TestAllowedAsksAgain(t *testing.T) {
+	r, _ := newTest("a")
+	e := r.Usable("s")[0]
+	require.True(t, r.Allowed(e))
+	r.Report(e, Leaving)
+	require.False(t, r.Allowed(e))
+	r.Observe(Entry{ID: "a", Service: "s", Addr: "10.0.0.2:1", Born: 1})
+	require.False(t, r.Allowed(e), "another start")
+}
+
+// Guards against a failure rate that stays high after an endpoint has recovered.
+func TestFailureRateFollowsOutcomes(t *testing.T) {
+	r, _ := newTest("a")
+	e := r.Usable("s")[0]
+	for range 20 {
+		r.Report(e, Failed)
+	}
+	rate, _ := r.Health(e)
+	require.Greater(t, rate, 0.9)
+	for range 20 {
+		r.Report(e, Good)
+	}
+	rate, _ = r.Health(e)
+	require.Less(t, rate, 0.1)
+}
