Price blocked endpoints by the short prompts that are about; slots by scarcity; long prompts that cost more than they gain wait

Then long prompts starved, as blocked endpoints had a fixed high price although few short prompts were about. Ruled out: shortage of reading time (0.2 of it used in the congested seconds).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	at           string        // endpoint of the latest attempt
 	parts        int
 	cost         float64
+	delay, block float64       // parts of the cost
 	waited       time.Duration // before the latest attempt was placed
 	reserveTries int
 	pause        time.Duration // longest pause between events so far
@@ -158,7 +159,7 @@
 	n.g.opts.Metrics.observe(n.r, outcome, took, n.first)
 	entry := n.log(outcome).WithFields(logrus.Fields{
 		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": n.parts,
-		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(), "cost": n.cost, "waited_ms": n.waited.Milliseconds(), "at_ms": n.g.opts.Now().UnixMilli(),
+		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(), "cost": n.cost, "cost_delay": n.delay, "cost_block": n.block, "waited_ms": n.waited.Milliseconds(), "at_ms": n.g.opts.Now().UnixMilli(),
 		"output": n.r.Output, "goal_ms": n.r.Route.Goal.Milliseconds(),
 		"predicted_ms": n.predicted.Milliseconds(), "not_run": n.notRun,
 	})
@@ -223,8 +224,9 @@
 			}
 			continue
 		}
-		n.parts, n.predicted, n.cost = len(c.Endpoints), c.Predicted, c.Cost
+		n.parts, n.predicted, n.cost, n.delay, n.block = len(c.Endpoints), c.Predicted, c.Cost, c.Delay, c.Block
 		n.waited = n.g.opts.Now().Sub(n.r.Arrived)
+		n.logPlan(c)
 		if c.Reserve == nil {
 			return c, nil, failure{}, true
 		}
@@ -239,6 +241,20 @@
 	}
 }
 
+// logPlan writes the choice for prompts that are split among many endpoints; their number is small.
+func (n *run) logPlan(c *chosen) {
+	if len(c.Endpoints) < loggedParts {
+		return
+	}
+	n.log("placed").WithFields(logrus.Fields{
+		"endpoints": c.Endpoints, "reserve": c.Reserve, "tokens": n.r.Tokens, "predicted_ms": c.Predicted.Milliseconds(),
+		"waited_ms": n.waited.Milliseconds(), "cost": c.Cost, "at_ms": n.g.opts.Now().UnixMilli(),
+	}).Info("prompt is split")
+}
+
+// loggedParts is the number of endpoints from which a choice has a line of its own.
+const loggedParts = 3
+
 // maxReserveTries bounds the plans whose memory could not be reserved. Each try is a few orders, which are billed.
 const maxReserveTries = 4
 
@@ -259,7 +275,7 @@
 	cands := n.candidates(usable, byID)
 	p, verdict := n.place(cands)
 	if f, refused := refusals[verdict]; refused {
-		n.cost, n.predicted, n.waited = p.Cost, p.Predicted, n.g.opts.Now().Sub(n.r.Arrived)
+		n.cost, n.delay, n.block, n.parts, n.predicted, n.waited = p.Cost, p.Delay, p.Block, len(p.Endpoints), p.Predicted, n.g.opts.Now().Sub(n.r.Arrived)
 		return nil, verdict, f
 	}
 	c := &chosen{Plan: p}
--- a/placement/board.go
+++ b/placement/board.go
@@ -150,6 +150,7 @@
 	jobs    []*Job // by time of placement
 	writers int
 	leads   int // requests that are answered here, reading or writing: each takes a slot
+	short   int // answers with a short pause goal
 	context int
 	memory  int
 	parts   time.Duration // reading left of parts of split prompts
@@ -199,6 +200,9 @@
 		l.memory += j.Memory
 		if j.Output > 0 {
 			l.leads++
+			if tight(j.PauseGoal) {
+				l.short++
+			}
 		}
 		if j.Writing && j.Output > 0 {
 			l.writers++
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -27,15 +27,21 @@
 	slotWait = 600 * time.Millisecond
 	// blockFrom is the reading at an endpoint that short prompts bear beside their goals: a shorter block costs nothing.
 	blockFrom = 200 * time.Millisecond
-	// blockWeight prices a second of a longer block when all endpoints are free: what arrives can mostly go elsewhere.
-	// The price grows with the inverse square of the share of endpoints that are left free, up to blockMost.
-	blockWeight = 0.45
-	blockMost   = 5.0
+	// shortLife is the usual time that an answer with a short pause goal takes; it turns their number into a rate.
+	shortLife = 2.0
+	// blockShare is the share of free endpoints at which all short prompts suffer from blocked ones. With more free ones
+	// they mostly go elsewhere: their loss falls with the square of the share.
+	blockShare = 0.32
 	// openWeight prices putting an answer with a short pause goal on an endpoint that has none: while there are such
 	// endpoints, long prompts are read there without harm.
-	openWeight = 0.05
-	// leadWeight prices each answer that an endpoint writes already: its passes grow, and its slots run out.
-	leadWeight = 0.012
+	openWeight = 0.15
+	// leadWeight prices each answer that an endpoint writes already: its passes grow.
+	leadWeight = 0.006
+	// fullWeight prices the last slots of an endpoint: it grows with the fourth power of the share that is taken.
+	fullWeight = 0.5
+	// slotSecond is the value of a slot for a second when all are taken: about that of the short answer that could have
+	// been written there.
+	slotSecond = 0.65
 	// lateShare is the part of a request's value that is lost when its first event is late.
 	lateShare = 0.75
 	// pauseMargin is the share of a pause goal that may be used up by a predicted pause.
@@ -48,6 +54,8 @@
 	maxParts = 16
 	// splitFrom is the prompt length from which splitting is weighed.
 	splitFrom = 500
+	// leastPart is the length of a part below which more parts bring nothing: a pass takes longer than reading it.
+	leastPart = 3000
 	// waitFrom is the prompt length from which a request may wait for a better moment.
 	waitFrom = 6000
 	// waitGoal is the shortest goal that leaves time to wait: the reading that a request waits for takes some 100 ms.
@@ -87,6 +95,8 @@
 	Jobs      []uint64
 	Predicted time.Duration // until the first event
 	Cost      float64
+	Delay     float64 // part of the cost: the own wait
+	Block     float64 // part of the cost: prompts that arrive while endpoints read
 }
 
 // seat is a candidate with the load that it has.
@@ -120,14 +130,8 @@
 	if !ok {
 		return Plan{}, roomLater(m, cands, r)
 	}
-	if shouldWait(m, seats, p, r, now) {
-		return p, Wait
-	}
-	if p.Predicted > r.Left {
-		return p, TooLate
-	}
-	if r.Tokens >= waitFrom && p.Cost > refuseHarm*value(r.Tokens) {
-		return p, TooCostly
+	if v := verdict(m, seats, p, r, now); v != Go {
+		return p, v
 	}
 	p.Jobs = b.place(p, r, now)
 	return p, Go
@@ -154,29 +158,77 @@
 	return Wait
 }
 
-// refuseHarm is the cost, relative to the own value, from which a request that has waited is refused. Its own lateness is
-// part of the cost.
-const refuseHarm = 3.0
-
-// waitHarm is the harm to others, relative to the own value, from which a request rather waits.
+// waitHarm is the harm to others, relative to the own value, from which a request waits if it loses nothing by that.
 const waitHarm = 0.08
 
-// shouldWait reports whether a long prompt does less harm when it starts later and loses nothing by that: it would come
-// no less in time if it could start with the endpoints free after another step.
-func shouldWait(m *engine.Model, seats []seat, p Plan, r Request, now time.Time) bool {
-	if r.Tokens < waitFrom || r.Goal < waitGoal {
-		return false
+// verdict decides whether a plan is carried out now. A plan waits while all slots are taken, while it would cost others
+// more than it gains, and, for long prompts, while it does harm that it could avoid by starting a little later.
+func verdict(m *engine.Model, seats []seat, p Plan, r Request, now time.Time) Verdict {
+	later := r.Waited + WaitStep
+	excess := 0.0
+	if r.Tokens >= waitFrom && r.Goal >= waitGoal {
+		ideal, ok := cheapest(m, idle(m, seats), r, now)
+		if !ok {
+			return Full
+		}
+		later += ideal.Predicted
+		excess = p.harm() - ideal.harm()
+	}
+	timeLeft := later < scale(patienceOf(r), patienceShare)
+	at, atLater := level(r, r.Waited+p.Predicted), level(r, later)
+	switch {
+	case noSlot(m, seats, r) || excess > gain(at)*value(r.Tokens):
+		if timeLeft {
+			return Wait
+		}
+		return TooCostly
+	case excess > waitHarm*value(r.Tokens) && atLater <= at && timeLeft:
+		return Wait
+	case p.Predicted > r.Left:
+		return TooLate
 	}
+	return Go
+}
+
+// gain is the share of a request's value that is left at a level of lateness.
+func gain(level int) float64 {
+	return [...]float64{1, 1 - lateShare, 0}[level]
+}
+
+// harm is what the plan costs others.
+func (p *Plan) harm() float64 { return p.Cost - p.Delay }
+
+// idle returns the seats without their load.
+func idle(m *engine.Model, seats []seat) []seat {
 	free := make([]seat, len(seats))
 	for i := range seats {
-		free[i] = seat{Candidate: seats[i].Candidate, load: &load{pass: m.Pass(0, 0)}}
+		free[i] = seat{Candidate: seats[i].Candidate, load: &load{pass: m.Pass(0, 0), short: seats[i].load.short}}
 	}
-	ideal, ok := cheapest(m, free, r, now)
-	if !ok || p.Cost-ideal.Cost < waitHarm*value(r.Tokens) {
-		return false
+	return free
+}
+
+// slotsOf returns the slots of an endpoint that a request may take. The last ones are kept for requests that can still
+// come in time: when there are too few slots for all, some are served in time instead of none.
+func slotsOf(m *engine.Model, r Request) int {
+	first := r.Waited + WaitStep + m.Read(r.Tokens, 1) + m.Pass(m.Slots, 0)
+	if level(r, first) == 0 {
+		return m.Slots
+	}
+	return max(m.Slots-keptSlots, 1)
+}
+
+// keptSlots is the number of slots of an endpoint for requests that can come in time.
+const keptSlots = 1
+
+// noSlot reports whether no endpoint has a slot for the request.
+func noSlot(m *engine.Model, seats []seat, r Request) bool {
+	slots := slotsOf(m, r)
+	for i := range seats {
+		if seats[i].load.leads < slots {
+			return false
+		}
 	}
-	return level(r, r.Waited+WaitStep+ideal.Predicted) <= level(r, r.Waited+p.Predicted) &&
-		r.Waited+WaitStep+ideal.Predicted < scale(r.Goal, patience*patienceShare)
+	return true
 }
 
 // patienceShare is the part of the callers' patience that a request may spend waiting.
@@ -214,8 +266,9 @@
 	if !m.SplitsPrompts || r.Whole || r.Tokens < splitFrom {
 		return counts
 	}
+	most := max(r.Tokens/leastPart, 2)
 	for _, n := range []int{2, 3, 4, 6, 8, 11, maxParts} {
-		if n <= seats {
+		if n <= seats && n <= most {
 			counts = append(counts, n)
 		}
 	}
@@ -228,8 +281,10 @@
 // planFor returns the cheapest plan with so many parts.
 func planFor(m *engine.Model, seats []seat, r Request, parts int, now time.Time) (Plan, bool) {
 	read := m.Read(r.Tokens, parts)
+	scarce := scarcity(m, seats)
 	for i := range seats {
 		seats[i].cost = partCost(m, &seats[i], r, read, parts > 1, now)
+		seats[i].cost += read.Seconds() * float64(seats[i].load.leads) * slotSecond * scarce
 	}
 	slices.SortFunc(seats, func(a, b seat) int { return cmp.Compare(a.cost, b.cost) })
 	chosen := slices.Clone(seats[:parts])
@@ -251,10 +306,21 @@
 	if parts == 1 {
 		plan.Cost += wholeWeight
 	}
-	plan.Cost += waitCost(r, plan.Predicted) + blockCost(seats, chosen, read)
+	plan.Delay, plan.Block = waitCost(r, plan.Predicted), blockCost(seats, chosen, read)
+	plan.Cost += plan.Delay + plan.Block
 	return plan, plan.reserve(m, chosen, r)
 }
 
+// scarcity is 0 while slots are free and 1 when all are taken.
+func scarcity(m *engine.Model, seats []seat) float64 {
+	leads := 0
+	for i := range seats {
+		leads += seats[i].load.leads
+	}
+	share := float64(leads) / float64(m.Slots*len(seats))
+	return min(share*share*share, 1)
+}
+
 // wait is the reading that comes before a new job at the endpoint.
 func (s *seat) wait(split bool) time.Duration {
 	if split {
@@ -266,11 +332,12 @@
 // blockCost is what the reading of a plan costs short prompts that arrive meanwhile.
 func blockCost(seats, chosen []seat, read time.Duration) float64 {
 	var blocked time.Duration
-	free := 0
+	free, short := 0, 0
 	for i := range seats {
 		if seats[i].load.backlog() < blockFrom {
 			free++
 		}
+		short += seats[i].load.short
 	}
 	for i := range chosen {
 		before := chosen[i].load.backlog()
@@ -280,8 +347,9 @@
 			free--
 		}
 	}
+	rate := float64(short) / shortLife / float64(len(seats)) // short prompts that arrive at an endpoint in a second
 	share := max(float64(free)/float64(len(seats)), 0.01)
-	return blocked.Seconds() * min(blockWeight/share/share, blockMost)
+	return blocked.Seconds() * rate * lateShare * min(blockShare*blockShare/share/share, 1)
 }
 
 // partCost is what a part of so much reading costs the others at an endpoint, and its risk.
@@ -293,8 +361,9 @@
 		cost += zoneWeight
 	}
 	if tight(r.PauseGoal) {
-		cost += float64(l.leads) * leadWeight
-		if !l.hasTight() {
+		share := float64(l.leads) / float64(m.Slots)
+		cost += float64(l.leads)*leadWeight + fullWeight*share*share*share*share
+		if l.short == 0 {
 			cost += openWeight
 		}
 	}
@@ -310,16 +379,6 @@
 // tight reports whether a pause goal leaves no room for reading a long prompt.
 func tight(pauseGoal time.Duration) bool { return pauseGoal > 0 && pauseGoal < 2*blockFrom }
 
-// hasTight reports whether the endpoint has a job that long prompts avoid.
-func (l *load) hasTight() bool {
-	for _, j := range l.jobs {
-		if j.Output > 0 && !j.Late && tight(j.PauseGoal) {
-			return true
-		}
-	}
-	return false
-}
-
 // harm is what a job loses by so much more reading at its endpoint.
 func (l *load) harm(j *Job, read time.Duration, now time.Time) float64 {
 	if j.Output == 0 {
@@ -357,6 +416,8 @@
 	return max(leastPatience, patienceGoals*goal, patiencePauses*pauseGoal)
 }
 
+func patienceOf(r Request) time.Duration { return Patience(r.Goal, r.PauseGoal) }
+
 func abandonment(j *Job) time.Duration { return Patience(j.Goal, j.PauseGoal) }
 
 // waitCost is what a request loses by its own wait for the first event.
