--- a/placement/choose.go
+++ b/placement/choose.go
@@ -45,7 +45,7 @@
 	// lateShare is the part of a request's value that is lost when its first event is late.
 	lateShare = 0.75
 	// pauseMargin is the share of a pause goal that may be used up by a predicted pause.
-	pauseMargin = 0.85
+	pauseMargin = 0.97
 	// goalMargin is the share of a goal that a predicted first event may take.
 	goalMargin = 0.9
 	// memoryMargin is the share of an endpoint's memory that is given out without a reservation.
