--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,9 @@
 	baseValue   = 0.75
 	// waitWeight prices the first event's delay relative to its goal, for choices that are all in time.
 	waitWeight = 0.15
+	// stackWeight prices a second of reading that an endpoint has left, relative to the value of a long prompt that would be
+	// read there too: prompts that are read one after the other come earlier on average than those read at once.
+	stackWeight = 0.3
 	// partWeight prices each part beyond the first: it may fail, and occupies one more endpoint.
 	partWeight = 0.004
 	// zoneWeight prices a crossing of failure domains, which adds delay and traffic.
@@ -360,6 +363,9 @@
 	if !s.Near {
 		cost += zoneWeight
 	}
+	if r.Goal >= waitGoal {
+		cost += stackWeight * value(r.Tokens) * l.backlog().Seconds()
+	}
 	if tight(r.PauseGoal) {
 		share := float64(l.leads) / float64(m.Slots)
 		cost += float64(l.leads)*leadWeight + fullWeight*share*share*share*share
