--- a/placement/choose.go
+++ b/placement/choose.go
@@ -19,7 +19,7 @@
 	waitWeight = 0.15
 	// stackWeight prices a second of reading that an endpoint has left, relative to the value of a long prompt that would be
 	// read there too: prompts that are read one after the other come earlier on average than those read at once.
-	stackWeight = 0.3
+	stackWeight = 0.6
 	// partWeight prices each part beyond the first: it may fail, and occupies one more endpoint.
 	partWeight = 0.004
 	// zoneWeight prices a crossing of failure domains, which adds delay and traffic.
