--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,7 +56,8 @@
 	r            *Request
 	caller       Caller
 	service      *catalog.Service
-	sends        int
+	sends        int // attempts that may have reached an endpoint
+	tries        int // failed attempts
 	tried        []string
 	whole        bool // no splitting any more
 	notRun       bool // no attempt so far may have run
@@ -119,12 +120,15 @@
 	}
 }
 
+// maxTries bounds the attempts of a request, those included that reached no endpoint.
+const maxTries = 6
+
 // again reports whether another attempt follows and pays for it.
 func (n *run) again(f failure, now time.Time) bool {
 	if f.final || f.kind == errkind.NoEndpoint || n.g.opts.Crashes.Blamed(n.r.Fingerprint) {
 		return false
 	}
-	if !mayRepeat(n.r, f, n.sends, now) {
+	if n.tries++; n.tries > maxTries || !mayRepeat(n.r, f, n.sends, now) {
 		return false
 	}
 	return f.paid || n.sends == 0 || n.g.opts.Budget.Spend(n.service.Name)
@@ -236,7 +240,7 @@
 		}
 		n.release(c, held)
 		if n.reserveTries++; n.reserveTries >= maxReserveTries {
-			return nil, nil, failure{kind: errkind.Overloaded, notRun: true, reason: "memory not reserved"}, false
+			return nil, nil, failure{kind: errkind.Overloaded, notRun: true, final: true, reason: "memory not reserved"}, false
 		}
 	}
 }
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,335 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/engine"
+	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/placement"
+	"github.com/bilberrylink/bilberrylink/roster"
+)
+
+// backend is an endpoint fleet whose behavior a test sets.
+type backend struct {
+	mu       sync.Mutex
+	sends    []Send
+	reserved map[string]int
+	ran      int
+	script   func(ctx context.Context, n int, s *Send) (*Answer, error)
+	order    func() error
+}
+
+func (b *backend) Send(ctx context.Context, s *Send) (*Answer, error) {
+	b.mu.Lock()
+	b.sends = append(b.sends, *s)
+	n := len(b.sends)
+	b.mu.Unlock()
+	return b.script(ctx, n, s)
+}
+
+func (b *backend) Reserve(_ context.Context, e *roster.Endpoint, id string, tokens int, _ time.Duration) (bool, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved[id] = tokens
+	if b.order != nil {
+		return true, b.order()
+	}
+	return true, nil
+}
+
+func (b *backend) Release(_ context.Context, _ *roster.Endpoint, id string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.reserved, id)
+	return nil
+}
+
+// caller records what it gets.
+type caller struct {
+	status  int
+	body    bytes.Buffer
+	refused errkind.Kind
+	after   time.Duration
+	aborted bool
+	finals  int
+}
+
+func (c *caller) Begin(a *Answer)      { c.status = a.Status; c.finals++ }
+func (c *caller) Write(p []byte) error { c.body.Write(p); return nil }
+func (c *caller) Refuse(kind errkind.Kind, after time.Duration) {
+	c.refused, c.after = kind, after
+	c.finals++
+}
+func (c *caller) Abort() { c.aborted = true }
+
+// world is a gateway with three endpoints.
+type world struct {
+	*backend
+	gateway *Gateway
+	board   *placement.Board
+	roster  *roster.Roster
+}
+
+var testModel = &engine.Model{Slots: 16, MemoryTokens: 300_000, Stride: 51, StepMs: 0.85, ReadPerMs: 177, PairsMs: 0.184, SplitsPrompts: true}
+
+func newWorld(script func(ctx context.Context, n int, s *Send) (*Answer, error)) *world {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &world{backend: &backend{script: script, reserved: map[string]int{}}, board: placement.NewBoard(), roster: roster.New(nil)}
+	for _, id := range []string{"a", "b", "c"} {
+		w.roster.Observe(roster.Entry{ID: id, Service: "app", Addr: "10.0.0.1:1"})
+		w.roster.Observe(roster.Entry{ID: "m" + id, Service: "model", Addr: "10.0.0.2:1"})
+	}
+	snap := catalog.New(1, nil, []*catalog.Service{{Name: "app"}, {Name: "model", Engine: testModel}}, nil)
+	w.gateway = New(Options{
+		Name: "g", Catalog: func() *catalog.Snapshot { return snap }, Roster: w.roster, Board: w.board, Backend: w.backend, Log: log,
+		Budget:  NewRepeatBudget(0.2, 100, 10*time.Second, func() int { return 1 }, time.Now),
+		Crashes: NewCrashes(time.Now), Metrics: NewMetrics(nil),
+	})
+	return w
+}
+
+func (w *world) serve(ctx context.Context, kind catalog.Kind, change func(*Request)) *caller {
+	route := &catalog.Route{Name: "r", Kind: kind, MaxAttempts: 2, Timeout: 10 * time.Second, Goal: 300 * time.Millisecond,
+		Split: []catalog.Share{{Service: "app", Weight: 1}}}
+	if kind == catalog.Stream {
+		route.Split[0].Service, route.Resumable, route.PauseGoal = "model", true, 250*time.Millisecond
+	}
+	r := &Request{ID: "1", Route: route, Arrived: time.Now(), ResumeAfter: -1}
+	if kind == catalog.Stream {
+		r.Tokens, r.Output = 2000, 500
+	}
+	if change != nil {
+		change(r)
+	}
+	c := new(caller)
+	w.gateway.Serve(ctx, r, c)
+	return c
+}
+
+func answer(status int, body string) *Answer {
+	return &Answer{Status: status, Genuine: true, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+// cut is a body that breaks off with an error.
+func cut(text string) io.ReadCloser {
+	return io.NopCloser(io.MultiReader(strings.NewReader(text), brokenReader{}))
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+var errReset = &SendError{Sent: true, Err: errors.New("connection reset")}
+
+// Guards against an order that is executed twice: after a connection that broke with the request on it, a
+// non-idempotent request is neither sent again nor reported as not run.
+func TestNonIdempotentRequestIsSentOnce(t *testing.T) {
+	w := newWorld(func(context.Context, int, *Send) (*Answer, error) { return nil, errReset })
+	c := w.serve(t.Context(), catalog.NonIdempotent, nil)
+	require.Len(t, w.sends, 1)
+	require.NotEqual(t, errkind.NotRun, errkind.RuleOf(c.refused).Run)
+	require.Equal(t, 1, c.finals)
+}
+
+// Guards against losing a request that certainly did not reach an endpoint.
+func TestNonIdempotentRequestIsSentAgainIfItDidNotRun(t *testing.T) {
+	for name, first := range map[string]func() (*Answer, error){
+		"no connection": func() (*Answer, error) { return nil, &SendError{Err: errors.New("refused")} },
+		"full":          func() (*Answer, error) { a := answer(503, ""); a.NotRun = true; return a, nil },
+		"other address": func() (*Answer, error) { a := answer(421, ""); a.NotRun, a.Misplaced = true, true; return a, nil },
+	} {
+		w := newWorld(func(_ context.Context, n int, _ *Send) (*Answer, error) {
+			if n == 1 {
+				return first()
+			}
+			return answer(200, "ok"), nil
+		})
+		c := w.serve(t.Context(), catalog.NonIdempotent, nil)
+		require.Equal(t, "ok", c.body.String(), name)
+		require.NotEqual(t, w.sends[0].Endpoint.ID, w.sends[1].Endpoint.ID, name)
+	}
+}
+
+// Guards against more endpoints than the route allows, and against a false promise after the last one.
+func TestAttemptsAreBounded(t *testing.T) {
+	w := newWorld(func(context.Context, int, *Send) (*Answer, error) { return nil, errReset })
+	c := w.serve(t.Context(), catalog.Idempotent, nil)
+	require.Len(t, w.sends, 2)
+	require.Equal(t, errkind.EndpointFailed, c.refused)
+}
+
+// Guards against replacing the endpoint's own error by another one, and against not trying another endpoint first.
+func TestLastEndpointErrorIsPassedOn(t *testing.T) {
+	w := newWorld(func(context.Context, int, *Send) (*Answer, error) { return answer(500, "broken"), nil })
+	c := w.serve(t.Context(), catalog.Idempotent, nil)
+	require.Len(t, w.sends, 2)
+	require.Equal(t, 500, c.status)
+	require.Equal(t, "broken", c.body.String())
+}
+
+// Guards against passing on an answer that is not whole or not the endpoint's.
+func TestIncompleteOrForeignAnswersAreNotPassedOn(t *testing.T) {
+	for name, first := range map[string]*Answer{
+		"cut":     {Status: 200, Genuine: true, Length: -1, Body: cut("ha")},
+		"foreign": {Status: 200, Length: 4, Body: io.NopCloser(strings.NewReader("half"))},
+	} {
+		w := newWorld(func(_ context.Context, n int, _ *Send) (*Answer, error) {
+			if n == 1 {
+				return first, nil
+			}
+			return answer(200, "whole"), nil
+		})
+		require.Equal(t, "whole", w.serve(t.Context(), catalog.Idempotent, nil).body.String(), name)
+	}
+}
+
+// Guards against a stream with a piece that is missing, repeated or cut: it goes on at another endpoint after the last
+// whole event.
+func TestBrokenStreamIsResumedAfterTheLastWholeEvent(t *testing.T) {
+	w := newWorld(func(_ context.Context, n int, s *Send) (*Answer, error) {
+		if n == 1 {
+			return &Answer{Status: 200, Genuine: true, Length: -1, Body: cut(events(1, 3) + "id: 4\nda")}, nil
+		}
+		return answer(200, events(3, 6)), nil // repeats event 3
+	})
+	c := w.serve(t.Context(), catalog.Stream, nil)
+	require.Equal(t, events(1, 6), c.body.String())
+	require.Equal(t, int64(3), w.sends[1].ResumeAfter)
+	require.False(t, c.aborted)
+	require.Equal(t, 1, c.finals)
+	require.Empty(t, w.board.Own())
+}
+
+// Guards against a stream that looks complete although its rest could not be had.
+func TestStreamThatCannotBeResumedIsAborted(t *testing.T) {
+	w := newWorld(func(context.Context, int, *Send) (*Answer, error) {
+		return &Answer{Status: 200, Genuine: true, Length: -1, Body: cut(events(1, 2))}, nil
+	})
+	c := w.serve(t.Context(), catalog.Stream, func(r *Request) { r.Route.Resumable = false })
+	require.True(t, c.aborted)
+	require.Len(t, w.sends, 1)
+}
+
+// Guards against waiting for an endpoint that has fallen silent until the caller has left.
+func TestSilentStreamMovesToAnotherEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(ctx context.Context, n int, _ *Send) (*Answer, error) {
+			if n == 1 {
+				<-ctx.Done()
+				return nil, &SendError{Sent: true, Err: ctx.Err()}
+			}
+			return answer(200, events(1, 2)), nil
+		})
+		began := time.Now()
+		c := w.serve(t.Context(), catalog.Stream, nil)
+		require.Equal(t, events(1, 2), c.body.String())
+		require.Less(t, time.Since(began), 2*time.Second)
+	})
+}
+
+// Guards against reading a prompt twice because its endpoint is busy: one that still answers others is not given up.
+func TestEndpointThatAnswersOthersIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(ctx context.Context, n int, s *Send) (*Answer, error) {
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				s.Endpoint.Heard(time.Now())
+			}
+			return answer(200, events(1, 2)), ctx.Err()
+		})
+		c := w.serve(t.Context(), catalog.Stream, nil)
+		require.Equal(t, events(1, 2), c.body.String())
+		require.Len(t, w.sends, 1)
+	})
+}
+
+// Guards against a caller that is kept waiting past the route's bound, and against a promise for what may run.
+func TestRequestEndsAtItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(ctx context.Context, _ int, _ *Send) (*Answer, error) {
+			<-ctx.Done()
+			return nil, &SendError{Sent: true, Err: ctx.Err()}
+		})
+		began := time.Now()
+		c := w.serve(t.Context(), catalog.NonIdempotent, func(r *Request) { r.Route.Timeout = 800 * time.Millisecond })
+		require.LessOrEqual(t, time.Since(began), 800*time.Millisecond)
+		require.Equal(t, errkind.DeadlineExceeded, c.refused)
+	})
+}
+
+// Guards against work that goes on after its caller has left.
+func TestLeavingCallerEndsTheRequestAtTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, leave := context.WithCancel(t.Context())
+		ended := false
+		w := newWorld(func(ctx context.Context, _ int, _ *Send) (*Answer, error) {
+			<-ctx.Done()
+			ended = true
+			return nil, &SendError{Sent: true, Err: ctx.Err()}
+		})
+		time.AfterFunc(100*time.Millisecond, leave)
+		c := w.serve(ctx, catalog.Stream, nil)
+		require.True(t, ended)
+		require.Len(t, w.sends, 1)
+		require.True(t, c.aborted)
+		require.Empty(t, w.board.Own())
+	})
+}
+
+// Guards against memory that stays reserved: all reservations are released when the request ends, and again while an
+// order without an answer may still be carried out.
+func TestReservationsAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(_ context.Context, _ int, s *Send) (*Answer, error) { return answer(200, events(1, 2)), nil })
+		w.order = func() error { return nil }
+		c := w.serve(t.Context(), catalog.Stream, func(r *Request) {
+			r.Tokens, r.Route.Goal, r.Route.PauseGoal, r.Route.Timeout = 500_000, 30*time.Second, 5*time.Second, 100*time.Second
+		})
+		require.Equal(t, events(1, 2), c.body.String())
+		require.NotEmpty(t, w.sends[0].Helpers)
+		time.Sleep(time.Second)
+		require.Empty(t, w.reserved)
+
+		w.order = func() error { return errors.New("no answer") }
+		c = w.serve(t.Context(), catalog.Stream, func(r *Request) { r.Tokens, r.Route.Goal = 500_000, 30*time.Second })
+		require.Equal(t, errkind.Overloaded, c.refused)
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.reserved["late"] = 1 // stands for an order that is carried out late
+		delete(w.reserved, "late")
+		w.mu.Unlock()
+		time.Sleep(lateOrders + 2*releaseEvery)
+		require.Empty(t, w.reserved)
+	})
+}
+
+// Guards against an endless wait for an endpoint of a service that has none.
+func TestServiceWithoutEndpointsIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(nil)
+	w.roster.Remove("a", "b", "c")
+	c := w.serve(t.Context(), catalog.Idempotent, nil)
+	require.Equal(t, errkind.NoEndpoint, c.refused)
+	require.Positive(t, c.after)
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -37,7 +37,7 @@
 	blockShare = 0.32
 	// openWeight prices putting an answer with a short pause goal on an endpoint that has none: while there are such
 	// endpoints, long prompts are read there without harm.
-	openWeight = 0.15
+	openWeight = 0.08
 	// leadWeight prices each answer that an endpoint writes already: its passes grow.
 	leadWeight = 0.006
 	// fullWeight prices the last slots of an endpoint: it grows with the fourth power of the share that is taken.
