Let long prompts wait for less than half of their callers' patience

A prompt that cannot be served is told so after some 4.5 s instead of 7.6 s, with time left to come back.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,7 +27,6 @@
 	mu       sync.Mutex
 	sends    []Send
 	reserved map[string]int
-	ran      int
 	script   func(ctx context.Context, n int, s *Send) (*Answer, error)
 	order    func() error
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -235,7 +235,7 @@
 }
 
 // patienceShare is the part of the callers' patience that a request may spend waiting.
-const patienceShare = 0.75
+const patienceShare = 0.45
 
 // level tells a first event in time (0), late (1), and after callers have mostly left (2).
 func level(r Request, first time.Duration) int {
