Avoid the endpoint that a refusal names; forget no endpoint for a closed connection

A 503 that closes its connection marked its endpoint as left for good, though endpoints close connections now and then without leaving.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -423,13 +423,29 @@
 	}
 }
 
+// noteFault takes an answer's word on the endpoint at fault, which may be one that was to read a part.
+func (n *run) noteFault(c *chosen, a *Answer) {
+	fault := c.endpoints[0]
+	for _, e := range c.endpoints[1:] {
+		if a.Culprit != "" && (a.Culprit == e.ID || a.Culprit == e.Addr) {
+			fault = e
+		}
+	}
+	switch {
+	case a.Misplaced:
+		n.g.opts.Roster.Report(fault, roster.Leaving)
+		n.log("endpoint_left").WithField("at", fault.ID).Info("another endpoint has the address")
+	case a.NotRun && (a.Leaving || fault != c.endpoints[0]):
+		n.g.opts.Roster.Report(fault, roster.Unreachable)
+		n.log("endpoint_avoided").WithFields(logrus.Fields{"at": fault.ID, "cause": "at fault for a refusal"}).
+			Info("endpoint is avoided for a while")
+	}
+}
+
 // answer relays an answer whose head has arrived.
 func (n *run) answer(ctx context.Context, c *chosen, a *Answer, watch *watchdog, sent time.Time) (failure, bool) {
 	lead := c.endpoints[0]
-	if a.Misplaced || a.Leaving && a.NotRun {
-		n.g.opts.Roster.Report(lead, roster.Leaving)
-		n.log("endpoint_left").WithField("status", a.Status).Info("endpoint is leaving or has been replaced")
-	}
+	n.noteFault(c, a)
 	if a.NotRun || a.Misplaced {
 		n.whole = n.whole || len(c.endpoints) > 1
 		return failure{kind: errkind.Overloaded, notRun: true, reason: "endpoint refused " + strconv.Itoa(a.Status)}, false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -324,6 +324,21 @@
 	})
 }
 
+// Guards against choosing a dead endpoint again to read a part, and against avoiding the one that reported it.
+func TestEndpointAtFaultForARefusalIsAvoided(t *testing.T) {
+	w := newWorld(nil)
+	all := w.roster.Usable("model")
+	n := &run{g: w.gateway, r: &Request{ID: "1"}}
+	c := &chosen{endpoints: all}
+	n.noteFault(c, &Answer{Status: 503, NotRun: true, Culprit: all[1].ID})
+	require.Equal(t, []*roster.Endpoint{all[0], all[2]}, w.roster.Usable("model"))
+	n.noteFault(c, &Answer{Status: 503, NotRun: true})
+	require.Len(t, w.roster.Usable("model"), 2, "a full endpoint is not avoided")
+	n.noteFault(c, &Answer{Status: 421, NotRun: true, Misplaced: true})
+	require.False(t, w.roster.Allowed(all[0]))
+	require.True(t, w.roster.Allowed(all[2]))
+}
+
 // Guards against an endless wait for an endpoint of a service that has none.
 func TestServiceWithoutEndpointsIsRefusedAtOnce(t *testing.T) {
 	w := newWorld(nil)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -46,13 +46,13 @@
 // Answer is the head of an endpoint's answer and its body.
 type Answer struct {
 	Status    int
-	NotRun    bool // the endpoint states that it did not run the request
-	Genuine   bool // carries the endpoint's signature
-	Misplaced bool // another endpoint has the address
-	Leaving   bool // the endpoint is shutting down
-	Culprit   string
-	Length    int64 // -1: not given
-	Message   any   // the endpoint's message, for the Caller
+	NotRun    bool   // the endpoint states that it did not run the request
+	Genuine   bool   // carries the endpoint's signature
+	Misplaced bool   // another endpoint has the address
+	Leaving   bool   // the endpoint closes its connections, as one does that is shutting down
+	Culprit   string // identity or address of the endpoint at fault; empty: the one that answered
+	Length    int64  // -1: not given
+	Message   any    // the endpoint's message, for the Caller
 	Body      io.ReadCloser
 }
 
