Measure the wait of a resumed stream from its latest event

A stream that was resumed after some seconds counted as later than its caller's patience; with anybody else at the endpoints it was broken off instead of resumed. Found by reading; TestOldStreamIsResumedAtBusyEndpoints fails without the change.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -324,21 +324,26 @@
 	}
 	return n.g.opts.Board.Choose(n.service.Engine, cands, placement.Request{
 		Tokens: n.r.Tokens, Output: n.r.Output, Goal: n.r.Route.Goal, PauseGoal: n.r.Route.PauseGoal,
-		Waited: now.Sub(n.r.Arrived), Left: n.patience(now), Whole: n.whole,
+		Waited: now.Sub(n.waitsSince()), Left: n.patience(now), Whole: n.whole,
 	}, now)
 }
 
+// waitsSince returns when the caller's wait for the next event began: at the request's arrival or at the latest event of a
+// stream that is resumed.
+func (n *run) waitsSince() time.Time {
+	if n.latest.IsZero() {
+		return n.r.Arrived
+	}
+	return n.latest
+}
+
 // patience returns the time until the caller leaves if no event comes.
 func (n *run) patience(now time.Time) time.Duration {
 	left := end(n.r).Sub(now)
 	if n.r.Route.Kind != catalog.Stream {
 		return left
 	}
-	from := n.r.Arrived
-	if !n.latest.IsZero() {
-		from = n.latest
-	}
-	return min(left, from.Add(placement.Patience(n.r.Route.Goal, n.r.Route.PauseGoal)).Sub(now))
+	return min(left, n.waitsSince().Add(placement.Patience(n.r.Route.Goal, n.r.Route.PauseGoal)).Sub(now))
 }
 
 // release ends the jobs and reservations of an attempt.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -221,6 +221,31 @@
 	require.Empty(t, w.board.Own())
 }
 
+// Guards against breaking a long stream off because its request is old: the wait for the next event counts, also at busy
+// endpoints.
+func TestOldStreamIsResumedAtBusyEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nil)
+		w.script = func(_ context.Context, n int, s *Send) (*Answer, error) {
+			if n > 1 {
+				return answer(200, events(3, 4)), nil
+			}
+			time.Sleep(8 * time.Second)
+			for _, id := range []string{"ma", "mb", "mc"} {
+				w.board.Add(placement.Job{Endpoint: placement.KeyOf(id), Tokens: 1000, Parts: 1, Output: 100, Writing: true,
+					PauseGoal: 250 * time.Millisecond, Placed: time.Now()})
+			}
+			return &Answer{Status: 200, Genuine: true, Length: -1, Body: cut(events(1, 2))}, nil
+		}
+		c := w.serve(t.Context(), catalog.Stream, func(r *Request) {
+			r.Tokens, r.Route.Goal, r.Route.PauseGoal, r.Route.Timeout = 50_000, 1500*time.Millisecond, 600*time.Millisecond, 30*time.Second
+			r.Route.MaxAttempts = 2
+		})
+		require.Equal(t, events(1, 4), c.body.String())
+		require.False(t, c.aborted)
+	})
+}
+
 // Guards against a stream that looks complete although its rest could not be had.
 func TestStreamThatCannotBeResumedIsAborted(t *testing.T) {
 	w := newWorld(func(context.Context, int, *Send) (*Answer, error) {
