--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,6 @@
 	last         int64
 	events       int
 	first        time.Duration // until the first event
-	reason       string        // of the latest failure
 	at           string        // endpoint of the latest attempt
 	parts        int
 	cost         float64
@@ -104,7 +103,6 @@
 			n.finish("answered", "")
 			return
 		}
-		n.reason = f.reason
 		now := n.g.opts.Now()
 		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			n.finish("canceled", f.reason)
@@ -476,7 +474,6 @@
 		n.g.opts.Roster.Report(e, roster.Failed)
 		f := failure{kind: errkind.EndpointFailed, reason: "endpoint failed " + strconv.Itoa(a.Status)}
 		if !n.begun && !n.again(f, n.g.opts.Now()) {
-			n.reason = f.reason
 			return n.pass(a, body)
 		}
 		f.paid = true
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -24,8 +24,15 @@
 	partWeight = 0.004
 	// zoneWeight prices a crossing of failure domains, which adds delay and traffic.
 	zoneWeight = 0.01
-	// failureWeight prices the recent failure rate of an endpoint.
-	failureWeight = 4.0
+	// failureWeight prices the recent failure rate of an endpoint, relative to the value of the prompt: a failed request
+	// runs again elsewhere, late.
+	failureWeight = 0.8
+	// plainFailureWeight prices the same for plain services, in requests that wait there.
+	plainFailureWeight = 4.0
+	// plainZoneWeight is the crossing of failure domains in requests that wait: it costs less than waiting for one.
+	plainZoneWeight = 0.5
+	// plainSpread is the random part of the choice, so that gateways with equal views choose different endpoints.
+	plainSpread = 0.2
 	// slotWait is the assumed wait for a free slot.
 	slotWait = 600 * time.Millisecond
 	// blockFrom is the reading at an endpoint that short prompts bear beside their goals: a shorter block costs nothing.
@@ -359,7 +366,7 @@
 func partCost(m *engine.Model, s *seat, r Request, read time.Duration, split bool, now time.Time) float64 {
 	l := s.load
 	read = scale(read, s.Pace)
-	cost := s.FailureRate*failureWeight*value(r.Tokens)*0.2 + (s.wait(split)+read).Seconds()*waitWeight
+	cost := s.FailureRate*failureWeight*value(r.Tokens) + (s.wait(split)+read).Seconds()*waitWeight
 	if !s.Near {
 		cost += zoneWeight
 	}
@@ -511,12 +518,12 @@
 	defer b.mu.Unlock()
 	loads := b.snapshot(now)
 	costOf := func(c Candidate) float64 {
-		cost := c.FailureRate*failureWeight + rand.Float64()*0.2
+		cost := c.FailureRate*plainFailureWeight + rand.Float64()*plainSpread
 		if l := loads[KeyOf(c.ID)]; l != nil {
 			cost += float64(len(l.jobs))
 		}
 		if !c.Near {
-			cost += 0.5 // a crossing costs less than waiting behind one more request
+			cost += plainZoneWeight
 		}
 		return cost
 	}
