--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -42,7 +42,6 @@
 	Goal        time.Duration // time to the answer, or to the first event, that callers call good
 	PauseGoal   time.Duration // longest pause between events that callers call good; streams only
 	MaxAttempts int           // endpoints that one request may be sent to
-	Priority    int           // 0 is the most urgent
 	Public      bool          // no API key is asked for
 	Resumable   bool          // a stream may go on at another endpoint
 	Split       []Share
@@ -53,16 +52,6 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
-// Allows reports whether the route may send requests to a service.
-func (r *Route) Allows(service string) bool {
-	for _, s := range r.Split {
-		if s.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // PickService draws a service by the weights of the split; x is uniform in [0, 1).
 func (r *Route) PickService(x float64) string {
 	total := 0.0
@@ -87,24 +76,20 @@
 
 // Service is one service of the operator.
 type Service struct {
-	Name           string
-	MaxConnections int           // connections that one endpoint accepts from all callers together; 0: unknown
-	Engine         *engine.Model // timing of a model engine; nil for plain services
+	Name   string
+	Engine *engine.Model // timing of a model engine; nil for plain services
 }
 
 // Workspace is the owner of API keys.
 type Workspace struct {
-	Name     string
-	Priority *int // takes precedence over the route's priority if set
+	Name string
 }
 
 // Snapshot is one version of the configuration.
 type Snapshot struct {
-	Epoch       int64         // version given by the operator
-	IdleTimeout time.Duration // time that callers may leave a connection idle
-	MaxBody     int64         // bytes; 0: no bound
-	MaxHeader   int           // bytes; 0: no bound
-	NeedsKey    bool          // API keys are in use
+	Epoch    int64 // version given by the operator
+	MaxBody  int64 // bytes; 0: no bound
+	NeedsKey bool  // API keys are in use
 
 	services map[string]*Service
 	hosts    map[string][]*Route // by falling length of prefix
@@ -135,16 +120,6 @@
 // Service returns a service, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
-// Services returns the names of all services, sorted.
-func (s *Snapshot) Services() []string {
-	names := make([]string, 0, len(s.services))
-	for name := range s.services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // Match returns the route with the longest prefix of path on host, or nil.
 func (s *Snapshot) Match(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -15,11 +15,7 @@
 	ReadPerMs     float64 // prompt tokens read in a millisecond; 0: unknown
 	Chunk         int     // prompt tokens read in a step at most; 0: no bound
 	PairsMs       float64 // time for a million pairs of a token and an earlier token
-	HopMs         float64 // time that memory held by other endpoints adds to a step
-	MeanPrompt    int     // usual prompt tokens
-	MeanOutput    int     // usual output tokens
-	ReportLag     time.Duration
-	SplitsPrompts bool // prompts may be read by several endpoints together
+	SplitsPrompts bool    // prompts may be read by several endpoints together
 }
 
 const million = 1e6
@@ -46,10 +42,4 @@
 	return millis(step * float64(max(m.Stride, 1)))
 }
 
-// Write returns the time in which a request writes output tokens when each pass takes pass.
-func (m *Model) Write(output int, pass time.Duration) time.Duration {
-	stride := max(m.Stride, 1)
-	return time.Duration((output+stride-1)/stride) * pass
-}
-
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 )
 
@@ -98,13 +99,6 @@
 	return nil
 }
 
-// RemoveTarget forgets an address.
-func (x *Exchange) RemoveTarget(addr string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	delete(x.targets, addr)
-}
-
 // Live returns the peers heard of lately.
 func (x *Exchange) Live() []Peer {
 	x.mu.Lock()
@@ -150,10 +144,8 @@
 			return
 		case <-tick.C:
 		case <-x.opts.Board.Changed():
-			select {
-			case <-ctx.Done():
+			if timing.Sleep(ctx, gather) != nil {
 				return
-			case <-time.After(gather):
 			}
 		}
 		x.send()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/roster"
 )
@@ -64,16 +66,13 @@
 	begun        bool // the head of an answer has been sent
 	last         int64
 	events       int
-	first        time.Duration // until the first event
-	at           string        // endpoint of the latest attempt
-	parts        int
-	cost         float64
-	delay, block float64       // parts of the cost
-	waited       time.Duration // before the latest attempt was placed
+	first        time.Duration  // until the first event
+	at           string         // endpoint of the latest attempt
+	planned      placement.Plan // of the latest choice
+	waited       time.Duration  // before the latest attempt was placed
 	reserveTries int
 	pause        time.Duration // longest pause between events so far
 	latest       time.Time     // of the latest event
-	predicted    time.Duration
 }
 
 // Serve runs a request and answers the caller. ctx ends when the caller leaves.
@@ -160,10 +159,12 @@
 	took := n.g.opts.Now().Sub(n.r.Arrived)
 	n.g.opts.Metrics.observe(n.r, outcome, took, n.first)
 	entry := n.log(outcome).WithFields(logrus.Fields{
-		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": n.parts,
-		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(), "cost": n.cost, "cost_delay": n.delay, "cost_block": n.block, "waited_ms": n.waited.Milliseconds(), "at_ms": n.g.opts.Now().UnixMilli(),
+		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": len(n.planned.Endpoints),
+		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(),
+		"cost": n.planned.Cost, "cost_delay": n.planned.Delay, "cost_block": n.planned.Block,
+		"waited_ms": n.waited.Milliseconds(), "at_ms": n.g.opts.Now().UnixMilli(),
 		"output": n.r.Output, "goal_ms": n.r.Route.Goal.Milliseconds(),
-		"predicted_ms": n.predicted.Milliseconds(), "not_run": n.notRun,
+		"predicted_ms": n.planned.Predicted.Milliseconds(), "not_run": n.notRun,
 	})
 	if reason != "" {
 		entry = entry.WithField("reason", reason)
@@ -187,7 +188,7 @@
 // attempt sends the request once. done means that the caller has a final answer.
 func (n *run) attempt(ctx context.Context) (f failure, done bool) {
 	if ctx.Err() != nil {
-		return n.ended(ctx), false
+		return n.ended(ctx, n.sends > 0), false
 	}
 	p, held, f, ok := n.plan(ctx)
 	if !ok {
@@ -197,12 +198,14 @@
 	return n.send(ctx, p, held)
 }
 
-// ended is the failure of a request whose time is over or whose caller has left.
-func (n *run) ended(ctx context.Context) failure {
+// ended is the failure of an attempt whose time is over or whose caller has left; sent says that it may have reached an
+// endpoint.
+func (n *run) ended(ctx context.Context, sent bool) failure {
+	f := failure{kind: errkind.Canceled, notRun: !sent, reason: "caller left"}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return failure{kind: errkind.DeadlineExceeded, notRun: n.sends == 0, reason: "time is over"}
+		f.kind, f.reason = errkind.DeadlineExceeded, "time is over"
 	}
-	return failure{kind: errkind.Canceled, notRun: n.sends == 0, reason: "caller left"}
+	return f
 }
 
 // chosen is a plan with its endpoints resolved.
@@ -219,15 +222,12 @@
 			return nil, nil, f, false
 		}
 		if verdict == placement.Wait {
-			select {
-			case <-ctx.Done():
-				return nil, nil, n.endedAfter(ctx, n.sends > 0), false
-			case <-time.After(placement.WaitStep):
+			if timing.Sleep(ctx, placement.WaitStep) != nil {
+				return nil, nil, n.ended(ctx, n.sends > 0), false
 			}
 			continue
 		}
-		n.parts, n.predicted, n.cost, n.delay, n.block = len(c.Endpoints), c.Predicted, c.Cost, c.Delay, c.Block
-		n.waited = n.g.opts.Now().Sub(n.r.Arrived)
+		n.note(c.Plan)
 		n.logPlan(c)
 		if c.Reserve == nil {
 			return c, nil, failure{}, true
@@ -243,6 +243,11 @@
 	}
 }
 
+// note keeps the latest plan for the log and for judging silence.
+func (n *run) note(p placement.Plan) {
+	n.planned, n.waited = p, n.g.opts.Now().Sub(n.r.Arrived)
+}
+
 // logPlan writes the choice for prompts that are split among many endpoints; their number is small.
 func (n *run) logPlan(c *chosen) {
 	if len(c.Endpoints) < loggedParts {
@@ -277,7 +282,7 @@
 	cands := n.candidates(usable, byID)
 	p, verdict := n.place(cands)
 	if f, refused := refusals[verdict]; refused {
-		n.cost, n.delay, n.block, n.parts, n.predicted, n.waited = p.Cost, p.Delay, p.Block, len(p.Endpoints), p.Predicted, n.g.opts.Now().Sub(n.r.Arrived)
+		n.note(p)
 		return nil, verdict, f
 	}
 	c := &chosen{Plan: p}
@@ -291,7 +296,7 @@
 	cands := make([]placement.Candidate, 0, len(usable))
 	add := func(skipTried bool) {
 		for _, e := range usable {
-			if skipTried && contains(n.tried, e.ID) {
+			if skipTried && slices.Contains(n.tried, e.ID) {
 				continue
 			}
 			rate, pace := n.g.opts.Roster.Health(e)
@@ -306,15 +311,6 @@
 	return cands
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *run) place(cands []placement.Candidate) (placement.Plan, placement.Verdict) {
 	now := n.g.opts.Now()
 	if n.service.Engine == nil || n.r.Tokens == 0 {
@@ -405,7 +401,7 @@
 		return failure{kind: errkind.EndpointFailed, notRun: !sent, paid: true, reason: "endpoint silent"}
 	}
 	if ctx.Err() != nil {
-		return n.endedAfter(ctx, sent)
+		return n.ended(ctx, sent)
 	}
 	n.avoid(e, err.Error())
 	if sent {
@@ -414,12 +410,6 @@
 	return failure{kind: errkind.EndpointFailed, notRun: !sent, reason: "connection failed"}
 }
 
-func (n *run) endedAfter(ctx context.Context, sent bool) failure {
-	f := n.ended(ctx)
-	f.notRun = !sent
-	return f
-}
-
 func (n *run) avoid(e *roster.Endpoint, cause string) {
 	if n.g.opts.Roster.Report(e, roster.Unreachable) {
 		n.log("endpoint_avoided").WithField("cause", cause).Info("endpoint is avoided for a while")
@@ -465,7 +455,7 @@
 	body, err := io.ReadAll(a.Body)
 	if err != nil || !a.Genuine {
 		if ctx.Err() != nil && !watch.expired() {
-			return n.endedAfter(ctx, true), false
+			return n.ended(ctx, true), false
 		}
 		n.g.opts.Roster.Report(e, roster.Failed)
 		return failure{kind: errkind.EndpointFailed, reason: "incomplete answer"}, false
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -16,7 +16,7 @@
 	leastLeft = 30 * time.Millisecond
 	// retryPause is the shortest time after which a refused caller is asked to come back.
 	retryPause = 300 * time.Millisecond
-	// silenceShare is the part of that patience after which the gateway tries another endpoint.
+	// silenceShare is the part of the callers' patience after which the gateway tries another endpoint.
 	silenceShare = 0.6
 	// plainSilence is the share of a repeatable plain request's time after which another endpoint is tried.
 	plainSilence = 0.4
@@ -56,7 +56,7 @@
 	reason string
 }
 
-// mayRepeat reports whether another attempt is safe and has time; attempts counts the sends so far.
+// mayRepeat reports whether another attempt is safe and has time after so many sends.
 func mayRepeat(r *Request, f failure, sends int, now time.Time) bool {
 	if sends >= max(r.Route.MaxAttempts, 1) {
 		return false
@@ -67,8 +67,8 @@
 	return end(r).Sub(now) > leastLeft
 }
 
-// finalKind returns the error kind of a request whose attempts are over. It promises "not run" only if all attempts
-// certainly did not run, or if the request may run again anyway.
+// finalKind returns the error kind of a request whose attempts are over. It promises "not run" only if no attempt
+// may have run.
 func finalKind(last failure, allNotRun bool) errkind.Kind {
 	if allNotRun {
 		if errkind.RuleOf(last.kind).Run == errkind.NotRun {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,7 +101,7 @@
 		n.avoid(e, "silent")
 		return failure{kind: errkind.StreamBroken, paid: true, reason: "stream silent"}
 	case ctx.Err() != nil:
-		return n.endedAfter(ctx, true)
+		return n.ended(ctx, true)
 	}
 	n.g.opts.Roster.Report(e, roster.Failed)
 	if !started {
@@ -157,7 +157,7 @@
 // silence returns the time without progress after which another endpoint is tried.
 func (n *run) silence() time.Duration {
 	if n.r.Route.Kind == catalog.Stream {
-		return max(silence(n.r.Route), 2*n.predicted)
+		return max(silence(n.r.Route), 2*n.planned.Predicted)
 	}
 	return time.Duration(float64(end(n.r).Sub(n.r.Arrived)) * plainSilence)
 }
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -21,11 +21,9 @@
 	Arrived     time.Time
 	Deadline    time.Time // when the caller leaves; zero: not given
 	Tokens      int       // prompt tokens
-	MaxOutput   int       // largest number of output tokens
 	Output      int       // expected number of output tokens
 	ResumeAfter int64     // last event that the caller has; -1: from the start
-	Priority    int
-	Message     any // the caller's message, for the Backend
+	Message     any       // the caller's message, for the Backend
 }
 
 // Send is one request to one endpoint.
--- a/internal/gatewayd/beliefs.go
+++ b/internal/gatewayd/beliefs.go
@@ -20,28 +20,41 @@
 	current *catalog.Current
 	roster  *roster.Roster
 
-	mu    sync.Mutex
-	lost  map[string]bool // by table
-	heard map[string]time.Time
+	mu sync.Mutex
+	up map[string]bool // by table; a table that has never answered is missing
 }
 
 func newBeliefs(log *logrus.Logger) *beliefs {
 	return &beliefs{
 		log: log, current: new(catalog.Current), roster: roster.New(nil),
-		lost: make(map[string]bool), heard: make(map[string]time.Time),
+		up: make(map[string]bool),
 	}
 }
 
-// storeUp reports whether all tables were heard of lately.
+// storeUp reports whether the latest calls for all tables were answered.
 func (b *beliefs) storeUp() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, lost := range b.lost {
-		if lost {
+	return len(b.up) == watchedTables && b.noneLost()
+}
+
+// noneLost reports whether no table is known to be lost.
+func (b *beliefs) noneLost() bool {
+	for _, up := range b.up {
+		if !up {
 			return false
 		}
 	}
-	return len(b.heard) == watchedTables
+	return true
+}
+
+// set notes whether a table answers and returns what was believed before.
+func (b *beliefs) set(table string, up bool) (was, known, allUp bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was, known = b.up[table]
+	b.up[table] = up
+	return was, known, b.noneLost()
 }
 
 // configCurrent reports whether the configuration in force is known to be the newest.
@@ -50,30 +63,19 @@
 }
 
 func (b *beliefs) storeLost(table string, err error) {
-	b.mu.Lock()
-	was := b.lost[table]
-	b.lost[table] = true
-	b.mu.Unlock()
+	was, known, _ := b.set(table, false)
 	b.roster.StoreLost()
-	if !was {
+	if was || !known {
 		b.log.WithError(err).WithFields(logrus.Fields{"event": "store_lost", "table": table}).Warn("store does not answer")
 	}
 }
 
-func (b *beliefs) storeHeard(table string, now time.Time) {
-	b.mu.Lock()
-	was := b.lost[table]
-	b.lost[table] = false
-	b.heard[table] = now
-	any := false
-	for _, lost := range b.lost {
-		any = any || lost
-	}
-	b.mu.Unlock()
-	if !any {
+func (b *beliefs) storeHeard(table string) {
+	was, known, allUp := b.set(table, true)
+	if allUp {
 		b.roster.StoreRegained()
 	}
-	if was {
+	if known && !was {
 		b.log.WithFields(logrus.Fields{"event": "store_regained", "table": table}).Info("store answers again")
 	}
 }
@@ -98,15 +100,22 @@
 	}
 }
 
+// endpoint decodes a row and logs one that names no endpoint.
+func (b *beliefs) endpoint(row platform.Row) (roster.Entry, bool) {
+	e, ok := platform.DecodeEndpoint(row)
+	if !ok {
+		b.log.WithFields(logrus.Fields{"event": "endpoint_malformed", "endpoint": row.Key, "version": row.Version}).
+			Warn("row names no endpoint")
+	}
+	return e, ok
+}
+
 // endpointsFull takes all rows of the endpoints' table.
 func (b *beliefs) endpointsFull(rows []platform.Row) {
 	var entries []roster.Entry
 	for _, row := range rows {
-		if e, ok := platform.DecodeEndpoint(row); ok {
+		if e, ok := b.endpoint(row); ok {
 			entries = append(entries, e)
-		} else {
-			b.log.WithFields(logrus.Fields{"event": "endpoint_malformed", "endpoint": row.Key, "version": row.Version}).
-				Warn("row names no endpoint")
 		}
 	}
 	changed := b.roster.Replace(entries)
@@ -122,13 +131,7 @@
 			removed = append(removed, row.Key)
 			continue
 		}
-		e, ok := platform.DecodeEndpoint(row)
-		if !ok {
-			b.log.WithFields(logrus.Fields{"event": "endpoint_malformed", "endpoint": row.Key, "version": row.Version}).
-				Warn("row names no endpoint")
-			continue
-		}
-		if b.roster.Observe(e) {
+		if e, ok := b.endpoint(row); ok && b.roster.Observe(e) {
 			b.log.WithFields(logrus.Fields{"event": "endpoint_changed", "endpoint": e.ID, "service": e.Service,
 				"draining": e.Draining, "version": row.Version}).Info("endpoint listed or leaving")
 		}
--- a/internal/gatewayd/beliefs_test.go
+++ b/internal/gatewayd/beliefs_test.go
@@ -69,18 +69,17 @@
 // Guards against an outage that counts as over while one table is still not heard of.
 func TestStoreIsUpOnlyWithAllTables(t *testing.T) {
 	b := newTestBeliefs()
-	now := time.Now()
 	require.False(t, b.storeUp())
-	b.storeHeard("one", now)
+	b.storeHeard("one")
 	require.False(t, b.storeUp())
-	b.storeHeard("two", now)
+	b.storeHeard("two")
 	require.True(t, b.storeUp())
 	b.storeLost("one", errors.New("down"))
-	b.storeHeard("two", now)
+	b.storeHeard("two")
 	require.False(t, b.storeUp())
 	b.endpointsFull([]platform.Row{endpointRow("a", "ready")})
 	b.endpointsChange([]platform.Row{{Key: "a", Removed: true}})
 	require.Equal(t, []string{"a"}, usable(b), "may have lapsed")
-	b.storeHeard("one", now)
+	b.storeHeard("one")
 	require.True(t, b.storeUp())
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -26,6 +26,7 @@
 
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/gateway"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
@@ -157,11 +158,11 @@
 	endpoints.Full, endpoints.Change = b.endpointsFull, b.endpointsChange
 	for _, w := range []*platform.Watch{config, endpoints} {
 		w.Lost = func(err error) { b.storeLost(w.Table, err) }
-		w.Fresh = func(now time.Time) { b.storeHeard(w.Table, now) }
+		w.Fresh = func(time.Time) { b.storeHeard(w.Table) }
 	}
 	config.Fresh = func(now time.Time) {
 		b.current.Confirm(now)
-		b.storeHeard(config.Table, now)
+		b.storeHeard(config.Table)
 	}
 	return []*platform.Watch{config, endpoints}
 }
@@ -229,9 +230,8 @@
 		if !listed {
 			pause = time.Second
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if timing.Sleep(ctx, pause) != nil {
+			return
 		}
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,7 +58,6 @@
 	avoid       time.Time // no new requests before it
 	failureRate float64   // 0 to 1, over recent outcomes
 	pace        float64   // observed time over predicted time; 0: unknown
-	lastGood    time.Time
 }
 
 // Outcome is how a request fared at an endpoint.
@@ -252,7 +251,7 @@
 	bad := 1.0
 	switch o {
 	case Good:
-		h.failures, h.avoid, h.lastGood, bad = 0, time.Time{}, now, 0
+		h.failures, h.avoid, bad = 0, time.Time{}, 0
 	case Leaving:
 		if rec := r.records[e.ID]; rec != nil && rec.endpoint == e {
 			rec.draining = true
