--- a/placement/choose.go
+++ b/placement/choose.go
@@ -161,7 +161,7 @@
 
 // roomLater tells a prompt that fits once others have ended from one that never does.
 func roomLater(m *engine.Model, cands []Candidate, r Request) Verdict {
-	most := int(float64(m.MemoryTokens)*memoryMargin) * min(len(cands), maxReservations)
+	most := memoryOf(m) * min(len(cands), maxReservations)
 	if r.Tokens+r.Output > most || r.Goal > 0 && level(r, r.Waited) > 0 {
 		return Full
 	}
@@ -298,7 +298,7 @@
 	}
 	slices.SortFunc(seats, func(a, b seat) int { return cmp.Compare(a.cost, b.cost) })
 	chosen := slices.Clone(seats[:parts])
-	lead := leadIndex(chosen, r)
+	lead := leadIndex(chosen)
 	chosen[0], chosen[lead] = chosen[lead], chosen[0]
 
 	plan := Plan{Cost: float64(parts-1) * partWeight}
@@ -450,24 +450,27 @@
 }
 
 // leadIndex returns the chosen endpoint with the most free memory: it holds the context while the answer is written.
-func leadIndex(chosen []seat, r Request) int {
+func leadIndex(chosen []seat) int {
 	best := 0
 	for i := range chosen {
-		if r.Tokens >= splitFrom && chosen[i].load.memory < chosen[best].load.memory {
+		if chosen[i].load.memory < chosen[best].load.memory {
 			best = i
 		}
 	}
 	return best
 }
 
+// memoryOf returns the tokens of context that an endpoint is given.
+func memoryOf(m *engine.Model) int { return int(float64(m.MemoryTokens) * memoryMargin) }
+
 // reserve decides where the context of the prompt is kept. It returns false if there is no room.
 func (p *Plan) reserve(m *engine.Model, chosen []seat, r Request) bool {
 	need := r.Tokens + r.Output
-	room := func(s seat) int { return int(float64(m.MemoryTokens)*memoryMargin) - s.load.memory }
+	room := func(s seat) int { return memoryOf(m) - s.load.memory }
 	if m.MemoryTokens <= 0 || need <= room(chosen[0]) {
 		return true
 	}
-	if need <= int(float64(m.MemoryTokens)*memoryMargin) && len(chosen) == 1 {
+	if need <= memoryOf(m) && len(chosen) == 1 {
 		p.Cost += value(r.Tokens) // waits for memory, or preempts others
 		return true
 	}
