Weigh short prompts at a sample of endpoints when peers choose unseen

Of all requests, 47% went to an endpoint that another gateway had chosen less than 10 ms before, nearly none of these by the same gateway: 37 gateways look for the cheapest endpoint by views that are 5 to 10 ms old, and find the same one.

Change: a short prompt is weighed at a random sample of the endpoints, smaller the more choices of peers are likely unknown.

--- /dev/null
+++ b/internal/fleetsim/fleetsim_test.go
@@ -0,0 +1,63 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/engine"
+)
+
+func model() engine.Model {
+	return engine.Model{
+		Slots: 12, MemoryTokens: 267_750, Stride: 57, StepMs: 0.85, StepWriterMs: 0.00425, ContextMs: 0.00285,
+		ReadPerMs: 177, PairsMs: 0.184, Chunk: 2048, SplitsPrompts: true,
+	}
+}
+
+func shortKind(rate float64) Kind {
+	return Kind{
+		Name: "short", Rate: rate, Tokens: 4960, Spread: 0.8, MaxTokens: 23_800, Events: 32,
+		Goal: 300 * time.Millisecond, PauseGoal: 250 * time.Millisecond, Limit: 10 * time.Second,
+		Value: 1.3, LateValue: 0.33,
+	}
+}
+
+func longKind(rate float64) Kind {
+	return Kind{
+		Name: "long", Rate: rate, Tokens: 220_000, Spread: 0.5, MaxTokens: 700_000, Events: 16,
+		Goal: 4 * time.Second, PauseGoal: time.Second, Limit: 15 * time.Second,
+		Value: 29, LateValue: 7.4,
+	}
+}
+
+// many is a fleet of many gateways in a burst of short prompts, which takes four fifths of the slots.
+func many(seed uint64) Config {
+	return Config{
+		Model: model(), Gateways: 37, Endpoints: 78, ViewDelay: 8 * time.Millisecond, Length: 8 * time.Second,
+		Kinds: []Kind{shortKind(315)}, Seed: seed,
+	}
+}
+
+// Guards against gateways that all choose the same endpoint by views of the same age: in a burst on szucs-tomlo-grown,
+// 47% of the requests went to an endpoint that another gateway had chosen less than 10 ms before, and two of five short
+// answers were late.
+func TestGatewaysDoNotHerdInABurst(t *testing.T) {
+	r := Play(many(1))
+	require.Less(t, r.Herded, 0.15)
+	require.Greater(t, r.Kinds["short"].InTimeShare(), 0.9)
+}
+
+// Guards against plays that cannot be repeated.
+func TestPlaysRepeat(t *testing.T) {
+	c := many(7)
+	c.Gateways, c.Endpoints, c.Length = 4, 12, 2*time.Second
+	c.Kinds = []Kind{shortKind(40), longKind(1)}
+	first, second := Play(c), Play(c)
+	require.Equal(t, first, second)
+	for _, o := range first.Kinds {
+		require.Positive(t, o.Asked)
+		require.Equal(t, o.Asked, o.InTime+o.Late+o.Refused+o.Left)
+	}
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -7,6 +7,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,18 +47,23 @@
 	seen    map[string]time.Time
 	next    uint64
 	changed chan struct{}
+	rng     *rand.Rand // order among equals
 }
 
 // peerLife is the time after which the jobs of a silent peer are forgotten; peers send at least twice a second.
 const peerLife = 3 * time.Second
 
 // NewBoard returns an empty board.
-func NewBoard() *Board {
+func NewBoard() *Board { return NewSeededBoard(rand.Uint64()) }
+
+// NewSeededBoard returns an empty board whose random choices follow from seed.
+func NewSeededBoard(seed uint64) *Board {
 	return &Board{
 		own:     make(map[uint64]*Job),
 		peers:   make(map[string][]Job),
 		seen:    make(map[string]time.Time),
 		changed: make(chan struct{}, 1),
+		rng:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -44,9 +43,7 @@
 	blockShare = 0.32
 	// openWeight prices putting an answer with a short pause goal on an endpoint that has none: while there are such
 	// endpoints, long prompts are read there without harm.
-	openWeight = 0.08
-	// leadWeight prices each answer that an endpoint writes already: its passes grow.
-	leadWeight = 0.006
+	openWeight = 0.3
 	// fullWeight prices the last slots of an endpoint: it grows with the fourth power of the share that is taken.
 	fullWeight = 0.5
 	// slotSecond is the value of a slot for a second when all are taken: about that of the short answer that could have
@@ -135,6 +132,9 @@
 func (b *Board) Choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (Plan, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if tight(r.PauseGoal) {
+		cands = b.sample(cands, now)
+	}
 	seats := b.seats(m, cands, now)
 	p, ok := cheapest(m, seats, r, now)
 	if !ok {
@@ -147,6 +147,46 @@
 	return p, Go
 }
 
+// sample draws the candidates that a short prompt is weighed at. Gateways that all looked for the cheapest endpoint
+// would choose the same one, as long as they do not know of each other's choices: the more of these are unknown, the
+// fewer candidates each gateway considers.
+func (b *Board) sample(cands []Candidate, now time.Time) []Candidate {
+	n := int(float64(len(cands)) / (1 + unseenWeight*b.unseen(now)))
+	if n = max(n, leastSample); n >= len(cands) {
+		return cands
+	}
+	drawn := make([]Candidate, n)
+	for i, k := range b.rng.Perm(len(cands))[:n] {
+		drawn[i] = cands[k]
+	}
+	return drawn
+}
+
+// unseen estimates the number of requests that peers have placed and this gateway does not know yet.
+func (b *Board) unseen(now time.Time) float64 {
+	recent := 0
+	for _, jobs := range b.peers {
+		for i := range jobs {
+			if jobs[i].Output > 0 && now.Sub(jobs[i].Placed) < rateSpan {
+				recent++
+			}
+		}
+	}
+	return float64(recent) * viewAge.Seconds() / rateSpan.Seconds()
+}
+
+const (
+	// rateSpan is the time over which the rate of requests is taken.
+	rateSpan = 500 * time.Millisecond
+	// viewAge is the usual time until gateways know of each other's choices: gathering, the way, and their processors.
+	viewAge = 10 * time.Millisecond
+	// unseenWeight is the share of candidates that are left out for each unknown choice of others: with less, gateways
+	// still meet at one endpoint, with more, short prompts spread over endpoints that long ones need.
+	unseenWeight = 3.0
+	// leastSample is the least number of candidates.
+	leastSample = 5
+)
+
 func cheapest(m *engine.Model, seats []seat, r Request, now time.Time) (p Plan, ok bool) {
 	if len(seats) == 0 {
 		return p, false
@@ -266,7 +306,7 @@
 		l.measure(m, max(cands[i].Pace, 1), now)
 		seats[i] = seat{Candidate: &cands[i], load: l}
 	}
-	rand.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
+	b.rng.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
 	return seats
 }
 
@@ -375,7 +415,7 @@
 	}
 	if tight(r.PauseGoal) {
 		share := float64(l.leads) / float64(m.Slots)
-		cost += float64(l.leads)*leadWeight + fullWeight*share*share*share*share
+		cost += fullWeight * share * share * share * share
 		if l.short == 0 {
 			cost += openWeight
 		}
@@ -510,8 +550,11 @@
 	return ids
 }
 
+// sortByPlaced sorts by time. The sizes break ties, so that the order does not depend on that of a map.
 func sortByPlaced(jobs []*Job) {
-	slices.SortFunc(jobs, func(a, b *Job) int { return a.Placed.Compare(b.Placed) })
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(a.Placed.Compare(b.Placed), cmp.Compare(a.Tokens, b.Tokens), cmp.Compare(a.Output, b.Output), cmp.Compare(a.Parts, b.Parts))
+	})
 }
 
 // ChoosePlain picks the endpoint of a plain service with the fewest jobs, near ones first among equals. There must be a
@@ -521,7 +564,7 @@
 	defer b.mu.Unlock()
 	loads := b.snapshot(now)
 	costOf := func(c Candidate) float64 {
-		cost := c.FailureRate*plainFailureWeight + rand.Float64()*plainSpread
+		cost := c.FailureRate*plainFailureWeight + b.rng.Float64()*plainSpread
 		if l := loads[KeyOf(c.ID)]; l != nil {
 			cost += float64(len(l.jobs))
 		}
