Ignore a peer's list of endpoints from before the own knowledge

The store had turned one gateway away, which took the list of endpoints from peers meanwhile. At 24.989 s its own feed told it of the removal; a transfer from a peer was still under way, and that peer took the removal at 25.02 s. The older list brought the endpoint back, and no later change removed it again.

Ruled out: the grace of lapsed entries (it ended at 27.2 s, the first request came at 27.8 s), requests that were prepared before the removal (each asks the roster before it is sent), the queue of long prompts (short ones went there too).

Change: lists carry the version of the store up to which they are complete; a list from before the own version is ignored, also while changes are being made.

--- a/exchange/state.go
+++ b/exchange/state.go
@@ -25,6 +25,7 @@
 	Config    []byte         `json:"config"`  // as the store holds it
 	Settled   bool           `json:"settled"` // the store is up and lists all live endpoints
 	Endpoints []roster.Entry `json:"endpoints"`
+	Version   int64          `json:"version"` // of the store, up to which the endpoints are known
 }
 
 // Handler serves the own state to peers.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -154,8 +154,10 @@
 func (d *daemon) watches() []*platform.Watch {
 	b := d.beliefs
 	config, endpoints := platform.WatchConfig(d.store, feedWait), platform.WatchEndpoints(d.store, feedWait)
-	config.Full, config.Change = b.configRows, b.configRows
-	endpoints.Full, endpoints.Change = b.endpointsFull, b.endpointsChange
+	config.Full = func(rows []platform.Row, _ int64) { b.configRows(rows) }
+	config.Change = config.Full
+	endpoints.Full = func(rows []platform.Row, version int64) { b.roster.Apply(version, func() { b.endpointsFull(rows) }) }
+	endpoints.Change = func(rows []platform.Row, version int64) { b.roster.Apply(version, func() { b.endpointsChange(rows) }) }
 	for _, w := range []*platform.Watch{config, endpoints} {
 		w.Lost = func(err error) { b.storeLost(w.Table, err) }
 		w.Fresh = func(time.Time) { b.storeHeard(w.Table) }
@@ -207,7 +209,10 @@
 
 func (d *daemon) state() exchange.State {
 	source, epoch := d.beliefs.current.Source()
-	return exchange.State{Epoch: epoch, Config: source, Settled: d.beliefs.roster.Settled(), Endpoints: d.beliefs.roster.Entries()}
+	version := d.beliefs.roster.Version() // read before the entries, which may be newer but not older
+	return exchange.State{
+		Epoch: epoch, Config: source, Settled: d.beliefs.roster.Settled(), Endpoints: d.beliefs.roster.Entries(), Version: version,
+	}
 }
 
 // announce puts the own address into the list of gateways and reads the others' from it.
@@ -293,7 +298,7 @@
 			d.beliefs.current.Confirm(time.Now())
 		}
 		if p.StoreUp && s.Settled {
-			d.beliefs.roster.ReplaceFromPeer(s.Endpoints)
+			d.beliefs.roster.ReplaceFromPeer(s.Endpoints, s.Version)
 			return
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -84,6 +84,8 @@
 	records   map[string]*record
 	storeDown bool
 	storeBack time.Time // end of the latest outage
+	seen      int64     // version of the store whose changes are taken or about to be
+	version   int64     // version of the store whose changes are all taken
 	now       func() time.Time
 }
 
@@ -99,6 +101,10 @@
 func (r *Roster) Observe(e Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.observe(e)
+}
+
+func (r *Roster) observe(e Entry) bool {
 	old := r.records[e.ID]
 	if old != nil && old.endpoint.Born > e.Born {
 		return false // written before the restart
@@ -117,9 +123,12 @@
 func (r *Roster) Remove(ids ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(ids, r.storeDown || r.now().Sub(r.storeBack) < lapseWindow)
+	r.remove(ids, r.aroundOutage())
 }
 
+// aroundOutage reports whether entries that vanish now may have lapsed in an outage of the store.
+func (r *Roster) aroundOutage() bool { return r.storeDown || r.now().Sub(r.storeBack) < lapseWindow }
+
 // remove marks entries as gone; around says that they may have lapsed in an outage.
 func (r *Roster) remove(ids []string, around bool) {
 	now := r.now()
@@ -135,39 +144,61 @@
 	}
 }
 
+// Apply makes the changes that lead to a version of the store. Lists of peers from before that version are ignored as soon
+// as the changes begin; Version rises when they are complete.
+func (r *Roster) Apply(version int64, changes func()) {
+	r.mu.Lock()
+	r.seen = max(r.seen, version)
+	r.mu.Unlock()
+	changes()
+	r.mu.Lock()
+	r.version = max(r.version, version)
+	r.mu.Unlock()
+}
+
+// Version returns the version of the store whose changes are all taken.
+func (r *Roster) Version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // Replace takes a full list of the store: what it lacks is removed. It returns the number of changed beliefs.
 func (r *Roster) Replace(entries []Entry) int {
-	changed, missing := r.observeAll(entries)
-	r.Remove(missing...)
-	return changed + len(missing)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replace(entries, r.aroundOutage())
 }
 
-// ReplaceFromPeer takes the list of a gateway whose store has been up for long enough that no entry is lapsed.
-func (r *Roster) ReplaceFromPeer(entries []Entry) int {
-	changed, missing := r.observeAll(entries)
+// ReplaceFromPeer takes the list of a gateway whose store has been up for long enough that no entry is lapsed, with the
+// version of the store that it shows. A list from before the own knowledge is ignored: it would bring endpoints back whose
+// removal the store has told already.
+func (r *Roster) ReplaceFromPeer(entries []Entry, version int64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(missing, false)
-	return changed + len(missing)
+	if version < r.seen {
+		return 0
+	}
+	r.seen, r.version = version, version
+	return r.replace(entries, false)
 }
 
-// observeAll takes all entries and returns the endpoints that they lack.
-func (r *Roster) observeAll(entries []Entry) (changed int, missing []string) {
+func (r *Roster) replace(entries []Entry, around bool) (changed int) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		if r.Observe(e) {
+		if r.observe(e) {
 			changed++
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	var missing []string
 	for id, rec := range r.records {
 		if !listed[id] && (rec.gone.IsZero() || rec.lapsed) {
 			missing = append(missing, id)
 		}
 	}
-	return changed, missing
+	r.remove(missing, around)
+	return changed + len(missing)
 }
 
 // Settled reports whether the store has been up for so long that entries which lapsed in an outage are back.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -80,7 +80,7 @@
 func TestPeerListRemovesEndpointsDuringAnOutage(t *testing.T) {
 	r, _ := newTest("a", "b")
 	r.StoreLost()
-	r.ReplaceFromPeer([]Entry{{ID: "b", Service: "s", Addr: "10.0.0.1:1"}})
+	r.ReplaceFromPeer([]Entry{{ID: "b", Service: "s", Addr: "10.0.0.1:1"}}, 0)
 	require.Equal(t, []string{"b"}, usable(r))
 }
 
@@ -150,3 +150,26 @@
 	rate, _ = r.Health(e)
 	require.Less(t, rate, 0.1)
 }
+
+// Guards against an older list that undoes a removal: on szucs-tomlo-grown, trouble-1, a gateway took the removal of an
+// endpoint from the store and then the list of a peer that had not seen it yet, and sent requests there 3.7 s later.
+func TestListOfAPeerThatIsBehindIsIgnored(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := New(func() time.Time { return now })
+	entries := []Entry{{ID: "a", Service: "s", Addr: "10.0.0.1:1"}, {ID: "b", Service: "s", Addr: "10.0.0.2:1"}}
+	r.Apply(7, func() { r.Replace(entries) })
+	r.StoreLost()
+	require.Zero(t, r.ReplaceFromPeer(entries, 8), "nothing new")
+	r.Apply(9, func() {
+		r.Remove("b")
+		require.Zero(t, r.ReplaceFromPeer(entries, 8), "while the changes are made")
+		require.EqualValues(t, 8, r.Version(), "not told to peers before the changes are complete")
+	})
+	r.StoreRegained()
+	require.Zero(t, r.ReplaceFromPeer(entries, 8))
+	now = now.Add(lapseWindow)
+	require.Len(t, r.Usable("s"), 1)
+	require.EqualValues(t, 9, r.Version())
+	require.Equal(t, 1, r.ReplaceFromPeer(entries, 10), "listed again since")
+	require.Len(t, r.Usable("s"), 2)
+}
