Gather changes of the endpoints' table before asking again

While endpoints are drained, released or restarted one after the other, each change ends the open call of each of 37 gateways.

Ruled out: the wait of open calls (2.5 s for two tables make 0.8 of the 3.1 calls a second and gateway).

Change: after a change, the next call for endpoints waits 400 ms. The first change after a calm time arrives as fast as before.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -36,6 +36,9 @@
 	watchedTables = 2
 	// feedWait bounds how late a silent outage of the store shows. Calls are billed, so it is not shorter.
 	feedWait = 2500 * time.Millisecond
+	// endpointGather is the pause after a change of the endpoints' table. Calls are billed, and many changes come one
+	// after the other: each would end the open call of every gateway. It is short against the bounds for draining.
+	endpointGather = 400 * time.Millisecond
 	// peerRefresh is the pause between two reads of the list of gateways.
 	peerRefresh = 10 * time.Second
 	// fetchEvery is the pause between two transfers of state from a peer while the store is away.
@@ -154,6 +157,7 @@
 func (d *daemon) watches() []*platform.Watch {
 	b := d.beliefs
 	config, endpoints := platform.WatchConfig(d.store, feedWait), platform.WatchEndpoints(d.store, feedWait)
+	endpoints.Gather = endpointGather
 	config.Full = func(rows []platform.Row, _ int64) { b.configRows(rows) }
 	config.Change = config.Full
 	endpoints.Full = func(rows []platform.Row, version int64) { b.roster.Apply(version, func() { b.endpointsFull(rows) }) }
