Pack short answers so that endpoints get free after a burst

Change: among open endpoints, those with 0.65 of their slots taken are the cheapest, so that the ones with few answers run empty. Samples get a quarter smaller, since fewer endpoints are attractive.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -44,6 +44,10 @@
 	// openWeight prices putting an answer with a short pause goal on an endpoint that has none: while there are such
 	// endpoints, long prompts are read there without harm.
 	openWeight = 0.3
+	// packWeight and packShare make answers with a short pause goal prefer endpoints on which this share of the slots is
+	// taken: after a burst, the endpoints with the fewest answers get empty again instead of all keeping some.
+	packWeight = 0.6
+	packShare  = 0.65
 	// fullWeight prices the last slots of an endpoint: it grows with the fourth power of the share that is taken.
 	fullWeight = 0.5
 	// slotSecond is the value of a slot for a second when all are taken: about that of the short answer that could have
@@ -199,7 +203,7 @@
 	viewAge = 10 * time.Millisecond
 	// unseenWeight is the share of candidates that are left out for each unknown choice of others: with less, gateways
 	// still meet at one endpoint, with more, short prompts spread over endpoints that long ones need.
-	unseenWeight = 3.0
+	unseenWeight = 4.0
 	// leastSample is the least number of candidates.
 	leastSample = 5
 )
@@ -432,7 +436,7 @@
 	}
 	if tight(r.PauseGoal) {
 		share := float64(l.leads) / float64(m.Slots)
-		cost += fullWeight * share * share * share * share
+		cost += fullWeight*share*share*share*share + packWeight*(share-packShare)*(share-packShare)
 		if l.short == 0 {
 			cost += openWeight
 		}
