Log lists taken from peers and refusals behind a long queue

An old list left no line, and a refusal behind the queue had the same reason as one for its cost to others. Both have their own now, with the versions and the predicted time that decided.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -277,9 +277,10 @@
 
 // refusals are the failures of choices that place nothing. None of them is repeated at once.
 var refusals = map[placement.Verdict]failure{
-	placement.Full:      {kind: errkind.Overloaded, notRun: true, final: true, reason: "no room for the prompt"},
-	placement.TooLate:   {kind: errkind.DeadlineUnmeetable, notRun: true, final: true, reason: "too late for the caller"},
-	placement.TooCostly: {kind: errkind.Overloaded, notRun: true, final: true, reason: "endpoints are busy"},
+	placement.Full:         {kind: errkind.Overloaded, notRun: true, final: true, reason: "no room for the prompt"},
+	placement.TooLate:      {kind: errkind.DeadlineUnmeetable, notRun: true, final: true, reason: "too late for the caller"},
+	placement.TooCostly:    {kind: errkind.Overloaded, notRun: true, final: true, reason: "endpoints are busy"},
+	placement.QueueTooLong: {kind: errkind.Overloaded, notRun: true, final: true, reason: "queue is too long"},
 }
 
 // choose makes one choice among the endpoints of the service.
--- a/internal/gatewayd/beliefs.go
+++ b/internal/gatewayd/beliefs.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/roster"
 )
@@ -141,3 +142,13 @@
 		b.log.WithFields(logrus.Fields{"event": "endpoints_removed", "endpoints": removed}).Info("endpoints removed from the store")
 	}
 }
+
+// endpointsFromPeer takes the list of a peer that reaches the store.
+func (b *beliefs) endpointsFromPeer(s exchange.State, peer string) {
+	own := b.roster.Version()
+	changed, taken := b.roster.ReplaceFromPeer(s.Endpoints, s.Version)
+	if changed > 0 || !taken {
+		b.log.WithFields(logrus.Fields{"event": "endpoints_from_peer", "peer": peer, "version": s.Version, "own_version": own,
+			"changed": changed, "taken": taken}).Info("list of endpoints of a peer")
+	}
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -302,7 +302,7 @@
 			d.beliefs.current.Confirm(time.Now())
 		}
 		if p.StoreUp && s.Settled {
-			d.beliefs.roster.ReplaceFromPeer(s.Endpoints, s.Version)
+			d.beliefs.endpointsFromPeer(s, p.Name)
 			return
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -125,11 +125,12 @@
 
 // Verdicts.
 const (
-	Go        Verdict = iota // the plan is placed
-	Wait                     // a better plan is likely soon, and there is time
-	Full                     // the prompt does not fit into the memory of the candidates together
-	TooLate                  // the first event would come after the caller has left
-	TooCostly                // serving it would cost other callers more than it is worth
+	Go           Verdict = iota // the plan is placed
+	Wait                        // a better plan is likely soon, and there is time
+	Full                        // the prompt does not fit into the memory of the candidates together
+	TooLate                     // the first event would come after the caller has left
+	TooCostly                   // serving it would cost other callers more than it is worth
+	QueueTooLong                // the first event would miss its goal because of requests that go first
 )
 
 // WaitStep is the pause until a waiting request chooses again: about half a pass.
@@ -151,7 +152,7 @@
 
 func (b *Board) choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (Plan, Verdict) {
 	if work, first := b.ahead(m, r, now); first {
-		return Plan{}, turn(m, r, work, len(cands))
+		return turn(m, r, work, len(cands))
 	}
 	if tight(r.PauseGoal) {
 		cands = b.sample(cands, now)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -35,7 +35,7 @@
 
 // ahead returns the reading of the waiting requests that go before this one, and whether there are any. After the time for
 // which requests may wait, none goes first any more.
-func (b *Board) ahead(m *engine.Model, r Request, now time.Time) (work time.Duration, any bool) {
+func (b *Board) ahead(m *engine.Model, r Request, now time.Time) (work time.Duration, others bool) {
 	if !mayWait(r) || r.Waited > scale(patienceOf(r), patienceShare) {
 		return 0, false
 	}
@@ -44,7 +44,7 @@
 	}
 	see := func(j *Job) {
 		if goesFirst(m, j, &mine, now) {
-			any = true
+			others = true
 			work += m.Read(j.Tokens, 1)
 		}
 	}
@@ -61,7 +61,7 @@
 			see(&jobs[i])
 		}
 	}
-	return work, any
+	return work, others
 }
 
 // queueShare is the part of the engines' time that is left for the long prompts of a queue, beside answers and other kinds.
@@ -70,12 +70,12 @@
 // turn decides on a request that others go before, whose reading takes work on one of the endpoints. It is refused when it
 // arrives if it would miss its goal: in a lasting burst, a queue that takes everybody in serves everybody late. One that
 // has a place keeps it, since mostly the largest prompts find no room in time.
-func turn(m *engine.Model, r Request, work time.Duration, endpoints int) Verdict {
-	wait := scale(work, 1/queueShare/float64(endpoints))
-	if r.Queued == 0 && r.Waited+wait+m.Read(r.Tokens, maxParts) > scale(r.Goal, goalMargin) {
-		return TooCostly
+func turn(m *engine.Model, r Request, work time.Duration, endpoints int) (Plan, Verdict) {
+	p := Plan{Predicted: scale(work, 1/queueShare/float64(endpoints)) + m.Read(r.Tokens, maxParts)}
+	if r.Queued == 0 && r.Waited+p.Predicted > scale(r.Goal, goalMargin) {
+		return p, QueueTooLong
 	}
-	return Wait
+	return p, Wait
 }
 
 // goesFirst reports whether a waiting request comes before another one of its kind: those that can still come in time
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -92,6 +92,7 @@
 	_, v := b.Choose(m, candidates(23), longFor("s", 100_000, 0), now)
 	require.Equal(t, Wait, v)
 	b.SetPeer("p", append(queue, slices.Repeat(queue, 4)...), now)
-	_, v = b.Choose(m, candidates(23), longFor("s", 100_000, 0), now)
-	require.Equal(t, TooCostly, v)
+	p, v := b.Choose(m, candidates(23), longFor("s", 100_000, 0), now)
+	require.Equal(t, QueueTooLong, v)
+	require.Greater(t, p.Predicted, 3*time.Second, "for the log of the refusal")
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -171,16 +171,16 @@
 }
 
 // ReplaceFromPeer takes the list of a gateway whose store has been up for long enough that no entry is lapsed, with the
-// version of the store that it shows. A list from before the own knowledge is ignored: it would bring endpoints back whose
-// removal the store has told already.
-func (r *Roster) ReplaceFromPeer(entries []Entry, version int64) int {
+// version of the store that it shows. A list from before the own knowledge is not taken: it would bring endpoints back
+// whose removal the store has told already.
+func (r *Roster) ReplaceFromPeer(entries []Entry, version int64) (changed int, taken bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if version < r.seen {
-		return 0
+		return 0, false
 	}
 	r.seen, r.version = version, version
-	return r.replace(entries, false)
+	return r.replace(entries, false), true
 }
 
 func (r *Roster) replace(entries []Entry, around bool) (changed int) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -157,19 +157,25 @@
 	now := time.Unix(1_700_000_000, 0)
 	r := New(func() time.Time { return now })
 	entries := []Entry{{ID: "a", Service: "s", Addr: "10.0.0.1:1"}, {ID: "b", Service: "s", Addr: "10.0.0.2:1"}}
+	fromPeer := func(version int64, wantChanged int, wantTaken bool) {
+		t.Helper()
+		changed, taken := r.ReplaceFromPeer(entries, version)
+		require.Equal(t, wantChanged, changed)
+		require.Equal(t, wantTaken, taken)
+	}
 	r.Apply(7, func() { r.Replace(entries) })
 	r.StoreLost()
-	require.Zero(t, r.ReplaceFromPeer(entries, 8), "nothing new")
+	fromPeer(8, 0, true)
 	r.Apply(9, func() {
 		r.Remove("b")
-		require.Zero(t, r.ReplaceFromPeer(entries, 8), "while the changes are made")
+		fromPeer(8, 0, false)
 		require.EqualValues(t, 8, r.Version(), "not told to peers before the changes are complete")
 	})
 	r.StoreRegained()
-	require.Zero(t, r.ReplaceFromPeer(entries, 8))
+	fromPeer(8, 0, false)
 	now = now.Add(lapseWindow)
 	require.Len(t, r.Usable("s"), 1)
 	require.EqualValues(t, 9, r.Version())
-	require.Equal(t, 1, r.ReplaceFromPeer(entries, 10), "listed again since")
+	fromPeer(10, 1, true) // listed again since
 	require.Len(t, r.Usable("s"), 2)
 }
