--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -225,7 +225,7 @@
 		s.herded++
 	}
 	for i, id := range p.Endpoints {
-		s.engines[id].add(&part{request: r, lead: i == 0, split: len(p.Endpoints) > 1, engine: s.engines[id]})
+		s.engines[id].add(&part{request: r, lead: i == 0})
 	}
 	r.watch()
 }
@@ -296,9 +296,7 @@
 // part is a prompt, or a part of one, at an engine.
 type part struct {
 	request *request
-	engine  *simEngine
 	lead    bool
-	split   bool
 	read    bool
 	begun   bool // the first event has been written
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -94,8 +94,8 @@
 	Waited    time.Duration // since the caller's request arrived
 	Left      time.Duration // until the caller leaves
 	Whole     bool          // do not split, for instance after a part failed
-	Service   string
-	Queued    uint64 // place in the queue from an earlier choice; 0: none
+	Service   string        // whose requests wait for each other
+	Queued    uint64        // place in the queue from an earlier choice; 0: none
 }
 
 // patience is the wait for a first event after which callers have mostly left, in multiples of the goal.
@@ -136,13 +136,13 @@
 // WaitStep is the pause until a waiting request chooses again: about half a pass.
 const WaitStep = 25 * time.Millisecond
 
-// Choose picks endpoints for a request to a model service. With Go, it places the plan's jobs on the board. With Wait, the
-// request gets a place in the queue, which any other verdict of a later choice ends.
+// Choose picks endpoints for a request to a model service. With Go, it places the plan's jobs on the board. With Wait, a
+// long prompt gets a place in the queue, which any other verdict of a later choice ends.
 func (b *Board) Choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (Plan, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, v := b.choose(m, cands, r, now)
-	if v == Wait {
+	if v == Wait && mayWait(r) {
 		p.Queued = b.queue(r, now)
 	} else {
 		b.leaveQueue(r.Queued)
@@ -151,7 +151,7 @@
 }
 
 func (b *Board) choose(m *engine.Model, cands []Candidate, r Request, now time.Time) (Plan, Verdict) {
-	if work, first := b.ahead(m, r, now); first {
+	if work, others := b.ahead(m, r, now); others {
 		return turn(m, r, work, len(cands))
 	}
 	if tight(r.PauseGoal) {
