Send callers refused behind a long queue back later

Ruled out: coming back in time (the goal is 4 s from the first try, and the queue is as long as the goal).

Change: these refusals name a third of the time that is left. Others stay at a tenth.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 			return
 		}
 		if f.kind == errkind.Canceled || !n.again(f, now) {
-			n.refuse(f, n.retryAfter())
+			n.refuse(f, retryAfter(f, end(n.r).Sub(now)))
 			return
 		}
 		n.log("retried").WithFields(logrus.Fields{"reason": f.reason, "resume_after": n.last}).Info("request goes to another endpoint")
@@ -132,13 +132,6 @@
 	return f.paid || n.sends == 0 || n.g.opts.Budget.Spend(n.service.Name)
 }
 
-// retryAfter tells a refused caller when to come back: after a third of the time left at most, since callers who have
-// to wait longer come back at that time anyway.
-func (n *run) retryAfter() time.Duration {
-	left := end(n.r).Sub(n.g.opts.Now())
-	return min(max(left/10, retryPause), max(left/3, 0))
-}
-
 // refuse ends a request without an answer of an endpoint.
 func (n *run) refuse(f failure, retryAfter time.Duration) {
 	kind := finalKind(f, n.notRun)
@@ -280,7 +273,7 @@
 	placement.Full:         {kind: errkind.Overloaded, notRun: true, final: true, reason: "no room for the prompt"},
 	placement.TooLate:      {kind: errkind.DeadlineUnmeetable, notRun: true, final: true, reason: "too late for the caller"},
 	placement.TooCostly:    {kind: errkind.Overloaded, notRun: true, final: true, reason: "endpoints are busy"},
-	placement.QueueTooLong: {kind: errkind.Overloaded, notRun: true, final: true, reason: "queue is too long"},
+	placement.QueueTooLong: {kind: errkind.Overloaded, notRun: true, final: true, lasting: true, reason: "queue is too long"},
 }
 
 // choose makes one choice among the endpoints of the service.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -372,3 +372,13 @@
 	require.Equal(t, errkind.NoEndpoint, c.refused)
 	require.Positive(t, c.after)
 }
+
+// Guards against callers that are sent back into the queue that they were refused for: on szucs-tomlo-grown, scale-1, long
+// prompts came back after 1.5 s into a burst of 9.5 s and were refused again, which ended their last try.
+func TestRetryAfterSpreadsCallersOfALongQueue(t *testing.T) {
+	require.Equal(t, 1500*time.Millisecond, retryAfter(failure{}, 15*time.Second))
+	require.Equal(t, 5*time.Second, retryAfter(refusals[placement.QueueTooLong], 15*time.Second))
+	require.Equal(t, 300*time.Millisecond, retryAfter(failure{}, 1200*time.Millisecond))
+	require.Equal(t, 100*time.Millisecond, retryAfter(failure{}, 300*time.Millisecond))
+	require.Zero(t, retryAfter(refusals[placement.QueueTooLong], -time.Second))
+}
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -53,7 +53,19 @@
 	notRun bool // certain not to have run at the endpoint
 	final  bool // another attempt does not help
 	paid   bool // the repeat is already taken from the budget
-	reason string
+	// lasting means that the reason stays for seconds: who comes back soon is refused again.
+	lasting bool
+	reason  string
+}
+
+// retryAfter tells a refused caller with so much time left when to come back: after a third of it at most, since callers
+// who have to wait longer come back at that time anyway.
+func retryAfter(f failure, left time.Duration) time.Duration {
+	latest := max(left/3, 0)
+	if f.lasting {
+		return latest
+	}
+	return min(max(left/10, retryPause), latest)
 }
 
 // mayRepeat reports whether another attempt is safe and has time after so many sends.
