Share repeated pieces of the gateway; build log fields only for lines that are written

- placement: one map of peers instead of two that were kept in step, one walk over the jobs of peers heard lately, one entry for a request that waits; the share of taken slots is computed once for all numbers of parts.
- Names for the weights and bounds of the pace and for the times in fleetsim; comments say what they hold.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,13 @@
 func (n *run) finish(outcome, reason string) {
 	took := n.g.opts.Now().Sub(n.r.Arrived)
 	n.g.opts.Metrics.observe(n.r, outcome, took, n.first)
+	level := logrus.InfoLevel
+	if outcome == "answered" && !n.late() && n.g.answered.Add(1)%answerSample != 0 {
+		level = logrus.DebugLevel
+	}
+	if !n.g.opts.Log.IsLevelEnabled(level) {
+		return // most answers: their fields would be put together for nothing
+	}
 	entry := n.log(outcome).WithFields(logrus.Fields{
 		"route": n.r.Route.Name, "kind": n.r.Route.Kind.String(), "tokens": n.r.Tokens, "parts": len(n.planned.Endpoints),
 		"took_ms": took.Milliseconds(), "first_ms": n.first.Milliseconds(), "events": n.events, "pause_ms": n.pause.Milliseconds(),
@@ -163,11 +170,7 @@
 	if reason != "" {
 		entry = entry.WithField("reason", reason)
 	}
-	if outcome == "answered" && !n.late() && n.g.answered.Add(1)%answerSample != 0 {
-		entry.Debug("request ended")
-		return
-	}
-	entry.Info("request ended")
+	entry.Log(level, "request ended")
 }
 
 // answerSample is the share of good answers that are logged, one in so many. All others are logged.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/roster"
 )
 
@@ -35,8 +36,8 @@
 
 // holdings are all reservations of an attempt. They are renewed until they are released.
 type holdings struct {
-	list []*holding // by the endpoints of the plan; nil where nothing is reserved
-	stop chan struct{}
+	list []*holding         // by the endpoints of the plan; nil where nothing is reserved
+	stop context.CancelFunc // ends the renewals
 	wait sync.WaitGroup
 }
 
@@ -57,7 +58,8 @@
 // reserve sets the memory of a plan aside, at all endpoints at once. Whatever was reserved must be released, also if ok
 // is false.
 func (n *run) reserve(ctx context.Context, c *chosen) (h *holdings, ok bool) {
-	h = &holdings{list: make([]*holding, len(c.endpoints)), stop: make(chan struct{})}
+	renewals, stop := context.WithCancel(context.Background())
+	h = &holdings{list: make([]*holding, len(c.endpoints)), stop: stop}
 	results, asked := make(chan bool, len(c.endpoints)), 0
 	for i, tokens := range c.Reserve {
 		if tokens == 0 {
@@ -75,7 +77,7 @@
 	}
 	if ok {
 		h.wait.Add(1)
-		go h.renew()
+		go h.renew(renewals)
 	}
 	return h, ok
 }
@@ -92,22 +94,16 @@
 	return ok && err == nil
 }
 
-func (h *holdings) renew() {
+// renew repeats the orders until ctx ends. An order under way is not cut off then: it would leave a doubt.
+func (h *holdings) renew(ctx context.Context) {
 	defer h.wait.Done()
-	tick := time.NewTicker(renewEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-h.stop:
-			return
-		case <-tick.C:
-		}
+	timing.Every(ctx, renewEvery, func() {
 		for _, one := range h.list {
 			if one != nil {
 				one.order(context.Background())
 			}
 		}
-	}
+	})
 }
 
 // release ends the reservations in the background: the caller's answer does not wait for it.
@@ -115,7 +111,7 @@
 	if h == nil {
 		return
 	}
-	close(h.stop)
+	h.stop()
 	go func() {
 		h.wait.Wait()
 		for _, one := range h.list {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,13 +140,14 @@
 	return w
 }
 
-// busy is the time that the endpoint may be silent because it reads prompts.
+// busy is the time that the endpoint may be silent because it reads prompts: half as long again as predicted.
 func (n *run) busy(e *roster.Endpoint, now time.Time) time.Duration {
 	if n.service.Engine == nil {
 		return 0
 	}
 	_, pace := n.g.opts.Roster.Health(e)
-	return n.g.opts.Board.Busy(n.service.Engine, e.ID, pace, now) * 3 / 2
+	predicted := n.g.opts.Board.Busy(n.service.Engine, e.ID, pace, now)
+	return predicted + predicted/2
 }
 
 // repeatAllowed reports whether a silent attempt may be followed by another one.
--- a/internal/entry/split_lease.go
+++ b/internal/entry/split_lease.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -14,16 +14,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		ticker := time.NewTicker(s.d.timing.Lease / renewsPerLease)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				s.probe(ctx)
-			}
-		}
+		timing.Every(ctx, s.d.timing.Lease/renewsPerLease, func() { s.probe(ctx) })
 	}()
 	return func() {
 		cancel()
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -38,10 +38,9 @@
 	return min(baseShare+(1-baseShare)*float64(tokens)/k.Tokens, maxShare)
 }
 
-// The users count a request at 0.3 and 0.7 times its size over the mean of its kind, at most 4.
 const (
-	baseShare = 0.3
-	maxShare  = 4.0
+	baseShare = 0.3 // part of the worth that does not depend on the size
+	maxShare  = 4.0 // bound on the worth, in requests of the mean size
 )
 
 // Config describes a fleet and its load.
@@ -250,14 +249,20 @@
 	})
 }
 
-// held notes the loss of a caller that was held for nothing: none for an eighth of its goal, all of it for three quarters
-// of its time or until it has left.
+// Times for which a caller is held without an answer, and what it loses by that.
+const (
+	freeHold = 1.0 / 8 // of the goal: nothing is lost
+	lostHold = 3.0 / 4 // of the caller's time: all is lost
+)
+
+// held notes the loss of a caller that was held and not sent to an engine within its goal.
 func (r *request) held() {
 	if !r.placed.IsZero() && r.placed.Sub(r.arrived) <= r.kind.Goal {
 		return
 	}
-	until := min(placement.Patience(r.kind.Goal, r.kind.PauseGoal), r.kind.Limit) * 3 / 4
-	share := float64(r.sim.now.Sub(r.arrived)-r.kind.Goal/8) / float64(until-r.kind.Goal/8)
+	free := freeHold * r.kind.Goal.Seconds()
+	lost := lostHold * min(placement.Patience(r.kind.Goal, r.kind.PauseGoal), r.kind.Limit).Seconds()
+	share := (r.sim.now.Sub(r.arrived).Seconds() - free) / (lost - free)
 	r.outcome.Held += min(max(share, 0), 1) * r.kind.Value * r.kind.value(r.tokens)
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -162,14 +162,13 @@
 	config.Change = config.Full
 	endpoints.Full = func(rows []platform.Row, version int64) { b.roster.Apply(version, func() { b.endpointsFull(rows) }) }
 	endpoints.Change = func(rows []platform.Row, version int64) { b.roster.Apply(version, func() { b.endpointsChange(rows) }) }
-	for _, w := range []*platform.Watch{config, endpoints} {
-		w.Lost = func(err error) { b.storeLost(w.Table, err) }
-		w.Fresh = func(time.Time) { b.storeHeard(w.Table) }
-	}
+	config.Lost = func(err error) { b.storeLost(config.Table, err) }
 	config.Fresh = func(now time.Time) {
 		b.current.Confirm(now)
 		b.storeHeard(config.Table)
 	}
+	endpoints.Lost = func(err error) { b.storeLost(endpoints.Table, err) }
+	endpoints.Fresh = func(time.Time) { b.storeHeard(endpoints.Table) }
 	return []*platform.Watch{config, endpoints}
 }
 
@@ -269,19 +268,11 @@
 // fetchStates takes configuration and endpoints from a peer that reaches the store while this gateway does not.
 func (d *daemon) fetchStates(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	tick := time.NewTicker(fetchEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+	timing.Every(ctx, fetchEvery, func() {
+		if !d.beliefs.storeUp() {
+			d.fetchState(ctx, client)
 		}
-		if d.beliefs.storeUp() {
-			continue
-		}
-		d.fetchState(ctx, client)
-	}
+	})
 }
 
 func (d *daemon) fetchState(ctx context.Context, client *http.Client) {
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -22,6 +22,20 @@
 	}
 }
 
+// Every calls do once in each period until ctx ends, for the first time after one period.
+func Every(ctx context.Context, period time.Duration, do func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // Jitter returns a random duration around d: spread 0.2 gives 80% to 120% of it. Nodes that start together, or wait for
 // the same outage to end, would otherwise act at the same moment.
 func Jitter(d time.Duration, spread float64) time.Duration {
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -25,6 +25,18 @@
 	})
 }
 
+// A duty that goes on after its context would outlive its process's stop; one that starts at once would run before it is due.
+func TestEveryRunsOnceAPeriodUntilItsContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		began, calls := time.Now(), []time.Duration{}
+		timing.Every(ctx, time.Second, func() { calls = append(calls, time.Since(began)) })
+		require.Equal(t, []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}, calls)
+		require.Equal(t, 3500*time.Millisecond, time.Since(began))
+	})
+}
+
 // Jitter outside its spread would break intervals that a bound depends on.
 func TestJitterStaysWithinItsSpread(t *testing.T) {
 	low, high := time.Hour, time.Duration(0)
--- a/placement/board.go
+++ b/placement/board.go
@@ -7,6 +7,7 @@
 
 import (
 	"hash/fnv"
+	"iter"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -46,13 +47,18 @@
 type Board struct {
 	mu      sync.Mutex
 	own     map[uint64]*Job
-	peers   map[string][]Job
-	seen    map[string]time.Time
+	peers   map[string]peerJobs
 	next    uint64
 	changed chan struct{}
 	rng     *rand.Rand // order among equals
 }
 
+// peerJobs are the jobs of a peer.
+type peerJobs struct {
+	jobs  []Job
+	heard time.Time // when they came
+}
+
 // peerLife is the time after which the jobs of a silent peer are forgotten; peers send at least twice a second.
 const peerLife = 3 * time.Second
 
@@ -63,8 +69,7 @@
 func NewSeededBoard(seed uint64) *Board {
 	return &Board{
 		own:     make(map[uint64]*Job),
-		peers:   make(map[string][]Job),
-		seen:    make(map[string]time.Time),
+		peers:   make(map[string]peerJobs),
 		changed: make(chan struct{}, 1),
 		rng:     rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -150,7 +155,27 @@
 func (b *Board) SetPeer(name string, jobs []Job, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[name], b.seen[name] = jobs, now
+	b.peers[name] = peerJobs{jobs: jobs, heard: now}
+}
+
+// lately is the silence of a peer after which its jobs count as load only, not as requests that wait or have just been
+// placed. Peers send at least every 500 ms.
+const lately = 1200 * time.Millisecond
+
+// recentPeerJobs yields the jobs of the peers that have been heard lately.
+func (b *Board) recentPeerJobs(now time.Time) iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, p := range b.peers {
+			if now.Sub(p.heard) > lately {
+				continue
+			}
+			for i := range p.jobs {
+				if !yield(&p.jobs[i]) {
+					return
+				}
+			}
+		}
+	}
 }
 
 // load is the work at one endpoint. Engines read the parts of split prompts before whole prompts, and what arrives during
@@ -192,14 +217,13 @@
 	for _, j := range b.own {
 		add(j)
 	}
-	for name, jobs := range b.peers {
-		if now.Sub(b.seen[name]) > peerLife {
+	for name, p := range b.peers {
+		if now.Sub(p.heard) > peerLife {
 			delete(b.peers, name)
-			delete(b.seen, name)
 			continue
 		}
-		for i := range jobs {
-			add(&jobs[i])
+		for i := range p.jobs {
+			add(&p.jobs[i])
 		}
 	}
 	return loads
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -187,11 +187,9 @@
 // unseen estimates the number of requests that peers have placed and this gateway does not know yet.
 func (b *Board) unseen(now time.Time) float64 {
 	recent := 0
-	for _, jobs := range b.peers {
-		for i := range jobs {
-			if jobs[i].Output > 0 && now.Sub(jobs[i].Placed) < rateSpan {
-				recent++
-			}
+	for j := range b.recentPeerJobs(now) {
+		if j.Output > 0 && now.Sub(j.Placed) < rateSpan {
+			recent++
 		}
 	}
 	return float64(recent) * viewAge.Seconds() / rateSpan.Seconds()
@@ -213,8 +211,9 @@
 	if len(seats) == 0 {
 		return p, false
 	}
+	scarce := scarcity(m, seats)
 	for _, parts := range partCounts(m, r, len(seats)) {
-		if plan, fits := planFor(m, seats, r, parts, now); fits && (!ok || plan.Cost < p.Cost) {
+		if plan, fits := planFor(m, seats, r, parts, scarce, now); fits && (!ok || plan.Cost < p.Cost) {
 			p, ok = plan, true
 		}
 	}
@@ -351,9 +350,8 @@
 func value(tokens int) float64 { return baseValue + float64(tokens)/valueTokens }
 
 // planFor returns the cheapest plan with so many parts.
-func planFor(m *engine.Model, seats []seat, r Request, parts int, now time.Time) (Plan, bool) {
+func planFor(m *engine.Model, seats []seat, r Request, parts int, scarce float64, now time.Time) (Plan, bool) {
 	read := m.Read(r.Tokens, parts)
-	scarce := scarcity(m, seats)
 	for i := range seats {
 		seats[i].cost = partCost(m, &seats[i], r, read, parts > 1, now)
 		seats[i].cost += read.Seconds() * float64(seats[i].load.leads) * slotSecond * scarce
@@ -371,7 +369,8 @@
 		plan.Endpoints = append(plan.Endpoints, s.ID)
 		slowest = max(slowest, s.wait(parts > 1)+scale(read, s.Pace))
 	}
-	plan.Predicted = slowest + chosen[0].load.pass*3/2
+	pass := chosen[0].load.pass
+	plan.Predicted = slowest + pass/2 + pass // the rest of the pass under way, on average half of it, and the one that writes
 	if chosen[0].load.leads >= m.Slots {
 		plan.Predicted += slotWait
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,9 +9,6 @@
 // The queue is made of the waiting requests on the boards of all gateways. It answers bursts of long prompts: without an
 // order, all that wait take the same endpoints as soon as these are free, and read there at the same time.
 
-// queueLife is the silence of a peer after which its waiting requests hold nobody up: it sends at least every 500 ms.
-const queueLife = 1200 * time.Millisecond
-
 // mayWait reports whether a request has the time to wait for a better moment.
 func mayWait(r Request) bool { return r.Tokens >= waitFrom && r.Goal >= waitGoal }
 
@@ -20,10 +17,15 @@
 	if r.Queued != 0 {
 		return r.Queued
 	}
-	return b.add(Job{
+	return b.add(r.waiting(now))
+}
+
+// waiting is the entry of a request on the board while it waits.
+func (r *Request) waiting(now time.Time) Job {
+	return Job{
 		Endpoint: KeyOf(r.Service), Tokens: r.Tokens, Parts: 1, Goal: r.Goal, PauseGoal: r.PauseGoal,
 		Placed: now.Add(-r.Waited), Waiting: true,
-	})
+	}
 }
 
 func (b *Board) leaveQueue(place uint64) {
@@ -39,9 +41,7 @@
 	if !mayWait(r) || r.Waited > scale(patienceOf(r), patienceShare) {
 		return 0, false
 	}
-	mine := Job{
-		Endpoint: KeyOf(r.Service), Tokens: r.Tokens, Goal: r.Goal, PauseGoal: r.PauseGoal, Placed: now.Add(-r.Waited), Waiting: true,
-	}
+	mine := r.waiting(now)
 	see := func(j *Job) {
 		if goesFirst(m, j, &mine, now) {
 			others = true
@@ -53,13 +53,8 @@
 			see(j)
 		}
 	}
-	for name, jobs := range b.peers {
-		if now.Sub(b.seen[name]) > queueLife {
-			continue
-		}
-		for i := range jobs {
-			see(&jobs[i])
-		}
+	for j := range b.recentPeerJobs(now) {
+		see(j)
 	}
 	return work, others
 }
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -49,7 +49,7 @@
 		"other service": {waiting(3*time.Second, 100_000, start), now, longFor("t", 100_000, 500*time.Millisecond)},
 		"other kind":    {waiting(2*time.Second, 100_000, start), now, mine},
 		"late anyway":   {waiting(3*time.Second, 100_000, now.Add(-4*time.Second)), now, mine},
-		"dead gateway":  {waiting(3*time.Second, 100_000, start), now.Add(-queueLife - time.Millisecond), mine},
+		"dead gateway":  {waiting(3*time.Second, 100_000, start), now.Add(-lately - time.Millisecond), mine},
 		"short prompt":  {waiting(3*time.Second, 100_000, start), now, short(3000)},
 	}
 	for name, c := range cases {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,11 @@
 	tombstoneLife = time.Minute
 	// rateWeight is the weight of the newest outcome in the failure rate.
 	rateWeight = 0.15
+	// paceWeight is the weight of the newest observation in the pace; leastPace and mostPace bound one observation, so that
+	// a single request that was held up does not empty an endpoint.
+	paceWeight = 0.2
+	leastPace  = 0.5
+	mostPace   = 10.0
 )
 
 // Entry is what the store says of an endpoint.
@@ -303,11 +308,11 @@
 func (r *Roster) ObservePace(e *Endpoint, ratio float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ratio = min(max(ratio, 0.5), 10)
+	ratio = min(max(ratio, leastPace), mostPace)
 	if e.health.pace == 0 {
 		e.health.pace = 1
 	}
-	e.health.pace += 0.2 * (ratio - e.health.pace)
+	e.health.pace += paceWeight * (ratio - e.health.pace)
 }
 
 // Health returns the recent failure rate of an endpoint and how much slower than predicted it works (1 if unknown).
