peer: announce a started node to several entries at once

Cause of TestLeavingReachesEveryEntry (KNOWN-RED): the first exchange of a node ran before it had read the VM list and found no target, so the node reported to its first entry a second after its start, to two or three by the check at 3 s. An entry that it had not reported to either did not know the endpoint (before.Live) or had no record that it could mark as leaving and push. Ruled out: loss of the push itself (all three other entries are targets in this cluster). Change: a node waits up to one interval for the first known entry and then exchanges with up to pushFanout entries.

--- a/peer/options.go
+++ b/peer/options.go
@@ -30,6 +30,7 @@
 	listedVMsPerSecond  = 20  // VM list entries read per second and node: a larger list is read less often
 	minListInterval     = time.Second
 	confirmRetryDelay   = 100 * time.Millisecond
+	announceRetryDelay  = 100 * time.Millisecond
 	probeDeadEntryOneIn = 10 // one in this many exchanges goes to an entry that appears dead, so that partitions heal
 )
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -87,6 +87,7 @@
 }
 
 func (p *Peer) exchangeLoop(ctx context.Context) {
+	p.announce(ctx)
 	for {
 		p.exchangeOnce(ctx)
 		if timing.Sleep(ctx, timing.Jitter(p.options.Interval, 0.2)) != nil {
@@ -95,9 +96,26 @@
 	}
 }
 
+// announce exchanges with up to pushFanout entries as soon as any is known, at most one interval after the start. A node that
+// waits for its regular exchanges has reported to two or three entries after three seconds, and an entry that it did not
+// report to may not know it by then.
+func (p *Peer) announce(ctx context.Context) {
+	for range p.options.Interval / announceRetryDelay {
+		if targets := p.exchangeTargets(0); len(targets) > 0 {
+			p.runParallel(min(len(targets), pushFanout), pushFanout, func(i int) {
+				_, _ = p.exchange(ctx, targets[i], &wire.ExchangeRequest{}) // failures are counted; the regular exchanges follow
+			})
+			return
+		}
+		if timing.Sleep(ctx, announceRetryDelay) != nil {
+			return
+		}
+	}
+}
+
 // exchangeOnce exchanges with a random entry. If that fails it tries others, up to maxExchangeAttempts in total.
 func (p *Peer) exchangeOnce(ctx context.Context) {
-	targets := p.exchangeTargets()
+	targets := p.exchangeTargets(p.options.Interval)
 	for _, addr := range targets[:min(len(targets), maxExchangeAttempts)] {
 		if ctx.Err() != nil {
 			return
@@ -110,12 +128,12 @@
 
 // exchangeTargets returns the addresses of the other entries in random order, live ones first. While the evidence is about
 // to expire, live entries in other failure domains come before the rest. Occasionally the list starts with an entry that
-// appears dead (see probeDeadEntryOneIn).
-func (p *Peer) exchangeTargets() []string {
+// appears dead (see probeDeadEntryOneIn). The membership view that it uses is at most maxViewAge old.
+func (p *Peer) exchangeTargets(maxViewAge time.Duration) []string {
 	var live, otherDomains, fallback []string
 	expiring := p.store.EvidenceExpiring()
 	seen := map[string]bool{p.options.Addr: true}
-	for _, n := range p.members.CachedEntries(p.options.Interval) {
+	for _, n := range p.members.CachedEntries(maxViewAge) {
 		if n.Addr == "" || seen[n.Addr] {
 			continue
 		}
--- a/peer/push.go
+++ b/peer/push.go
@@ -70,7 +70,7 @@
 		if len(records) == 0 {
 			continue
 		}
-		targets := p.exchangeTargets()
+		targets := p.exchangeTargets(p.options.Interval)
 		p.runParallel(min(len(targets), pushFanout), pushFanout, func(i int) {
 			p.metrics.pushes.Inc()
 			_, _ = p.exchange(ctx, targets[i], &wire.ExchangeRequest{Records: records}) // regular gossip compensates for failures
