epoch: adopt the text in force before a submission in doubt counts as resolved

Cause of TestSubmissionInDoubtIsReportedAndResolved (KNOWN-RED): the accepting entry learned from the audit row that its submission had been accepted, but took the text only with the next poll, and the pollers of all entries back off to 5 s during the outage. Ruled out: gossip (no entry held the text in the failed runs, so there was nothing to spread). Change: resolveInDoubt reads the current text first; if that fails the submission stays in doubt until the next round.

--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -521,7 +521,8 @@
 	return time.Now().Before(a.collectUntil)
 }
 
-// resolveInDoubt looks up the outcome of submissions in doubt. An outcome is known once the audit row of its epoch exists.
+// resolveInDoubt looks up the outcome of submissions in doubt. An outcome is known once the audit row of its epoch exists. The
+// accepted text is adopted before the doubt ends: the poller may be in its back-off of several seconds after the outage.
 func (a *Acceptor) resolveInDoubt(ctx context.Context) {
 	a.mu.Lock()
 	pending := make([]inDoubtSubmission, 0, len(a.inDoubt))
@@ -534,6 +535,11 @@
 		if err != nil {
 			continue
 		}
+		if _, _, err := a.syncFromTable(ctx); err != nil {
+			a.options.Log.WithError(err).WithField("submission", d.submission.ID).
+				Info("the outcome of a submission in doubt is known, the text in force is not yet")
+			continue
+		}
 		outcome := outcomeAccepted
 		if record.Submission != d.submission.ID {
 			outcome = string(errkind.EpochConflict)
--- a/internal/experiment/acceptor_test.go
+++ b/internal/experiment/acceptor_test.go
@@ -82,6 +82,32 @@
 	})
 }
 
+// Guards against an accepting entry that reports a submission as resolved and still uses the previous text, because its poller
+// is in the back-off of the outage that put the submission in doubt.
+func TestTextOfResolvedSubmissionIsAdopted(t *testing.T) {
+	for outage := 10 * time.Second; outage < 16*time.Second; outage += 500 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			cluster := NewCluster(Options{Entries: 1, Domains: 1})
+			require.NoError(t, cluster.Start(ctx))
+			time.Sleep(3 * time.Second)
+			cluster.Table.SetLoseResponses(true)
+			a := cluster.Nodes[0].Acceptor()
+			time.AfterFunc(20*time.Millisecond, func() { cluster.Table.SetDown(true) })
+			_, err := a.Submit(ctx, submission("one", 0, 1))
+			require.True(t, errkind.Is(err, errkind.AcceptanceUnknown), "%v", err)
+			time.Sleep(outage)
+			cluster.Table.SetLoseResponses(false)
+			cluster.Table.SetDown(false)
+			time.Sleep(3 * time.Second)
+			require.Empty(t, a.InDoubt())
+			require.Equal(t, int64(1), cluster.Nodes[0].Epoch(), "after an outage of %v", outage)
+			cancel()
+			cluster.Stop()
+		})
+	}
+}
+
 // Guards against a table outage that is reported as an unknown outcome although nothing was written.
 func TestTableDownIsNotRun(t *testing.T) {
 	withCluster(t, func(t *testing.T, ctx context.Context, cluster *Cluster) {
