--- a/catalog/current.go
+++ b/catalog/current.go
@@ -25,10 +25,12 @@
 }
 
 // MarkConfirmed records that the snapshot was the newest one in the store at the given time.
-func (c *CurrentSnapshot) MarkConfirmed(now time.Time) {
+func (c *CurrentSnapshot) MarkConfirmed(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmedAt = now
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
 }
 
 // ConfirmedAt returns the latest time at which the snapshot was known to be the newest one.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -24,6 +25,9 @@
 	// peerTimeout is the time without a message after which a peer is considered gone. It tolerates the loss of several
 	// states in a row.
 	peerTimeout = 2500 * time.Millisecond
+	// relayTimeout is the time without a message after which a peer is no longer chosen as a relay: two keep-alive intervals and a
+	// margin.
+	relayTimeout = 1200 * time.Millisecond
 	// maxCrashAge is the maximum age of the crash records that are sent.
 	maxCrashAge = 30 * time.Second
 )
@@ -38,57 +42,56 @@
 
 // Options configures an Exchange.
 type Options struct {
-	Name           string // name of this gateway
-	Conn           net.PacketConn
-	Scheduler      *placement.Scheduler
-	Crashes        CrashTracker
-	Epoch          func() int64 // epoch of this gateway's configuration
-	StoreReachable func() bool  // whether this gateway can reach the store
-	Log            *logrus.Logger
-	Registerer     prometheus.Registerer
+	Name          string // name of this gateway
+	Addr          string // host:port at which other gateways reach Conn
+	FailureDomain string
+	Conn          net.PacketConn
+	Scheduler     *placement.Scheduler
+	Crashes       CrashTracker
+	Versions      func() Versions // what this gateway holds
+	Log           *logrus.Logger
+	Registerer    prometheus.Registerer
 }
 
 // Peer is another gateway, as described by its latest state.
 type Peer struct {
-	Name           string
-	Addr           string
-	Epoch          int64
-	StoreReachable bool
-	lastHeard      time.Time
-	sequence       uint64
-	parts          int // number of parts of the latest state
+	Name          string
+	Addr          string
+	FailureDomain string
+	Versions      Versions
+	LastHeard     time.Time
+	target        net.Addr
+	sequences     map[placement.Scope]uint64 // of the latest state, by scope
+	parts         map[placement.Scope]int    // number of parts of the latest state, by scope
 }
 
-// Exchange sends this gateway's state to all peers and receives theirs.
+// Exchange sends this gateway's state to all peers and receives theirs. The gateways of its own circle receive every change; each
+// other circle receives what concerns all gateways, and the rest with the keep-alive, through one of its gateways.
 type Exchange struct {
-	opts     Options
-	sent     prometheus.Counter
-	received prometheus.Counter
+	opts            Options
+	metrics         *metrics
+	versionsChanged chan struct{}
 
 	mu       sync.Mutex
-	targets  map[string]net.Addr // by address, including those that have not answered yet
-	peers    map[string]*Peer    // by name
+	targets  *targetList
+	peers    map[string]*Peer // by name
+	topology topology
 	sequence uint64
 	stopping bool
+	kicked   chan struct{} // a signal to send the versions of this gateway at once
 }
 
 // New returns an Exchange, which does nothing until Run is called.
 func New(opts Options) *Exchange {
 	e := &Exchange{
-		opts: opts, targets: make(map[string]net.Addr), peers: make(map[string]*Peer),
-		sequence: uint64(time.Now().UnixMilli()) << 16,
-		sent: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bilberry_exchange_sent_bytes_total", Help: "Bytes sent to other gateways."}),
-		received: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bilberry_exchange_received_bytes_total", Help: "Bytes received from other gateways."}),
-	}
-	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(e.sent, e.received)
+		opts: opts, targets: newTargetList(opts.Addr), peers: make(map[string]*Peer), metrics: newMetrics(opts.Registerer),
+		sequence: uint64(time.Now().UnixMilli()) << 16, versionsChanged: make(chan struct{}, 1), kicked: make(chan struct{}, 1),
 	}
+	e.topology = newTopology(Member{opts.Name, opts.FailureDomain}, nil)
 	return e
 }
 
-// AddTarget adds an address, in the form IP:PORT, to which this gateway sends its state.
+// AddTarget adds the address of another gateway, in the form IP:PORT.
 func (e *Exchange) AddTarget(addr string) error {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
@@ -96,9 +99,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if udpAddr.String() != e.opts.Conn.LocalAddr().String() {
-		e.targets[udpAddr.String()] = udpAddr
-	}
+	e.targets.add(udpAddr, time.Now())
 	return nil
 }
 
@@ -106,21 +107,41 @@
 func (e *Exchange) LivePeers() []Peer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var live []Peer
+	live := make([]Peer, 0, len(e.peers))
 	for _, p := range e.peers {
-		if time.Since(p.lastHeard) < peerTimeout {
+		if time.Since(p.LastHeard) < peerTimeout {
 			live = append(live, *p)
 		}
 	}
 	return live
 }
 
+// IsNear reports whether a gateway or an endpoint belongs to the circle of this gateway.
+func (e *Exchange) IsNear(m Member) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.topology.isNear(m)
+}
+
+// PeerVersionsChanged returns a channel that signals that the versions of a peer have changed since the last receive.
+func (e *Exchange) PeerVersionsChanged() <-chan struct{} { return e.versionsChanged }
+
+// AnnounceVersions makes the exchange send the versions of this gateway at once.
+func (e *Exchange) AnnounceVersions() { signal(e.kicked) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // AnnounceStop tells the peers that this gateway is shutting down.
 func (e *Exchange) AnnounceStop() {
 	e.mu.Lock()
 	e.stopping = true
 	e.mu.Unlock()
-	e.sendState()
+	e.sendState(placement.Near|placement.Fleetwide, everyone)
 }
 
 // Run sends and receives until ctx ends.
@@ -140,41 +161,86 @@
 func (e *Exchange) sendLoop(ctx context.Context) {
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
-	e.sendState()
+	e.sendKeepAlive()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			e.opts.Scheduler.TakeChanged()
+			e.sendKeepAlive()
+			continue
+		case <-e.kicked:
+			e.sendState(placement.Fleetwide, circleAndRelays)
+			continue
 		case <-e.opts.Scheduler.Changed():
-			if timing.Sleep(ctx, coalesceDelay) != nil {
-				return
-			}
 		}
-		e.sendState()
+		if timing.Sleep(ctx, coalesceDelay) != nil {
+			return
+		}
+		changed := e.opts.Scheduler.TakeChanged()
+		if changed&placement.Near != 0 {
+			e.sendState(placement.Near, ownCircle)
+		}
+		if changed&placement.Fleetwide != 0 {
+			e.sendState(placement.Fleetwide, circleAndRelays)
+		}
 	}
 }
 
-func (e *Exchange) sendState() {
+// sendKeepAlive sends all jobs to the whole fleet, and greets the addresses from which nothing has been heard.
+func (e *Exchange) sendKeepAlive() {
+	e.mu.Lock()
 	now := time.Now()
-	jobs := e.opts.Scheduler.LocalJobs()
+	e.refreshTopology(now)
+	greeted := e.targets.due(now)
+	e.mu.Unlock()
+	e.sendState(placement.Near|placement.Fleetwide, circleAndRelays, greeted...)
+}
+
+// audience selects the gateways that a state is sent to.
+type audience int
+
+const (
+	ownCircle       audience = iota // all other gateways of the circle
+	circleAndRelays                 // also one gateway of each other circle, which passes the state on
+	everyone                        // all known gateways directly
+)
+
+// sendState sends the jobs of this gateway in the given scopes to an audience and to further addresses.
+func (e *Exchange) sendState(scopes placement.Scope, to audience, further ...net.Addr) {
+	jobs := e.opts.Scheduler.LocalJobsIn(scopes)
+	versions := e.opts.Versions()
 	e.mu.Lock()
 	e.sequence++
 	state := Message{
-		Name: e.opts.Name, Sequence: e.sequence, Epoch: e.opts.Epoch(), StoreReachable: e.opts.StoreReachable(), Stopping: e.stopping,
-		Crashes: e.opts.Crashes.Recent(maxCrashAge, maxCrashes),
+		Name: e.opts.Name, Addr: e.opts.Addr, FailureDomain: e.opts.FailureDomain, Sequence: e.sequence, Versions: versions,
+		Stopping: e.stopping, Relay: true, Scopes: scopes, Crashes: e.opts.Crashes.Recent(maxCrashAge, maxCrashes),
+	}
+	direct := append([]net.Addr{}, further...)
+	var relays []net.Addr
+	if to == everyone {
+		direct = append(direct, e.targets.all()...)
+	} else {
+		direct = append(direct, e.topology.near...)
 	}
-	targets := make([]net.Addr, 0, len(e.targets))
-	for _, target := range e.targets {
-		targets = append(targets, target)
+	if to == circleAndRelays {
+		relays = e.topology.randomRelays()
 	}
 	e.mu.Unlock()
+	now := time.Now()
 	for _, part := range splitState(state, jobs) {
 		datagram := part.encode(now)
-		for _, target := range targets {
-			if _, err := e.opts.Conn.WriteTo(datagram, target); err == nil {
-				e.sent.Add(float64(len(datagram))) // a failed send is equivalent to a lost datagram
-			}
+		e.send(datagram, relays, toRelay)
+		e.send(withoutRelay(datagram), direct, toGateway)
+	}
+}
+
+// send sends a datagram to each of the addresses.
+func (e *Exchange) send(datagram []byte, to []net.Addr, purpose string) {
+	for _, addr := range to {
+		if _, err := e.opts.Conn.WriteTo(datagram, addr); err == nil { // a failed send is equivalent to a lost datagram
+			e.metrics.sentBytes.WithLabelValues(purpose).Add(float64(len(datagram)))
 		}
 	}
 }
@@ -191,53 +257,169 @@
 			time.Sleep(coalesceDelay)
 			continue
 		}
-		e.received.Add(float64(n))
+		e.metrics.receivedBytes.Add(float64(n))
 		now := time.Now()
 		m, err := decode(buf[:n], now)
 		if err != nil {
 			e.opts.Log.WithError(err).WithField("from", from.String()).Debug("ignoring a malformed datagram")
 			continue
 		}
-		e.handleMessage(m, from, now)
+		if m.Relay {
+			e.relay(buf[:n], m)
+		}
+		e.handleMessage(m, now)
+	}
+}
+
+// relay passes a datagram from another circle on to the gateways of this one.
+func (e *Exchange) relay(datagram []byte, m *Message) {
+	e.mu.Lock()
+	near := e.topology.near
+	if e.topology.isNear(Member{m.Name, m.FailureDomain}) {
+		near = nil // its sender reaches them itself
 	}
+	e.mu.Unlock()
+	e.send(withoutRelay(datagram), near, passedOn)
 }
 
 // handleMessage records a part of a peer's state, unless a newer state of that peer has arrived.
-func (e *Exchange) handleMessage(m *Message, from net.Addr, now time.Time) {
+func (e *Exchange) handleMessage(m *Message, now time.Time) {
 	if m.Name == e.opts.Name {
 		return
 	}
-	e.mu.Lock()
-	p := e.peers[m.Name]
-	discovered := p == nil || now.Sub(p.lastHeard) > peerTimeout
+	p, discovered, versionsChanged := e.recordPeer(m, now)
+	if p == nil {
+		return
+	}
 	if discovered {
-		p = &Peer{Name: m.Name}
+		e.opts.Log.WithFields(logrus.Fields{"event": "peer_found", "peer": m.Name, "epoch": m.Versions.Epoch}).
+			Info("discovered another gateway")
+	}
+	if versionsChanged {
+		signal(e.versionsChanged)
+	}
+	for fingerprint, count := range m.Crashes {
+		e.opts.Crashes.Merge(fingerprint, count)
+	}
+	for _, scope := range []placement.Scope{placement.Near, placement.Fleetwide} {
+		if m.Scopes&scope != 0 {
+			e.recordJobs(p, m, scope, now)
+		}
+	}
+}
+
+// recordPeer updates the peer that has sent a message. It returns nil if the address of the message is invalid.
+func (e *Exchange) recordPeer(m *Message, now time.Time) (p *Peer, discovered, versionsChanged bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p = e.peers[m.Name]
+	discovered = p == nil || now.Sub(p.LastHeard) > peerTimeout
+	if discovered || p.Addr != m.Addr {
+		target, err := net.ResolveUDPAddr("udp", m.Addr)
+		if err != nil {
+			return nil, false, false
+		}
+		p = &Peer{Name: m.Name, target: target, sequences: make(map[placement.Scope]uint64), parts: make(map[placement.Scope]int)}
 		e.peers[m.Name] = p
+		e.targets.add(target, now)
 	}
-	if m.Sequence < p.sequence {
-		e.mu.Unlock()
-		return // a newer state arrived earlier
+	p.Addr, p.FailureDomain, p.LastHeard = m.Addr, m.FailureDomain, now
+	if m.Sequence >= max(p.sequences[placement.Near], p.sequences[placement.Fleetwide]) {
+		versionsChanged = p.Versions.Epoch != m.Versions.Epoch || p.Versions.EndpointsChanged != m.Versions.EndpointsChanged ||
+			p.Versions.StoreReachable != m.Versions.StoreReachable
+		p.Versions = m.Versions
 	}
-	previousParts := p.parts
-	p.Addr, p.Epoch, p.StoreReachable, p.lastHeard, p.sequence, p.parts =
-		from.String(), m.Epoch, m.StoreReachable, now, m.Sequence, m.Parts
-	e.targets[from.String()] = from
 	if m.Stopping {
 		delete(e.peers, m.Name)
-		delete(e.targets, from.String())
+		e.targets.remove(p.target)
+	} else {
+		e.targets.heard(p.target, now)
+	}
+	if discovered || m.Stopping {
+		e.refreshTopology(now)
+	}
+	return p, discovered, versionsChanged
+}
+
+// recordJobs passes the jobs of a message in one scope to the scheduler, unless a newer state has arrived.
+func (e *Exchange) recordJobs(p *Peer, m *Message, scope placement.Scope, now time.Time) {
+	e.mu.Lock()
+	outdated := m.Sequence < p.sequences[scope]
+	previousParts := p.parts[scope]
+	if !outdated {
+		p.sequences[scope], p.parts[scope] = m.Sequence, m.Parts
 	}
 	e.mu.Unlock()
-	if discovered {
-		e.opts.Log.WithFields(logrus.Fields{"event": "peer_found", "peer": m.Name, "epoch": m.Epoch}).Info("discovered another gateway")
+	if outdated {
+		return
 	}
-	for fingerprint, count := range m.Crashes {
-		e.opts.Crashes.Merge(fingerprint, count)
+	var jobs []placement.Job
+	for i := range m.Jobs {
+		if m.Jobs[i].Scope() == scope {
+			jobs = append(jobs, m.Jobs[i])
+		}
 	}
-	e.opts.Scheduler.SetPeerJobs(peerPartKey(m.Name, m.Part), m.Jobs, now)
+	e.opts.Scheduler.SetPeerJobs(peerPartKey(m.Name, scope, m.Part), jobs, now)
 	for i := m.Parts; i < previousParts; i++ {
-		e.opts.Scheduler.SetPeerJobs(peerPartKey(m.Name, i), nil, now)
+		e.opts.Scheduler.SetPeerJobs(peerPartKey(m.Name, scope, i), nil, now)
+	}
+}
+
+// peerPartKey is the key under which the scheduler holds the jobs in one scope of one part of a peer's state.
+func peerPartKey(name string, scope placement.Scope, part int) string {
+	return name + "#" + strconv.Itoa(int(scope)) + "#" + strconv.Itoa(part)
+}
+
+// refreshTopology recomputes who is near, from the peers that have been heard recently.
+func (e *Exchange) refreshTopology(now time.Time) {
+	live := make([]*Peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		if now.Sub(p.LastHeard) < peerTimeout {
+			live = append(live, p)
+		}
+	}
+	e.topology = newTopology(Member{e.opts.Name, e.opts.FailureDomain}, live)
+}
+
+// topology holds who is near this gateway and who may relay to the other circles.
+type topology struct {
+	circles Circles
+	own     Circle
+	near    []net.Addr         // the other gateways of the own circle
+	far     map[Circle][]*Peer // the gateways of the other circles
+}
+
+func newTopology(self Member, peers []*Peer) topology {
+	members := []Member{self}
+	for _, p := range peers {
+		members = append(members, Member{p.Name, p.FailureDomain})
+	}
+	t := topology{circles: NewCircles(members), far: make(map[Circle][]*Peer)}
+	t.own = t.circles.Of(self)
+	for i, p := range peers {
+		if circle := t.circles.Of(members[i+1]); circle != t.own {
+			t.far[circle] = append(t.far[circle], p)
+		} else {
+			t.near = append(t.near, p.target)
+		}
 	}
+	return t
 }
 
-// peerPartKey is the key under which the scheduler holds the jobs of one part of a peer's state.
-func peerPartKey(name string, part int) string { return name + "#" + strconv.Itoa(part) }
+func (t *topology) isNear(m Member) bool { return t.circles.Of(m) == t.own }
+
+// randomRelays returns a random gateway of each other circle. Choosing anew for each state bounds what a relay that is gone costs
+// to one state.
+func (t *topology) randomRelays() []net.Addr {
+	relays := make([]net.Addr, 0, len(t.far))
+	for _, circle := range sortedCircles(t.far) {
+		candidates := t.far[circle]
+		for _, i := range rand.Perm(len(candidates)) {
+			if p := candidates[i]; time.Since(p.LastHeard) < relayTimeout || i == len(candidates)-1 {
+				relays = append(relays, p.target)
+				break
+			}
+		}
+	}
+	return relays
+}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -19,7 +19,10 @@
 
 func sampleMessage(now time.Time) Message {
 	return Message{
-		Name: "entry-1", Sequence: 77, Epoch: 12, StoreReachable: true, Part: 0, Parts: 1, Crashes: map[uint64]int{9: 2},
+		Name: "entry-1", Addr: "10.0.0.2:1", FailureDomain: "a", Sequence: 77, Relay: true, Scopes: placement.Near | placement.Fleetwide,
+		Versions: Versions{Epoch: 12, Endpoints: 40, EndpointsChanged: 38, ConfirmedAt: now.Add(-1500 * time.Millisecond),
+			OutageEndedAt: now.Add(-time.Minute), StoreReachable: true},
+		Part: 0, Parts: 1, Crashes: map[uint64]int{9: 2},
 		Jobs: []placement.Job{{
 			Endpoint: 5, PromptTokens: 700_000, Parts: 16, OutputTokens: 1600, MemoryTokens: 290_000, LatencyTarget: 3 * time.Second,
 			GapTarget: 250 * time.Millisecond, PlacedAt: now.Add(-40 * time.Millisecond), Decoding: true, Late: true,
@@ -88,8 +91,8 @@
 func newExchange(scheduler *placement.Scheduler) *Exchange {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(Options{Name: "me", Conn: discardConn{}, Scheduler: scheduler, Crashes: noopCrashTracker{}, Log: log,
-		Epoch: func() int64 { return 1 }, StoreReachable: func() bool { return true }})
+	return New(Options{Name: "me", Addr: "10.0.0.1:1", FailureDomain: "a", Conn: discardConn{}, Scheduler: scheduler,
+		Crashes: noopCrashTracker{}, Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
 }
 
 // A delayed older state must not replace a newer one, and a state with fewer parts must remove the jobs of the others.
@@ -97,20 +100,23 @@
 	scheduler := placement.NewScheduler()
 	e := newExchange(scheduler)
 	now := time.Now()
-	from := &net.UDPAddr{IP: net.IPv4(10, 0, 0, 2), Port: 1}
+	receive := func(m Message) {
+		m.Addr, m.Scopes = "10.0.0.2:1", placement.Near|placement.Fleetwide
+		e.handleMessage(&m, now)
+	}
 	model := &engineModel
 	jobs := []placement.Job{{Endpoint: placement.KeyOf("e"), PromptTokens: 300_000, Parts: 1, LatencyTarget: time.Second,
 		PlacedAt: now}}
-	e.handleMessage(&Message{Name: "p", Sequence: 5, Part: 1, Parts: 2, Jobs: jobs}, from, now)
+	receive(Message{Name: "p", Sequence: 5, Part: 1, Parts: 2, Jobs: jobs})
 	require.NotZero(t, scheduler.TimeToNextEvent(model, "e", 1, now))
-	e.handleMessage(&Message{Name: "p", Sequence: 4, Part: 0, Parts: 1}, from, now)
+	receive(Message{Name: "p", Sequence: 4, Part: 0, Parts: 1})
 	require.NotZero(t, scheduler.TimeToNextEvent(model, "e", 1, now), "older state")
-	e.handleMessage(&Message{Name: "p", Sequence: 6, Part: 0, Parts: 1}, from, now)
+	receive(Message{Name: "p", Sequence: 6, Part: 0, Parts: 1})
 	require.Zero(t, scheduler.TimeToNextEvent(model, "e", 1, now))
 	require.Len(t, e.LivePeers(), 1)
-	e.handleMessage(&Message{Name: "p", Sequence: 7, Part: 0, Parts: 1, Stopping: true}, from, now)
+	receive(Message{Name: "p", Sequence: 7, Part: 0, Parts: 1, Stopping: true})
 	require.Empty(t, e.LivePeers())
-	e.handleMessage(&Message{Name: "me", Sequence: 9, Part: 0, Parts: 1}, from, now)
+	receive(Message{Name: "me", Sequence: 9, Part: 0, Parts: 1})
 	require.Empty(t, e.LivePeers(), "own datagram")
 }
 
@@ -123,7 +129,8 @@
 		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
 		require.NoError(t, err)
 		e := newExchange(schedulers[i])
-		e.opts.Name, e.opts.Conn = name, conn
+		e.opts.Name, e.opts.Conn, e.opts.Addr = name, conn, conn.LocalAddr().String()
+		e.targets = newTargetList(e.opts.Addr)
 		exchanges = append(exchanges, e)
 	}
 	require.NoError(t, exchanges[0].AddTarget(exchanges[1].opts.Conn.LocalAddr().String()))
@@ -141,13 +148,27 @@
 
 // A state that the handler serves must arrive unchanged at the peer that fetches it.
 func TestFetchState(t *testing.T) {
-	want := State{Epoch: 4, Config: []byte(`{}`), EndpointsComplete: true,
-		Endpoints: []registry.Entry{{ID: "a", Service: "s", Born: 3}}}
-	server := httptest.NewServer(StateHandler(func() State { return want }))
+	want := State{Epoch: 4, Config: Compress([]byte(`{}`)), Endpoints: registry.Delta{Since: 7, Version: 9, Stable: true,
+		Entries: []registry.Entry{{ID: "a", Service: "s", Born: 3}}, Removed: []registry.Removal{{ID: "b", Version: 8}}}}
+	query := StateQuery{Epoch: 3, EndpointsVersion: 7}
+	server := httptest.NewServer(StateHandler(func(got StateQuery) State {
+		require.Equal(t, query, got)
+		return want
+	}))
 	defer server.Close()
-	got, err := FetchState(t.Context(), http.DefaultClient, strings.TrimPrefix(server.URL, "http://"))
+	addr := strings.TrimPrefix(server.URL, "http://")
+	got, err := FetchState(t.Context(), http.DefaultClient, addr, query)
 	require.NoError(t, err)
 	require.Equal(t, want, got)
-	_, err = FetchState(t.Context(), http.DefaultClient, strings.TrimPrefix(server.URL, "http://")+"/none")
+	config, err := Decompress(got.Config)
+	require.NoError(t, err)
+	require.Equal(t, `{}`, string(config))
+	_, err = FetchState(t.Context(), http.DefaultClient, addr+"/none", query)
 	require.Error(t, err)
+	_, err = Decompress([]byte("damaged"))
+	require.Error(t, err)
+	resp, err := http.Get(server.URL + "/state?epoch=x&endpoints=1")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,11 +16,12 @@
 
 // Layout of a datagram.
 const (
-	formatMagic        = 0xB17B0001 // identifies the format and its version
-	headerBytes        = 4 + 8 + 8 + 1 + 1 + 1 + 1 + 2
+	formatMagic        = 0xB17B0002 // identifies the format and its version
+	flagsOffset        = 4          // of the byte with the flags of a datagram
+	headerBytes        = 4 + 1 + 8 + 8 + 8 + 8 + 2 + 2 + 1 + 1 + 1 + 3 + 2
 	crashBytes         = 8 + 1
 	jobBytes           = 4 + 4 + 4 + 2 + 2 + 2 + 2 + 1 + 1
-	maxNameBytes       = 100
+	maxNameBytes       = 200 // of name, address and failure domain together
 	maxCrashes         = 8
 	maxDatagramBytes   = 1400 // fits into one Ethernet packet
 	jobsPerPart        = (maxDatagramBytes - headerBytes - maxNameBytes - maxCrashes*crashBytes) / jobBytes
@@ -29,35 +31,76 @@
 	flagQueued         = 4
 	flagStoreReachable = 1
 	flagStopping       = 2
+	flagRelay          = 4
+	// ageUnknown is the encoded age of a confirmation that is older than the largest encodable age, or that does not exist.
+	ageUnknown = math.MaxUint16
 )
 
 // Message is one datagram, which holds a part of the sender's state.
 type Message struct {
-	Name           string
-	Sequence       uint64 // increases with each state, also across restarts of the sender
-	Epoch          int64  // of the sender's configuration
-	StoreReachable bool   // whether the sender can reach the store
-	Stopping       bool   // whether the sender is shutting down
-	Part           int    // index of this part, below Parts
-	Parts          int
-	Crashes        map[uint64]int // crash counts by call fingerprint
-	Jobs           []placement.Job
+	Name          string
+	Addr          string // host:port of the sender
+	FailureDomain string
+	Sequence      uint64 // increases with each state, also across restarts of the sender
+	Versions      Versions
+	Stopping      bool            // whether the sender is shutting down
+	Relay         bool            // the receiver passes the datagram on to the other gateways of its circle
+	Scopes        placement.Scope // the scopes of which Jobs contains the sender's jobs
+	Part          int             // index of this part, below Parts
+	Parts         int
+	Crashes       map[uint64]int // crash counts by call fingerprint
+	Jobs          []placement.Job
+}
+
+// Versions describes the configuration and the list of endpoints that a gateway holds.
+type Versions struct {
+	Epoch            int64     // of the configuration
+	Endpoints        int64     // store version that the list of endpoints is at least as new as
+	EndpointsChanged int64     // store version of the latest change of the list
+	ConfirmedAt      time.Time // when the store last confirmed both, directly or through other gateways; zero: never or long ago
+	OutageEndedAt    time.Time // when the latest store outage that the gateway has noticed ended; zero: none or long ago
+	StoreReachable   bool      // whether the latest calls of the gateway to the store succeeded
+}
+
+// encodeAge returns the age of a time in units of durationUnit, rounded up.
+func encodeAge(t, now time.Time) uint16 {
+	if t.IsZero() {
+		return ageUnknown
+	}
+	return uint16(clamp(int((now.Sub(t)+durationUnit-1)/durationUnit), ageUnknown))
+}
+
+// decodeAge returns the time that had an age when the datagram arrived, or zero for an unknown age.
+func decodeAge(age int, now time.Time) time.Time {
+	if age == ageUnknown {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age) * durationUnit)
 }
 
 func (m *Message) encode(now time.Time) []byte {
-	b := make([]byte, 0, headerBytes+len(m.Name)+len(m.Crashes)*crashBytes+len(m.Jobs)*jobBytes)
+	b := make([]byte, 0, headerBytes+maxNameBytes+len(m.Crashes)*crashBytes+len(m.Jobs)*jobBytes)
 	b = binary.BigEndian.AppendUint32(b, formatMagic)
-	b = binary.BigEndian.AppendUint64(b, m.Sequence)
-	b = binary.BigEndian.AppendUint64(b, uint64(m.Epoch))
 	var flags byte
-	if m.StoreReachable {
-		flags |= flagStoreReachable
+	for flag, set := range map[byte]bool{
+		flagStoreReachable: m.Versions.StoreReachable, flagStopping: m.Stopping, flagRelay: m.Relay,
+	} {
+		if set {
+			flags |= flag
+		}
 	}
-	if m.Stopping {
-		flags |= flagStopping
+	b = append(b, flags)
+	b = binary.BigEndian.AppendUint64(b, m.Sequence)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Versions.Epoch))
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Versions.Endpoints))
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Versions.EndpointsChanged))
+	b = binary.BigEndian.AppendUint16(b, encodeAge(m.Versions.ConfirmedAt, now))
+	b = binary.BigEndian.AppendUint16(b, encodeAge(m.Versions.OutageEndedAt, now))
+	b = append(b, byte(m.Scopes), byte(m.Part), byte(m.Parts))
+	for _, text := range []string{m.Name, m.Addr, m.FailureDomain} {
+		b = append(b, byte(len(text)))
+		b = append(b, text...)
 	}
-	b = append(b, flags, byte(m.Part), byte(m.Parts), byte(len(m.Name)))
-	b = append(b, m.Name...)
 	b = append(b, byte(len(m.Crashes)))
 	for fingerprint, count := range m.Crashes {
 		b = binary.BigEndian.AppendUint64(b, fingerprint)
@@ -70,6 +113,13 @@
 	return b
 }
 
+// withoutRelay returns a copy of a datagram that its receivers do not pass on.
+func withoutRelay(datagram []byte) []byte {
+	passedOn := slices.Clone(datagram)
+	passedOn[flagsOffset] &^= flagRelay
+	return passedOn
+}
+
 func appendJob(b []byte, job *placement.Job, now time.Time) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(job.Endpoint))
 	b = binary.BigEndian.AppendUint32(b, uint32(clamp(job.PromptTokens, math.MaxUint32)))
@@ -121,11 +171,16 @@
 	if r.u32() != formatMagic {
 		return nil, errMalformed
 	}
-	m := &Message{Sequence: r.u64(), Epoch: int64(r.u64())}
 	flags := r.u8()
-	m.StoreReachable, m.Stopping = flags&flagStoreReachable != 0, flags&flagStopping != 0
+	m := &Message{Sequence: r.u64(), Stopping: flags&flagStopping != 0, Relay: flags&flagRelay != 0}
+	m.Versions = Versions{Epoch: int64(r.u64()), Endpoints: int64(r.u64()), EndpointsChanged: int64(r.u64()),
+		StoreReachable: flags&flagStoreReachable != 0}
+	m.Versions.ConfirmedAt, m.Versions.OutageEndedAt = decodeAge(r.u16(), now), decodeAge(r.u16(), now)
+	m.Scopes = placement.Scope(r.u8())
 	m.Part, m.Parts = r.u8(), r.u8()
-	m.Name = string(r.next(r.u8()))
+	for _, text := range []*string{&m.Name, &m.Addr, &m.FailureDomain} {
+		*text = string(r.next(r.u8()))
+	}
 	m.Crashes = make(map[uint64]int)
 	for range r.u8() {
 		fingerprint := r.u64()
--- a/exchange/state.go
+++ b/exchange/state.go
@@ -1,10 +1,14 @@
 package exchange
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -18,31 +22,44 @@
 	maxStateBytes = 16 << 20
 )
 
-// State is the configuration and the endpoints that a gateway without access to the store fetches from a peer.
+// State is what a gateway fetches from a peer that holds a newer configuration or list of endpoints.
 type State struct {
-	Epoch             int64            `json:"epoch"`
-	Config            []byte           `json:"config"`  // as stored
-	EndpointsComplete bool             `json:"settled"` // whether the store is up and Endpoints lists all live endpoints
-	Endpoints         []registry.Entry `json:"endpoints"`
-	StoreVersion      int64            `json:"version"` // store version that Endpoints is at least as new as
+	Epoch     int64          `json:"epoch"`
+	Config    []byte         `json:"config,omitempty"` // as stored, compressed by Compress; empty if the fetching gateway has it
+	Endpoints registry.Delta `json:"endpoints"`
+}
+
+// StateQuery tells what the fetching gateway has.
+type StateQuery struct {
+	Epoch            int64 // of its configuration
+	EndpointsVersion int64 // store version of its list of endpoints; 0: none
 }
 
 // StateHandler serves this gateway's state to peers.
-func StateHandler(state func() State) http.Handler {
+func StateHandler(state func(StateQuery) State) http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
+	router.HandleFunc("/state", func(w http.ResponseWriter, req *http.Request) {
+		var query StateQuery
+		var epochErr, versionErr error
+		query.Epoch, epochErr = strconv.ParseInt(req.FormValue("epoch"), 10, 64)
+		query.EndpointsVersion, versionErr = strconv.ParseInt(req.FormValue("endpoints"), 10, 64)
+		if epochErr != nil || versionErr != nil {
+			http.Error(w, "epoch and endpoints must be numbers", http.StatusBadRequest)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(state()) // fails only if the peer has disconnected
+		_ = json.NewEncoder(w).Encode(state(query)) // fails only if the peer has disconnected
 	}).Methods(http.MethodGet)
 	return router
 }
 
-// FetchState requests the state of the peer at addr.
-func FetchState(ctx context.Context, client *http.Client, addr string) (State, error) {
+// FetchState requests from the peer at addr what is newer there than query tells.
+func FetchState(ctx context.Context, client *http.Client, addr string, query StateQuery) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	var s State
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/state", nil)
+	values := url.Values{"epoch": {strconv.FormatInt(query.Epoch, 10)}, "endpoints": {strconv.FormatInt(query.EndpointsVersion, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/state?"+values.Encode(), nil)
 	if err != nil {
 		return s, errors.Wrap(err, "peer state")
 	}
@@ -57,3 +74,23 @@
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&s)
 	return s, errors.Wrap(err, "peer state")
 }
+
+// Compress returns the compressed form of a configuration. Configurations are repetitive, and one gateway on a small VM may send
+// it to many others.
+func Compress(source []byte) []byte {
+	var buf bytes.Buffer
+	w, _ := gzip.NewWriterLevel(&buf, gzip.BestSpeed) // the level is valid
+	_, _ = w.Write(source)                            // a bytes.Buffer returns no errors
+	_ = w.Close()
+	return buf.Bytes()
+}
+
+// Decompress returns the configuration of a compressed form.
+func Decompress(compressed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, errors.Wrap(err, "compressed configuration")
+	}
+	source, err := io.ReadAll(io.LimitReader(r, maxStateBytes))
+	return source, errors.Wrap(err, "compressed configuration")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	Catalog       func() *catalog.Snapshot // returns the current configuration
 	Registry      *registry.Registry
 	Scheduler     *placement.Scheduler
+	Near          func(*registry.Endpoint) bool // whether other gateways' short prompts at it are known at once; nil: always
 	RetryBudget   *RetryBudget
 	CrashTracker  *CrashTracker
 	Backend       Backend
@@ -46,6 +47,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Near == nil {
+		opts.Near = func(*registry.Endpoint) bool { return true }
+	}
 	return &Gateway{opts: opts}
 }
 
@@ -328,7 +332,8 @@
 			failureRate, slowdown := s.gw.opts.Registry.Health(e)
 			byID[e.ID] = e
 			candidates = append(candidates, placement.Candidate{
-				ID: e.ID, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, FailureRate: failureRate, Slowdown: slowdown,
+				ID: e.ID, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, Near: s.gw.opts.Near(e), FailureRate: failureRate,
+				Slowdown: slowdown,
 			})
 		}
 	}
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -49,6 +49,11 @@
 	Gateways      int
 	Endpoints     int
 	PeerViewDelay time.Duration // from a placement until the other gateways know of it
+	// Domains is the number of failure domains, over which gateways and endpoints are distributed evenly. Changes of short prompts
+	// are known in the other domains after keepAliveInterval at most. 0: all gateways know of all changes after PeerViewDelay.
+	Domains int
+	// DomainTraffic holds the share of each domain of the arrivals, relative to the other shares; nil: equal shares.
+	DomainTraffic []float64
 	Duration      time.Duration // of arrivals; the simulation itself runs until all requests have ended
 	Workloads     []Workload
 	Seed          uint64
@@ -99,35 +104,61 @@
 
 type simulation struct {
 	Config
-	rng             *rand.Rand
-	now             time.Time
-	lastSequence    uint64 // of the events scheduled so far
-	events          eventHeap
-	schedulers      []*placement.Scheduler
-	updateScheduled []bool // by gateway: whether an update of its jobs to the others is scheduled
-	engines         map[string]*simEngine
-	candidates      []placement.Candidate
-	outcomes        map[string]*Outcome
-	placedCount     int
-	herdedCount     int
+	rng           *rand.Rand
+	now           time.Time
+	lastSequence  uint64 // of the events scheduled so far
+	events        eventHeap
+	schedulers    []*placement.Scheduler
+	pendingScopes []placement.Scope // by gateway: scopes of the updates to other gateways that are scheduled
+	engines       map[string]*simEngine
+	candidates    [][]placement.Candidate // by failure domain
+	outcomes      map[string]*Outcome
+	placedCount   int
+	herdedCount   int
 }
 
 func newSimulation(c Config) *simulation {
 	s := &simulation{
-		Config: c, rng: rand.New(rand.NewPCG(c.Seed, 0)), now: start, updateScheduled: make([]bool, c.Gateways),
+		Config: c, rng: rand.New(rand.NewPCG(c.Seed, 0)), now: start, pendingScopes: make([]placement.Scope, c.Gateways),
 		engines: make(map[string]*simEngine), outcomes: make(map[string]*Outcome),
 	}
 	for i := range c.Gateways {
 		s.schedulers = append(s.schedulers, placement.NewSeededScheduler(c.Seed+uint64(i)))
 	}
+	s.candidates = make([][]placement.Candidate, s.domains())
 	for i := range c.Endpoints {
 		id := "e" + strconv.Itoa(i)
-		s.candidates = append(s.candidates, placement.Candidate{ID: id, SameFailureDomain: true, Slowdown: 1})
+		for domain := range s.candidates {
+			near := i%s.domains() == domain
+			s.candidates[domain] = append(s.candidates[domain],
+				placement.Candidate{ID: id, SameFailureDomain: near, Near: near, Slowdown: 1})
+		}
 		s.engines[id] = &simEngine{sim: s, lastGateway: -1}
 	}
+	s.schedule(keepAliveInterval, s.publishToAll)
 	return s
 }
 
+// domains returns the number of failure domains, at least 1.
+func (s *simulation) domains() int { return max(s.Domains, 1) }
+
+// randomGateway returns the gateway of a new request.
+func (s *simulation) randomGateway() int {
+	if len(s.DomainTraffic) == 0 {
+		return s.rng.IntN(s.Gateways)
+	}
+	total := 0.0
+	for _, share := range s.DomainTraffic {
+		total += share
+	}
+	domain, x := 0, s.rng.Float64()*total
+	for x -= s.DomainTraffic[0]; x > 0 && domain < s.domains()-1; x -= s.DomainTraffic[domain] {
+		domain++
+	}
+	inDomain := (s.Gateways - domain + s.domains() - 1) / s.domains()
+	return domain + s.rng.IntN(inDomain)*s.domains()
+}
+
 // schedule runs action after a delay in virtual time.
 func (s *simulation) schedule(delay time.Duration, action func()) {
 	s.lastSequence++
@@ -147,7 +178,7 @@
 	for at := w.Start + time.Duration(s.rng.ExpFloat64()*meanGap); at < end; at += time.Duration(s.rng.ExpFloat64() * meanGap) {
 		relativeLength := math.Exp(s.rng.NormFloat64()*w.PromptLogStddev - w.PromptLogStddev*w.PromptLogStddev/2)
 		r := &request{
-			sim: s, workload: w, outcome: s.outcomes[w.Name], gateway: s.rng.IntN(s.Gateways), arrivedAt: start.Add(at),
+			sim: s, workload: w, outcome: s.outcomes[w.Name], gateway: s.randomGateway(), arrivedAt: start.Add(at),
 			promptTokens: min(max(int(w.MeanPromptTokens*relativeLength), 1), w.MaxPromptTokens),
 			eventsLeft:   max(1, int(w.MeanEvents*(0.5+s.rng.Float64()))),
 		}
@@ -160,23 +191,55 @@
 	}
 }
 
-// publishJobs sends the jobs of a gateway to the others after the configured delay.
+// publishJobs sends the changed jobs of a gateway to the gateways that have to know of them, after the configured delay.
 func (s *simulation) publishJobs(gateway int) {
-	if s.updateScheduled[gateway] {
+	changed := s.schedulers[gateway].TakeChanged()
+	alreadyScheduled := s.pendingScopes[gateway] != 0
+	s.pendingScopes[gateway] |= changed
+	if changed == 0 || alreadyScheduled {
 		return
 	}
-	s.updateScheduled[gateway] = true
 	s.schedule(s.PeerViewDelay, func() {
-		s.updateScheduled[gateway] = false
-		jobs, name := s.schedulers[gateway].LocalJobs(), "g"+strconv.Itoa(gateway)
-		for i, scheduler := range s.schedulers {
-			if i != gateway {
-				scheduler.SetPeerJobs(name, jobs, s.now)
+		scopes := s.pendingScopes[gateway]
+		s.pendingScopes[gateway] = 0
+		for i := range s.schedulers {
+			if i == gateway {
+				continue
+			}
+			s.send(gateway, i, scopes&placement.Fleetwide)
+			if i%s.domains() == gateway%s.domains() {
+				s.send(gateway, i, scopes&placement.Near)
 			}
 		}
 	})
 }
 
+// send sends the jobs of a gateway in one scope to another gateway.
+func (s *simulation) send(from, to int, scope placement.Scope) {
+	if scope != 0 {
+		name := "g" + strconv.Itoa(from) + "#" + strconv.Itoa(int(scope))
+		s.schedulers[to].SetPeerJobs(name, s.schedulers[from].LocalJobsIn(scope), s.now)
+	}
+}
+
+// keepAliveInterval is the interval at which gateways send all their jobs to all others.
+const keepAliveInterval = 500 * time.Millisecond
+
+// publishToAll sends the jobs of all gateways to all others.
+func (s *simulation) publishToAll() {
+	for from := range s.schedulers {
+		for to := range s.schedulers {
+			if from != to {
+				s.send(from, to, placement.Near)
+				s.send(from, to, placement.Fleetwide)
+			}
+		}
+	}
+	if s.now.Sub(start) < s.Duration {
+		s.schedule(keepAliveInterval, s.publishToAll)
+	}
+}
+
 type request struct {
 	sim          *simulation
 	workload     *Workload
@@ -199,7 +262,7 @@
 // place asks for a placement and carries it out.
 func (r *request) place() {
 	s, waited := r.sim, r.sim.now.Sub(r.arrivedAt)
-	plan, decision := r.scheduler().Choose(&s.Timing, s.candidates, placement.Request{
+	plan, decision := r.scheduler().Choose(&s.Timing, s.candidates[r.gateway%s.domains()], placement.Request{
 		PromptTokens: r.promptTokens, OutputTokens: r.eventsLeft * s.Timing.TokensPerPass,
 		LatencyTarget: r.workload.LatencyTarget, GapTarget: r.workload.GapTarget, Waited: waited,
 		TimeLeft:   min(placement.CallerIdleTimeout(r.workload.LatencyTarget, r.workload.GapTarget), r.workload.CallerTimeout) - waited,
--- /dev/null
+++ b/internal/gatewayd/following_test.go
@@ -0,0 +1,198 @@
+package gatewayd
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Bounds of the platforms that the fleet serves: the shortest times in which a change must be in force and a leaving endpoint
+// must get no more requests, for gateways whose connections have been sound throughout.
+const (
+	configBound = 3 * time.Second
+	drainBound  = 3 * time.Second
+)
+
+// withFleet runs a test in virtual time on a fleet that has started and found itself.
+func withFleet(t *testing.T, gateways, domains int, test func(f *testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, gateways, domains)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		f.requireEverywhere(time.Second, f.all, "start", uses("i0", true))
+		test(f)
+	})
+}
+
+func without(all, excluded []*testNode) (rest []*testNode) {
+	for _, n := range all {
+		if !containsNode(excluded, n) {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+func containsNode(nodes []*testNode, wanted *testNode) bool {
+	for _, n := range nodes {
+		if n == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Changes must reach gateways that do not ask the store, and the calls must not grow with the fleet.
+func TestChangesReachFollowers(t *testing.T) {
+	withFleet(t, 60, 5, func(f *testFleet) {
+		require.Len(t, f.watchers(), 10)
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", endpointValue(0, "draining"))
+		f.store.write("servers", "i1", "")
+		f.requireEverywhere(time.Second, f.all, "configuration", hasEpoch(2))
+		f.requireEverywhere(time.Second, f.all, "draining", uses("i0", false))
+		f.requireEverywhere(time.Second, f.all, "removal", uses("i1", false))
+		before := f.store.totalCalls()
+		time.Sleep(20 * time.Second)
+		require.Less(t, f.store.totalCalls()-before, 10*2*20, "two tables, ten watchers, a call a second")
+		for _, n := range f.all {
+			require.True(t, n.daemon.stateSync.configCurrent(), n.name)
+		}
+	})
+}
+
+// Watchers that are cut off from the store without an error must not keep a change from gateways that reach the store.
+func TestChangeWhileAllWatchersAreCutOff(t *testing.T) {
+	withFleet(t, 22, 3, func(f *testFleet) {
+		watching := f.watchers()
+		f.store.setMode(storeSilent, names(watching)...)
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		f.requireEverywhere(configBound, without(f.all, watching), "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, without(f.all, watching), "removal", uses("i0", false))
+	})
+}
+
+// Watchers that freeze must be replaced, and must not bring back what has changed when they wake.
+func TestFrozenWatchersWakeWithOldRows(t *testing.T) {
+	withFleet(t, 22, 3, func(f *testFleet) {
+		watching := f.watchers()
+		f.setFrozen(true, watching...)
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		rest := without(f.all, watching)
+		f.requireEverywhere(configBound, rest, "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, rest, "removal", uses("i0", false))
+		time.Sleep(5 * time.Second)
+		f.setFrozen(false, watching...)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			f.requireEverywhere(0, rest, "configuration", hasEpoch(2))
+			f.requireEverywhere(0, rest, "removal", uses("i0", false))
+		}
+		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
+	})
+}
+
+// The loss of a failure domain, and of half of the others at once, must not keep a change from those that are left.
+func TestLossOfADomainWithItsWatchers(t *testing.T) {
+	withFleet(t, 30, 3, func(f *testFleet) {
+		var lost []*testNode
+		for i, n := range f.all {
+			if n.domain == "domain-0" || i%2 == 0 {
+				lost = append(lost, n)
+			}
+		}
+		for _, n := range lost {
+			n.kill()
+		}
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		rest := without(f.all, lost)
+		f.requireEverywhere(configBound, rest, "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, rest, "removal", uses("i0", false))
+		for _, n := range lost {
+			n.start()
+		}
+		f.requireEverywhere(2*time.Second, f.all, "configuration after the return", hasEpoch(2))
+		f.requireEverywhere(2*time.Second, f.all, "removal after the return", uses("i0", false))
+	})
+}
+
+// A store that refuses some gateways, watchers among them, must not keep a change from any gateway: the others pass it on.
+func TestStoreRefusesSomeGateways(t *testing.T) {
+	for name, mode := range map[string]storeMode{"refuses": storeRefuses, "silent": storeSilent} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 30, 3, func(f *testFleet) {
+				refused := append(f.watchers()[:3], f.all[:9]...)
+				f.store.setMode(mode, names(refused)...)
+				time.Sleep(time.Second)
+				f.store.write("op", "config", `{"Version":2}`)
+				f.store.write("servers", "i0", "")
+				f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
+				f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
+				time.Sleep(5 * time.Second)
+				f.store.write("servers", "i1", "")
+				f.requireEverywhere(time.Second, f.all, "removal by relays", uses("i1", false))
+			})
+		})
+	}
+}
+
+// Entries that expire in an outage must stay in use at every gateway until the store has been back for two seconds, and the
+// outage must not cost calls of the whole fleet all the time.
+func TestOutageOfTheStore(t *testing.T) {
+	withFleet(t, 30, 3, func(f *testFleet) {
+		before := f.store.totalCalls()
+		f.store.setMode(storeRefuses, names(f.all)...)
+		time.Sleep(4 * time.Second)
+		f.store.write("servers", "i0", "")
+		f.store.write("servers", "i1", "")
+		time.Sleep(2 * time.Second)
+		require.Less(t, f.store.totalCalls()-before, 30*2*6, "one call a second and table")
+		f.store.setMode(storeServes, names(f.all)...)
+		for range 15 {
+			time.Sleep(100 * time.Millisecond)
+			f.requireEverywhere(0, f.all, "entry that expired", uses("i0", true))
+		}
+		f.store.write("servers", "i0", endpointValue(0, "ready"))
+		f.requireEverywhere(drainBound, f.all, "entry that is gone", uses("i1", false))
+		f.requireEverywhere(0, f.all, "entry that came back", uses("i0", true))
+	})
+}
+
+// A gateway that starts while the store is away must get its state from the others.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	withFleet(t, 22, 3, func(f *testFleet) {
+		f.store.write("op", "config", `{"Version":2}`)
+		time.Sleep(time.Second)
+		f.store.setMode(storeRefuses, names(f.all)...)
+		time.Sleep(time.Second)
+		restarted := f.all[:5]
+		for _, n := range restarted {
+			n.kill()
+			n.start()
+		}
+		f.requireEverywhere(2*time.Second, restarted, "configuration", hasEpoch(2))
+		f.requireEverywhere(2*time.Second, restarted, "endpoints", uses("i0", true))
+	})
+}
+
+// All gateways at once must start from the store alone.
+func TestRestartOfAllGateways(t *testing.T) {
+	withFleet(t, 30, 3, func(f *testFleet) {
+		for _, n := range f.all {
+			n.kill()
+		}
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		for _, n := range f.all {
+			n.start()
+		}
+		f.requireEverywhere(time.Second, f.all, "configuration", hasEpoch(2))
+		f.requireEverywhere(time.Second, f.all, "removal", uses("i0", false))
+	})
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -29,21 +29,23 @@
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/storewatch"
 )
 
 const (
 	watchedTables = 2 // those of configuration and endpoints
-	// longPollTimeout is the duration of a long poll of the store. It bounds the time until an outage without errors is noticed.
-	// It is not shorter because calls are billed.
+	// longPollTimeout is the longest duration of a long poll of the store. It bounds the time until an outage without errors is
+	// noticed. It is not longer because a watcher that is cut off without an error must be noticed before a change has to be in force.
 	longPollTimeout = 2500 * time.Millisecond
 	// endpointCoalesceDelay is the pause between long polls after a change of the endpoint table. Changes often come in series,
 	// and without the pause each one would end a billed call of every gateway. It is short compared with the bounds for
 	// draining.
 	endpointCoalesceDelay = 400 * time.Millisecond
-	// peerListInterval is the interval between two reads of the list of gateways.
-	peerListInterval = 10 * time.Second
-	// stateFetchInterval is the interval at which state is fetched from a peer while the store is unavailable.
-	stateFetchInterval = 400 * time.Millisecond
+	// peerListInterval is the interval between two reads of the list of gateways, for each gateway in the fleet. Gateways that start
+	// announce themselves to the others, so the list only has to heal what both sides have missed.
+	peerListInterval = 5 * time.Second
+	peerListJitter   = 0.5
 	// drainNoticeTime is the time from the first failing readiness check until the platform sends no new requests: two checks at
 	// an interval of one second and a margin.
 	drainNoticeTime = 2800 * time.Millisecond
@@ -87,6 +89,7 @@
 	gateway         *gateway.Gateway
 	handler         *platform.Handler
 	exchange        *exchange.Exchange
+	follower        *follower
 	draining        atomic.Bool
 	callerServer    *http.Server
 	servers         []*http.Server
@@ -98,7 +101,7 @@
 	s := opts.Settings
 	d := &daemon{
 		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), stateSync: newStateSync(opts.Log),
-		store: platform.NewStore(s.StoreURL), scheduler: placement.NewScheduler(), crashTracker: gateway.NewCrashTracker(time.Now),
+		store: platform.NewStore(s.StoreURL, nil), scheduler: placement.NewScheduler(), crashTracker: gateway.NewCrashTracker(time.Now),
 		backend: platform.NewBackend(),
 	}
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -107,9 +110,11 @@
 		return nil, errors.Wrap(err, "exchange")
 	}
 	d.exchange = exchange.New(exchange.Options{
-		Name: s.Name, Conn: conn, Scheduler: d.scheduler, Crashes: d.crashTracker, StoreReachable: d.stateSync.storeReachable, Log: d.log,
-		Registerer: d.metricsRegistry, Epoch: func() int64 { _, epoch := d.stateSync.config.Source(); return epoch },
+		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler, Crashes: d.crashTracker,
+		Versions: d.stateSync.versions, Log: d.log, Registerer: d.metricsRegistry,
 	})
+	d.stateSync.onVersionsChanged = d.exchange.AnnounceVersions
+	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: s.Name, FailureDomain: s.FailureDomain}, d.log)
 	for _, addr := range s.SeedAddrs {
 		if err := d.exchange.AddTarget(addr); err != nil {
 			return nil, err
@@ -118,6 +123,9 @@
 	d.gateway = gateway.New(gateway.Options{
 		Name: s.Name, FailureDomain: s.FailureDomain, Catalog: d.stateSync.config.Snapshot, Registry: d.stateSync.registry,
 		Scheduler: d.scheduler,
+		Near: func(e *registry.Endpoint) bool {
+			return d.exchange.IsNear(exchange.Member{Name: e.ID, FailureDomain: e.Zone})
+		},
 		RetryBudget: gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow,
 			func() int { return 1 + len(d.exchange.LivePeers()) }, time.Now),
 		CrashTracker: d.crashTracker, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
@@ -136,7 +144,7 @@
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.fetchStateWhileStoreDown, d.validateSettingsOnHangup)
+	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.validateSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
 	}
@@ -165,21 +173,21 @@
 	stateSync := d.stateSync
 	config, endpoints := platform.NewConfigWatcher(d.store, longPollTimeout), platform.NewEndpointWatcher(d.store, longPollTimeout)
 	endpoints.CoalesceDelay = endpointCoalesceDelay
+	config.Await, endpoints.Await = d.follower.awaitTurn(), d.follower.awaitTurn()
+	endpoints.KnownVersion = stateSync.registry.Version
 	config.OnFullRead = func(rows []platform.Row, _ int64) { stateSync.applyConfigRows(rows) }
 	config.OnChange = config.OnFullRead
-	endpoints.OnFullRead = func(rows []platform.Row, version int64) {
-		stateSync.registry.ApplyVersion(version, func() { stateSync.replaceEndpoints(rows) })
-	}
-	endpoints.OnChange = func(rows []platform.Row, version int64) {
-		stateSync.registry.ApplyVersion(version, func() { stateSync.updateEndpoints(rows) })
-	}
+	endpoints.OnFullRead, endpoints.OnChange = stateSync.replaceEndpoints, stateSync.updateEndpoints
 	config.OnError = func(err error) { stateSync.markTableDown(config.Table, err) }
 	config.OnSuccess = func(now time.Time) {
 		stateSync.config.MarkConfirmed(now)
 		stateSync.markTableUp(config.Table)
 	}
 	endpoints.OnError = func(err error) { stateSync.markTableDown(endpoints.Table, err) }
-	endpoints.OnSuccess = func(time.Time) { stateSync.markTableUp(endpoints.Table) }
+	endpoints.OnSuccess = func(now time.Time) {
+		stateSync.confirmEndpoints(now)
+		stateSync.markTableUp(endpoints.Table)
+	}
 	return []*platform.Watcher{config, endpoints}
 }
 
@@ -194,7 +202,7 @@
 	}{
 		{d.settings.CallerAddr, d.callerServer},
 		{d.settings.ReadinessAddr, d.newServer(platform.ReadinessHandler(d.ready))},
-		{d.settings.InternalAddr, d.newServer(exchange.StateHandler(d.exchangeState))},
+		{d.settings.InternalAddr, d.newServer(exchange.StateHandler(d.stateSync.stateFor))},
 		{d.settings.MetricsAddr, d.newServer(metrics)},
 	}
 	for _, l := range listeners {
@@ -221,16 +229,6 @@
 	}
 }
 
-// exchangeState returns the state that is sent to other gateways on request.
-func (d *daemon) exchangeState() exchange.State {
-	source, epoch := d.stateSync.config.Source()
-	version := d.stateSync.registry.Version() // read before the entries, which may thus be newer but not older than it
-	return exchange.State{
-		Epoch: epoch, Config: source, EndpointsComplete: d.stateSync.registry.StoreStable(),
-		Endpoints: d.stateSync.registry.Entries(), StoreVersion: version,
-	}
-}
-
 // maintainPeerList adds the address of this gateway to the list in the store and reads the addresses of the others from it.
 func (d *daemon) maintainPeerList(ctx context.Context) {
 	row, err := json.Marshal(peerRow{Addr: d.settings.InternalAddr})
@@ -247,7 +245,7 @@
 		if d.logFailure(err, "peer_list_read") {
 			d.addPeers(rows)
 		}
-		pause := peerListInterval
+		pause := timing.Jitter(peerListInterval*time.Duration(1+len(d.exchange.LivePeers())), peerListJitter)
 		if !listed {
 			pause = time.Second
 		}
@@ -279,41 +277,6 @@
 	return err == nil
 }
 
-// fetchStateWhileStoreDown fetches configuration and endpoints from a peer that reaches the store while this gateway does not.
-func (d *daemon) fetchStateWhileStoreDown(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	timing.Every(ctx, stateFetchInterval, func() {
-		if !d.stateSync.storeReachable() {
-			d.fetchState(ctx, client)
-		}
-	})
-}
-
-// fetchState fetches state from live peers until one has returned a complete list of endpoints.
-func (d *daemon) fetchState(ctx context.Context, client *http.Client) {
-	_, ownEpoch := d.stateSync.config.Source()
-	for _, p := range d.exchange.LivePeers() {
-		if !p.StoreReachable && p.Epoch <= ownEpoch {
-			continue
-		}
-		state, err := exchange.FetchState(ctx, client, p.Addr)
-		if err != nil {
-			d.log.WithError(err).WithFields(logrus.Fields{"event": "peer_state", "peer": p.Name}).Info("cannot fetch state from a peer")
-			continue
-		}
-		if state.Epoch > ownEpoch {
-			d.stateSync.updateConfig(state.Config, p.Name)
-		}
-		if p.StoreReachable {
-			d.stateSync.config.MarkConfirmed(time.Now())
-		}
-		if p.StoreReachable && state.EndpointsComplete {
-			d.stateSync.replaceEndpointsFromPeer(state, p.Name)
-			return
-		}
-	}
-}
-
 // validateSettingsOnHangup validates the settings file on SIGHUP, which the platform sends when the file has changed. The
 // settings themselves only take effect at the next start.
 func (d *daemon) validateSettingsOnHangup(ctx context.Context) {
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -22,14 +22,21 @@
 	config   *catalog.CurrentSnapshot
 	registry *registry.Registry
 
-	mu      sync.Mutex
-	tableUp map[string]bool // by table; has no entry for a table before the first result of a call
+	// onVersionsChanged is called when this gateway holds a newer configuration or list of endpoints, or when the store has become
+	// reachable or unreachable.
+	onVersionsChanged func()
+
+	mu                   sync.Mutex
+	tableUp              map[string]bool // by table; has no entry for a table before the first result of a call
+	endpointsConfirmedAt time.Time       // when the store last confirmed the list of endpoints
+	compressedConfig     []byte          // gzip form of the configuration of compressedEpoch, for peers
+	compressedEpoch      int64
 }
 
 func newStateSync(log *logrus.Logger) *stateSync {
 	return &stateSync{
 		log: log, config: new(catalog.CurrentSnapshot), registry: registry.New(nil),
-		tableUp: make(map[string]bool),
+		tableUp: make(map[string]bool), onVersionsChanged: func() {},
 	}
 }
 
@@ -69,6 +76,9 @@
 func (s *stateSync) markTableDown(table string, err error) {
 	wasUp, known, _ := s.setTableUp(table, false)
 	s.registry.MarkStoreDown()
+	if wasUp {
+		s.onVersionsChanged()
+	}
 	if wasUp || !known {
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "store_lost", "table": table}).Warn("store does not respond")
 	}
@@ -81,6 +91,7 @@
 		s.registry.MarkStoreUp()
 	}
 	if known && !wasUp {
+		s.onVersionsChanged()
 		s.log.WithFields(logrus.Fields{"event": "store_regained", "table": table}).Info("store responds again")
 	}
 }
@@ -93,6 +104,7 @@
 		return
 	}
 	if s.config.Adopt(snapshot, source) {
+		s.onVersionsChanged()
 		s.log.WithFields(logrus.Fields{"event": "config_adopted", "epoch": snapshot.Epoch, "from": from}).
 			Info("configuration is in force")
 	}
@@ -116,25 +128,38 @@
 	return e, ok
 }
 
-// replaceEndpoints applies all rows of the endpoint table.
-func (s *stateSync) replaceEndpoints(rows []platform.Row) {
+// replaceEndpoints applies all rows of the endpoint table at a version of the store.
+func (s *stateSync) replaceEndpoints(rows []platform.Row, version int64) {
 	var entries []registry.Entry
 	for _, row := range rows {
 		if e, ok := s.decodeEndpoint(row); ok {
 			entries = append(entries, e)
 		}
 	}
-	changed := s.registry.Replace(entries)
+	changed := 0
+	s.registry.ApplyVersion(version, func() { changed = s.registry.Replace(entries, version) })
+	s.onVersionsChanged()
 	s.log.WithFields(logrus.Fields{"event": "endpoints_read", "listed": len(entries), "changed": changed}).
 		Info("endpoints read from the store")
 }
 
-// updateEndpoints applies changed rows of the endpoint table.
-func (s *stateSync) updateEndpoints(rows []platform.Row) {
+// updateEndpoints applies changed rows of the endpoint table, up to a version of the store.
+func (s *stateSync) updateEndpoints(rows []platform.Row, version int64) {
+	s.registry.ApplyVersion(version, func() { s.applyEndpointRows(rows) })
+	s.onVersionsChanged()
+}
+
+func (s *stateSync) applyEndpointRows(rows []platform.Row) {
 	var removed []string
+	version := s.registry.Version()
 	for _, row := range rows {
+		if row.Version == 0 {
+			row.Version = version + 1 // rows come in the order of their changes
+		}
+		version = max(version, row.Version)
 		if row.Removed {
 			removed = append(removed, row.Key)
+			s.registry.Remove(row.Version, row.Key)
 			continue
 		}
 		if e, ok := s.decodeEndpoint(row); ok && s.registry.Upsert(e) {
@@ -143,17 +168,69 @@
 		}
 	}
 	if len(removed) > 0 {
-		s.registry.Remove(removed...)
 		s.log.WithFields(logrus.Fields{"event": "endpoints_removed", "endpoints": removed}).Info("endpoints removed from the store")
 	}
 }
 
-// replaceEndpointsFromPeer applies the list of a peer that reaches the store.
-func (s *stateSync) replaceEndpointsFromPeer(state exchange.State, peer string) {
+// applyEndpointsOfPeer applies the list of endpoints of a peer.
+func (s *stateSync) applyEndpointsOfPeer(d registry.Delta, peer string) {
 	ownVersion := s.registry.Version()
-	changed, applied := s.registry.ReplaceFromPeer(state.Endpoints, state.StoreVersion)
+	changed, applied := s.registry.ApplyDelta(d)
+	if applied {
+		s.onVersionsChanged()
+	}
 	if changed > 0 || !applied {
-		s.log.WithFields(logrus.Fields{"event": "endpoints_from_peer", "peer": peer, "version": state.StoreVersion,
-			"own_version": ownVersion, "changed": changed, "taken": applied}).Info("endpoints received from a peer")
+		s.log.WithFields(logrus.Fields{"event": "endpoints_from_peer", "peer": peer, "version": d.Version, "since": d.Since,
+			"own_version": ownVersion, "changed": changed, "removed": len(d.Removed), "taken": applied}).
+			Info("endpoints received from a peer")
+	}
+}
+
+// confirmEndpoints records that the list of endpoints was complete at the given time.
+func (s *stateSync) confirmEndpoints(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.endpointsConfirmedAt) {
+		s.endpointsConfirmedAt = at
+	}
+}
+
+// confirmedAt returns when the store last confirmed both the configuration and the list of endpoints; zero: never.
+func (s *stateSync) confirmedAt() time.Time {
+	configAt := s.config.ConfirmedAt()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if configAt.Before(s.endpointsConfirmedAt) {
+		return configAt
+	}
+	return s.endpointsConfirmedAt
+}
+
+// versions returns what this gateway holds, as its peers learn it.
+func (s *stateSync) versions() exchange.Versions {
+	_, epoch := s.config.Source()
+	return exchange.Versions{
+		Epoch: epoch, Endpoints: s.registry.Version(), EndpointsChanged: s.registry.ChangedVersion(), ConfirmedAt: s.confirmedAt(),
+		OutageEndedAt: s.registry.OutageEndedAt(), StoreReachable: s.storeReachable(),
+	}
+}
+
+// stateFor returns what a peer that has sent the query lacks.
+func (s *stateSync) stateFor(q exchange.StateQuery) exchange.State {
+	source, epoch := s.config.Source()
+	state := exchange.State{Epoch: epoch, Endpoints: s.registry.DeltaSince(q.EndpointsVersion)}
+	if epoch > q.Epoch {
+		state.Config = s.compressed(source, epoch)
+	}
+	return state
+}
+
+// compressed returns the gzip form of a configuration. Many peers fetch the same one.
+func (s *stateSync) compressed(source []byte, epoch int64) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.compressedEpoch != epoch {
+		s.compressedEpoch, s.compressedConfig = epoch, exchange.Compress(source)
 	}
+	return s.compressedConfig
 }
--- a/internal/gatewayd/statesync_test.go
+++ b/internal/gatewayd/statesync_test.go
@@ -58,11 +58,11 @@
 // An invalid row must neither hide other rows nor remove an endpoint.
 func TestMalformedRowsDoNotAffectOthers(t *testing.T) {
 	s := newTestStateSync()
-	s.replaceEndpoints([]platform.Row{endpointRow("a", "ready"), endpointRow("b", "odd"), {Key: "c"}, endpointRow("d", "ready")})
+	s.replaceEndpoints([]platform.Row{endpointRow("a", "ready"), endpointRow("b", "odd"), {Key: "c"}, endpointRow("d", "ready")}, 1)
 	require.Equal(t, []string{"a", "d"}, usableIDs(s))
-	s.updateEndpoints([]platform.Row{endpointRow("a", "odd"), endpointRow("d", "draining"), endpointRow("e", "ready")})
+	s.updateEndpoints([]platform.Row{endpointRow("a", "odd"), endpointRow("d", "draining"), endpointRow("e", "ready")}, 2)
 	require.Equal(t, []string{"a", "e"}, usableIDs(s))
-	s.updateEndpoints([]platform.Row{{Key: "a", Removed: true}})
+	s.updateEndpoints([]platform.Row{{Key: "a", Removed: true}}, 3)
 	require.Equal(t, []string{"e"}, usableIDs(s))
 }
 
@@ -77,8 +77,8 @@
 	s.markTableDown("one", errors.New("down"))
 	s.markTableUp("two")
 	require.False(t, s.storeReachable())
-	s.replaceEndpoints([]platform.Row{endpointRow("a", "ready")})
-	s.updateEndpoints([]platform.Row{{Key: "a", Removed: true}})
+	s.replaceEndpoints([]platform.Row{endpointRow("a", "ready")}, 1)
+	s.updateEndpoints([]platform.Row{{Key: "a", Removed: true}}, 2)
 	require.Equal(t, []string{"a"}, usableIDs(s), "the entry may have expired in the outage")
 	s.markTableUp("one")
 	require.True(t, s.storeReachable())
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -89,6 +89,7 @@
 type Candidate struct {
 	ID                string
 	SameFailureDomain bool    // in the failure domain of this gateway
+	Near              bool    // short prompts that others place on it are known here at once
 	FailureRate       float64 // recent share of failed requests
 	Slowdown          float64 // ratio of observed to predicted time, at least 1
 }
@@ -163,10 +164,13 @@
 	if work, others := s.workAhead(m, r, now); others {
 		return decideBehindQueue(m, r, work, len(candidates))
 	}
+	loads := s.candidateLoads(m, candidates, now)
+	if !mayQueue(r) {
+		loads = s.nearOrFar(m.Slots, loads)
+	}
 	if isTightGap(r.GapTarget) {
-		candidates = s.sampleCandidates(candidates, now)
+		loads = s.sampleLoads(loads)
 	}
-	loads := s.candidateLoads(m, candidates, now)
 	p, ok := cheapestPlan(m, loads, r, now)
 	if !ok {
 		return Plan{}, decideWithoutMemory(m, candidates, r)
@@ -178,28 +182,23 @@
 	return p, Admit
 }
 
-// sampleCandidates returns a random subset of the candidates for a short prompt. Gateways that all took the cheapest
-// endpoint would choose the same one as long as they do not know of each other's placements. The more of these are unseen,
-// the smaller the subset.
-func (s *Scheduler) sampleCandidates(candidates []Candidate, now time.Time) []Candidate {
-	n := int(float64(len(candidates)) / (1 + unseenPlacementWeight*s.unseenPlacements(now)))
-	if n = max(n, minSampleSize); n >= len(candidates) {
-		return candidates
+// sampleLoads returns a random subset of the loads for a short prompt. Gateways that all took the cheapest endpoint would choose
+// the same one as long as they do not know of each other's placements. The more of these are unseen, the smaller the subset. The
+// loads must be in random order.
+func (s *Scheduler) sampleLoads(loads []candidateLoad) []candidateLoad {
+	if len(loads) > 0 && !loads[0].Near {
+		return loads[:min(minSampleSize, len(loads))]
 	}
-	drawn := make([]Candidate, n)
-	for i, k := range s.rng.Perm(len(candidates))[:n] {
-		drawn[i] = candidates[k]
-	}
-	return drawn
+	n := int(float64(len(loads)) / (1 + unseenPlacementWeight*unseenPlacements(loads)))
+	return loads[:min(max(n, minSampleSize), len(loads))]
 }
 
-// unseenPlacements estimates the number of requests that peers have placed and this gateway has not received yet.
-func (s *Scheduler) unseenPlacements(now time.Time) float64 {
+// unseenPlacements estimates the number of requests that peers have placed on the endpoints and this gateway has not received
+// yet.
+func unseenPlacements(loads []candidateLoad) float64 {
 	recent := 0
-	for j := range s.recentPeerJobs(now) {
-		if j.OutputTokens > 0 && now.Sub(j.PlacedAt) < rateWindow {
-			recent++
-		}
+	for i := range loads {
+		recent += loads[i].load.recentPeerRequests
 	}
 	return float64(recent) * peerViewDelay.Seconds() / rateWindow.Seconds()
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -22,7 +22,7 @@
 func candidates(n int) []Candidate {
 	cands := make([]Candidate, n)
 	for i := range cands {
-		cands[i] = Candidate{ID: fmt.Sprintf("e%02d", i), SameFailureDomain: true, Slowdown: 1}
+		cands[i] = Candidate{ID: fmt.Sprintf("e%02d", i), SameFailureDomain: true, Near: true, Slowdown: 1}
 	}
 	return cands
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -11,7 +11,12 @@
 
 // mayQueue reports whether a request is long enough and has enough time to wait for a better plan.
 func mayQueue(r Request) bool {
-	return r.PromptTokens >= minWaitTokens && r.LatencyTarget >= minWaitTarget
+	return isLong(r.PromptTokens, r.LatencyTarget)
+}
+
+// isLong reports whether a prompt is long, and its latency target long enough, to wait for a better plan.
+func isLong(promptTokens int, latencyTarget time.Duration) bool {
+	return promptTokens >= minWaitTokens && latencyTarget >= minWaitTarget
 }
 
 // enqueue returns the queue entry of a request and adds it if there is none.
@@ -31,10 +36,7 @@
 }
 
 func (s *Scheduler) dequeue(id uint64) {
-	if id != 0 {
-		delete(s.local, id)
-		s.signal()
-	}
+	s.removeLocal(id)
 }
 
 // workAhead returns the total prefill time of the queued requests that go before this one, and whether there are any. A
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -53,6 +53,8 @@
 	lastID  uint64
 	changed chan struct{}
 	rng     *rand.Rand
+
+	changedScopes Scope // of the jobs that have changed since TakeChanged
 }
 
 type peerJobs struct {
@@ -79,13 +81,6 @@
 // Changed returns a channel that signals that jobs of this gateway have changed since the last receive.
 func (s *Scheduler) Changed() <-chan struct{} { return s.changed }
 
-func (s *Scheduler) signal() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
-
 // Add adds a job of this gateway and returns its ID.
 func (s *Scheduler) Add(j Job) uint64 {
 	s.mu.Lock()
@@ -97,7 +92,7 @@
 	s.lastID++
 	j.ID = s.lastID
 	s.local[j.ID] = &j
-	s.signal()
+	s.markChanged(j.Scope())
 	return j.ID
 }
 
@@ -111,13 +106,13 @@
 		if j == nil {
 			continue
 		}
+		s.markChanged(j.Scope())
 		if i == 0 || j.MemoryTokens > 0 {
 			j.Decoding = true
 		} else {
 			delete(s.local, id)
 		}
 	}
-	s.signal()
 }
 
 // MarkLate marks jobs that have missed a target.
@@ -127,9 +122,9 @@
 	for _, id := range ids {
 		if j := s.local[id]; j != nil {
 			j.Late = true
+			s.markChanged(j.Scope())
 		}
 	}
-	s.signal()
 }
 
 // Remove removes jobs of this gateway.
@@ -137,18 +132,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
+		s.removeLocal(id)
+	}
+}
+
+func (s *Scheduler) removeLocal(id uint64) {
+	if j := s.local[id]; j != nil {
 		delete(s.local, id)
+		s.markChanged(j.Scope())
 	}
-	s.signal()
 }
 
-// LocalJobs returns a copy of the jobs of this gateway.
-func (s *Scheduler) LocalJobs() []Job {
+// LocalJobs returns a copy of all jobs of this gateway.
+func (s *Scheduler) LocalJobs() []Job { return s.LocalJobsIn(Near | Fleetwide) }
+
+// LocalJobsIn returns a copy of the jobs of this gateway in the given scopes.
+func (s *Scheduler) LocalJobsIn(scopes Scope) []Job {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	jobs := make([]Job, 0, len(s.local))
 	for _, j := range s.local {
-		jobs = append(jobs, *j)
+		if scopes&j.Scope() != 0 {
+			jobs = append(jobs, *j)
+		}
 	}
 	return jobs
 }
@@ -194,6 +200,7 @@
 	currentPassPrefill time.Duration // prefill in the current pass, from its start
 	nextPassPrefill    time.Duration // prefill that waits for the next pass
 	decodePassTime     time.Duration // duration of a pass without prefill
+	recentPeerRequests int           // requests that peers have placed here within rateWindow
 }
 
 // backlog returns the remaining prefill time.
@@ -205,9 +212,9 @@
 // loadByEndpoint groups the placed jobs by endpoint. The other fields of the loads are set by compute.
 func (s *Scheduler) loadByEndpoint(now time.Time) map[EndpointKey]*endpointLoad {
 	loads := make(map[EndpointKey]*endpointLoad)
-	add := func(j *Job) {
+	add := func(j *Job) *endpointLoad {
 		if j.Queued {
-			return
+			return nil
 		}
 		l := loads[j.Endpoint]
 		if l == nil {
@@ -215,6 +222,7 @@
 			loads[j.Endpoint] = l
 		}
 		l.jobs = append(l.jobs, j)
+		return l
 	}
 	for _, j := range s.local {
 		add(j)
@@ -224,8 +232,12 @@
 			delete(s.peers, name)
 			continue
 		}
+		recent := now.Sub(p.receivedAt) <= recentPeerAge
 		for i := range p.jobs {
-			add(&p.jobs[i])
+			j := &p.jobs[i]
+			if l := add(j); l != nil && recent && j.OutputTokens > 0 && now.Sub(j.PlacedAt) < rateWindow {
+				l.recentPeerRequests++
+			}
 		}
 	}
 	return loads
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -42,6 +42,7 @@
 	Slots    int
 	Draining bool
 	Born     int64 // start time in Unix milliseconds; 0: not given. A restarted endpoint may keep its ID.
+	Version  int64 // of the store, at the latest change of the entry; 0: not given
 }
 
 // Endpoint is an endpoint that is in use. Its Entry does not change. A restart of the endpoint creates a new Endpoint.
@@ -76,6 +77,7 @@
 
 type record struct {
 	endpoint        *Endpoint
+	version         int64     // of the store, at the latest known change of the entry
 	draining        bool      // according to the store or to a response of the endpoint
 	removedAt       time.Time // when the entry was removed from the store; zero: it is listed
 	expiredInOutage bool      // removed around a store outage; stays in use until outageGracePeriod has passed
@@ -86,10 +88,14 @@
 	mu             sync.Mutex
 	records        map[string]*record // by endpoint ID
 	storeDown      bool
+	downSince      time.Time // when the store was first found down, while storeDown
 	outageEndedAt  time.Time // of the latest store outage
 	startedVersion int64     // latest version of the store whose changes are applied or being applied
 	appliedVersion int64     // latest version of the store whose changes are completely applied
-	now            func() time.Time
+	changedVersion int64     // version of the store at the latest known change of an entry
+	// forgottenVersion is the version of the store up to which entries may have been removed that are not recorded here.
+	forgottenVersion int64
+	now              func() time.Time
 }
 
 // New returns a Registry without endpoints. now is the clock; nil means time.Now.
@@ -109,24 +115,26 @@
 
 func (r *Registry) upsert(e Entry) bool {
 	old := r.records[e.ID]
-	if old != nil && old.endpoint.Born > e.Born {
-		return false // the entry is from before a restart
+	if old != nil && (old.endpoint.Born > e.Born || e.Version != 0 && e.Version < old.version) {
+		return false // the entry is from before a restart or a later change
 	}
+	r.changedVersion = max(r.changedVersion, e.Version)
 	if old == nil || old.endpoint.Born != e.Born || old.endpoint.Addr != e.Addr || old.endpoint.Service != e.Service {
-		r.records[e.ID] = &record{endpoint: &Endpoint{Entry: e}, draining: e.Draining}
+		r.records[e.ID] = &record{endpoint: &Endpoint{Entry: e}, version: e.Version, draining: e.Draining}
 		return true
 	}
+	old.version = max(old.version, e.Version)
 	changed := !old.removedAt.IsZero() || e.Draining && !old.draining
 	old.removedAt, old.expiredInOutage = time.Time{}, false
 	old.draining = old.draining || e.Draining // an endpoint that shuts down does not become ready again without a restart
 	return changed
 }
 
-// Remove marks entries that have been removed from the store.
-func (r *Registry) Remove(ids ...string) {
+// Remove marks entries as removed from the store at a version of it.
+func (r *Registry) Remove(version int64, ids ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(ids, r.nearOutage())
+	r.remove(ids, version, r.nearOutage())
 }
 
 // nearOutage reports whether entries that are removed now may have expired because of a store outage.
@@ -134,19 +142,23 @@
 	return r.storeDown || r.now().Sub(r.outageEndedAt) < outageWindow
 }
 
-// remove marks entries as removed. nearOutage means that they may have expired because of a store outage.
-func (r *Registry) remove(ids []string, nearOutage bool) {
+// remove marks entries as removed at a version of the store and returns the number of those that were listed. Entries that
+// changed later stay. nearOutage means that they may have expired because of a store outage.
+func (r *Registry) remove(ids []string, version int64, nearOutage bool) (removed int) {
 	now := r.now()
 	for _, id := range ids {
 		rec := r.records[id]
-		if rec == nil {
+		if rec == nil || version < rec.version {
 			continue
 		}
+		rec.version, r.changedVersion = version, max(r.changedVersion, version)
 		if rec.removedAt.IsZero() {
 			rec.removedAt, rec.expiredInOutage = now, nearOutage
+			removed++
 		}
 		rec.expiredInOutage = rec.expiredInOutage && nearOutage
 	}
+	return removed
 }
 
 // ApplyVersion runs changes, which must apply the changes up to a version of the store. From the start of changes on, lists of
@@ -168,49 +180,40 @@
 	return r.appliedVersion
 }
 
-// Replace applies a full list of the store's entries: endpoints that are not in it are removed. It returns the number of
-// changed entries.
-func (r *Registry) Replace(entries []Entry) int {
+// ChangedVersion returns the version of the store at the latest known change of an entry.
+func (r *Registry) ChangedVersion() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.replace(entries, r.nearOutage())
+	return r.changedVersion
 }
 
-// ReplaceFromPeer applies the list of another gateway, which must have seen the store up for long enough that no entry is
-// missing because of an outage. version is the store version of the list. A list that is older than the applied changes is
-// ignored, since it would add removed endpoints again; applied is then false.
-func (r *Registry) ReplaceFromPeer(entries []Entry, version int64) (changed int, applied bool) {
+// Replace applies a full list of the store's entries at a version of it: endpoints that are not in it are removed. It returns
+// the number of changed entries.
+func (r *Registry) Replace(entries []Entry, version int64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version < r.startedVersion {
-		return 0, false
-	}
-	r.startedVersion, r.appliedVersion = version, version
-	return r.replace(entries, false), true
+	return r.replace(entries, version, r.nearOutage())
 }
 
-func (r *Registry) replace(entries []Entry, nearOutage bool) (changed int) {
+func (r *Registry) replace(entries []Entry, version int64, nearOutage bool) (changed int) {
+	r.forgottenVersion = max(r.forgottenVersion, version) // entries that came and went before it are not known here
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		if r.upsert(e) {
-			changed++
-		}
 	}
+	changed = r.upsertAll(entries)
 	var missing []string
 	for id, rec := range r.records {
 		if !listed[id] && (rec.removedAt.IsZero() || rec.expiredInOutage) {
 			missing = append(missing, id)
 		}
 	}
-	r.remove(missing, nearOutage)
+	r.remove(missing, version, nearOutage)
 	return changed + len(missing)
 }
 
-// StoreStable reports whether the store has been up for so long that entries which expired in an outage are listed again.
-func (r *Registry) StoreStable() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// storeStable reports whether the store has been up for so long that entries which expired in an outage are listed again.
+func (r *Registry) storeStable() bool {
 	return !r.storeDown && r.now().Sub(r.outageEndedAt) >= outageWindow
 }
 
@@ -218,7 +221,9 @@
 func (r *Registry) MarkStoreDown() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.storeDown = true
+	if !r.storeDown {
+		r.storeDown, r.downSince = true, r.now()
+	}
 }
 
 // MarkStoreUp records that the store responds again. The grace period of entries that expired in the outage starts now.
@@ -230,6 +235,35 @@
 	}
 }
 
+// ObserveStoreUp records that the store responded to another gateway at confirmedAt, and when the latest outage that this gateway
+// has seen ended; zero means none. If the store was up for others when it was found down here, it refuses only this gateway:
+// no entry has expired because of it, and the grace period is that of the other gateway.
+func (r *Registry) ObserveStoreUp(confirmedAt, othersOutageEndedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.storeDown || !confirmedAt.After(r.downSince) {
+		return
+	}
+	r.storeDown = false
+	if othersOutageEndedAt.After(r.outageEndedAt) {
+		r.outageEndedAt = othersOutageEndedAt
+	}
+	if othersOutageEndedAt.Before(r.downSince) {
+		for _, rec := range r.records {
+			if !rec.removedAt.Before(r.downSince) {
+				rec.expiredInOutage = false
+			}
+		}
+	}
+}
+
+// OutageEndedAt returns the end of the latest store outage; zero: none.
+func (r *Registry) OutageEndedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outageEndedAt
+}
+
 // usable reports whether new requests may be sent to the endpoint of a record.
 func (r *Registry) usable(rec *record, now time.Time) bool {
 	if rec.draining {
@@ -254,6 +288,7 @@
 	for id, rec := range r.records {
 		if !rec.removedAt.IsZero() && now.Sub(rec.removedAt) > tombstoneTTL && !r.usable(rec, now) {
 			delete(r.records, id)
+			r.forgottenVersion = max(r.forgottenVersion, rec.version)
 			continue
 		}
 		if rec.endpoint.Service != service || !r.usable(rec, now) {
@@ -336,20 +371,3 @@
 	}
 	return count
 }
-
-// Entries returns the entries that the store lists, sorted by ID. Draining is also set for endpoints that have shown by
-// their responses that they shut down.
-func (r *Registry) Entries() []Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var entries []Entry
-	for _, rec := range r.records {
-		if rec.removedAt.IsZero() {
-			e := rec.endpoint.Entry
-			e.Draining = rec.draining
-			entries = append(entries, e)
-		}
-	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].ID < entries[j].ID })
-	return entries
-}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -34,7 +34,7 @@
 // store outage.
 func TestRemovedEndpointsAreDroppedAtOnceWhileTheStoreResponds(t *testing.T) {
 	r, _ := newTestRegistry("a", "b", "c", "d")
-	r.Remove("a", "b", "c")
+	r.Remove(0, "a", "b", "c")
 	require.Equal(t, []string{"d"}, usableIDs(r))
 }
 
@@ -42,7 +42,7 @@
 func TestExpiredEntriesStayInUseUntilTheGracePeriodEnds(t *testing.T) {
 	r, clock := newTestRegistry("a", "b")
 	r.MarkStoreDown()
-	r.Remove("a")
+	r.Remove(0, "a")
 	clock.advance(time.Minute)
 	require.Equal(t, []string{"a", "b"}, usableIDs(r))
 	r.MarkStoreUp()
@@ -60,7 +60,7 @@
 	clock.advance(5 * time.Second)
 	r.MarkStoreUp()
 	clock.advance(850 * time.Millisecond)
-	r.Remove("a")
+	r.Remove(0, "a")
 	clock.advance(1400 * time.Millisecond)
 	require.Equal(t, []string{"b"}, usableIDs(r))
 }
@@ -69,7 +69,7 @@
 func TestSecondReportOfStoreUpDoesNotExtendTheGracePeriod(t *testing.T) {
 	r, clock := newTestRegistry("a")
 	r.MarkStoreDown()
-	r.Remove("a")
+	r.Remove(0, "a")
 	r.MarkStoreUp()
 	clock.advance(2 * time.Second)
 	r.MarkStoreUp()
@@ -81,7 +81,7 @@
 func TestPeerListRemovesEndpointsDuringAnOutage(t *testing.T) {
 	r, _ := newTestRegistry("a", "b")
 	r.MarkStoreDown()
-	r.ReplaceFromPeer([]Entry{{ID: "b", Service: "s", Addr: "10.0.0.1:1"}}, 0)
+	r.ApplyDelta(Delta{Stable: true, Entries: []Entry{{ID: "b", Service: "s", Addr: "10.0.0.1:1"}}})
 	require.Equal(t, []string{"b"}, usableIDs(r))
 }
 
@@ -160,15 +160,15 @@
 	entries := []Entry{{ID: "a", Service: "s", Addr: "10.0.0.1:1"}, {ID: "b", Service: "s", Addr: "10.0.0.2:1"}}
 	fromPeer := func(version int64, wantChanged int, wantApplied bool) {
 		t.Helper()
-		changed, applied := r.ReplaceFromPeer(entries, version)
+		changed, applied := r.ApplyDelta(Delta{Version: version, Stable: true, Entries: entries})
 		require.Equal(t, wantChanged, changed)
 		require.Equal(t, wantApplied, applied)
 	}
-	r.ApplyVersion(7, func() { r.Replace(entries) })
+	r.ApplyVersion(7, func() { r.Replace(entries, 7) })
 	r.MarkStoreDown()
 	fromPeer(8, 0, true)
 	r.ApplyVersion(9, func() {
-		r.Remove("b")
+		r.Remove(9, "b")
 		fromPeer(8, 0, false)
 		require.EqualValues(t, 8, r.Version(), "peers learn the version only after the changes are complete")
 	})
