Bound what an endpoint in trouble may send, and count only events as progress of a stream

Ruled out: a second answer on a reused connection (answers carry ids, and a connection with unread data is not reused). Only complete events, whole answers and refusals count as activity.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -15,6 +15,12 @@
 // incomplete event of a broken stream is passed on.
 type EventSplitter struct{ rest []byte }
 
+// maxEventBytes bounds an event. Events have some hundred bytes.
+const maxEventBytes = 256 << 10
+
+// Overflowed reports whether the bytes after the last complete event are too many for one event.
+func (s *EventSplitter) Overflowed() bool { return len(s.rest) > maxEventBytes }
+
 // Push adds bytes and returns the events that are complete with them. They are valid until the next call.
 func (s *EventSplitter) Push(p []byte) []Event {
 	s.rest = append(s.rest, p...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -402,7 +402,6 @@
 		return s.sendFailure(ctx, primary, err, watch), false
 	}
 	s.sendCount++
-	primary.RecordActivity(s.gw.opts.Now())
 	defer response.Body.Close()
 	return s.forwardResponse(ctx, plan, response, watch, sentAt)
 }
@@ -480,6 +479,7 @@
 	primary := plan.endpoints[0]
 	s.reportFault(plan, resp)
 	if resp.NotExecuted || resp.WrongEndpoint {
+		primary.RecordActivity(s.gw.opts.Now())
 		s.noSplit = s.noSplit || len(plan.endpoints) > 1
 		return failure{kind: errkind.Overloaded, notExecuted: true, reason: "endpoint refused " + strconv.Itoa(resp.Status)}, false
 	}
@@ -490,10 +490,15 @@
 	return s.forwardWhole(ctx, primary, resp, watch)
 }
 
+// maxWholeResponseBytes bounds a response that is read completely before it is forwarded. An endpoint in trouble may send bytes
+// without end.
+const maxWholeResponseBytes = 8 << 20
+
 // forwardWhole reads a response completely and then forwards it.
 func (s *requestState) forwardWhole(ctx context.Context, e *registry.Endpoint, resp *Response, watch *watchdog) (failure, bool) {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || !resp.SignatureValid {
+	e.RecordActivity(s.gw.opts.Now())
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeResponseBytes+1))
+	if err != nil || !resp.SignatureValid || len(body) > maxWholeResponseBytes {
 		if ctx.Err() != nil && !watch.expired() {
 			return s.contextFailure(ctx, true), false
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -306,6 +306,70 @@
 	})
 }
 
+// drippingBody sends a byte of an event that never ends, now and then.
+type drippingBody struct{ ctx context.Context }
+
+func (b drippingBody) Read(p []byte) (int, error) {
+	select {
+	case <-time.After(400 * time.Millisecond):
+		p[0] = 'x'
+		return 1, nil
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+}
+
+func (drippingBody) Close() error { return nil }
+
+// A stream that sends a byte now and then, but no event, makes no progress. It must move to another endpoint like a silent one.
+func TestDrippingStreamMovesToAnotherEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tg := newTestGateway(func(ctx context.Context, n int, _ *EndpointRequest) (*Response, error) {
+			resp := newResponse(200, "")
+			resp.ContentLength, resp.Body = -1, io.ReadCloser(drippingBody{ctx})
+			if n > 1 {
+				resp.Body = io.NopCloser(strings.NewReader(eventText(1, 3)))
+			}
+			return resp, nil
+		})
+		started := time.Now()
+		caller := tg.serve(t.Context(), catalog.Stream, nil)
+		require.Equal(t, eventText(1, 3), caller.body.String())
+		require.Less(t, time.Since(started), 2*time.Second, "the caller gives up after two seconds")
+	})
+}
+
+// slowBody sends an event with a pause before it, several times.
+type slowBody struct {
+	pause time.Duration
+	next  int
+	last  int
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.next++; b.next > b.last {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	return copy(p, eventText(b.next, b.next)), nil
+}
+
+func (*slowBody) Close() error { return nil }
+
+// A slow but sound stream must not be cut.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tg := newTestGateway(func(context.Context, int, *EndpointRequest) (*Response, error) {
+			resp := newResponse(200, "")
+			resp.ContentLength, resp.Body = -1, &slowBody{pause: time.Second, last: 8}
+			return resp, nil
+		})
+		caller := tg.serve(t.Context(), catalog.Stream, nil)
+		require.Equal(t, eventText(1, 8), caller.body.String())
+		require.Len(t, tg.requests, 1)
+	})
+}
+
 // A request must end at the timeout of its route, and must not be reported as not executed if it may have been.
 func TestRequestEndsAtTheRouteTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -389,7 +453,7 @@
 // A request to a service without endpoints must be rejected at once.
 func TestServiceWithoutEndpointsIsRejectedAtOnce(t *testing.T) {
 	tg := newTestGateway(nil)
-	tg.registry.Remove("a", "b", "c")
+	tg.registry.Remove(0, "a", "b", "c")
 	caller := tg.serve(t.Context(), catalog.Idempotent, nil)
 	require.Equal(t, errkind.NoEndpoint, caller.refusedKind)
 	require.Positive(t, caller.retryAfter)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,7 +27,8 @@
 	watch.reset()
 	for {
 		n, err := resp.Body.Read(buf)
-		for _, e := range splitter.Push(buf[:n]) {
+		events := splitter.Push(buf[:n])
+		for _, e := range events {
 			if !started {
 				started = true
 				s.recordFirstEvent(plan, sentAt)
@@ -40,11 +41,11 @@
 				s.gw.opts.Scheduler.MarkLate(plan.JobIDs)
 			}
 		}
-		if n > 0 {
+		if len(events) > 0 { // bytes without an event are no progress
 			primary.RecordActivity(s.gw.opts.Now())
 			watch.reset()
 		}
-		if err == nil {
+		if err == nil && !splitter.Overflowed() {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && s.headerWritten {
@@ -112,6 +113,9 @@
 	if !started {
 		s.gw.opts.CrashTracker.RecordCrash(s.req.Fingerprint)
 	}
+	if err == nil {
+		err = errors.New("event without end")
+	}
 	s.logEntry("stream_broken").WithError(err).WithField("resume_after", s.lastEventID).Info("stream ended early")
 	return failure{kind: errkind.StreamBroken, reason: "stream ended early"}
 }
