--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -16,13 +16,13 @@
 // platform: ratio times the requests in a sliding window, plus slack. If endpoints fail many requests at once, retries
 // without a limit would double the load of the endpoints that are left.
 type RetryBudget struct {
+	gateways func() int
+	now      func() time.Time
+
+	mu           sync.Mutex
 	ratio, slack float64
 	windowLength time.Duration
-	gateways     func() int
-	now          func() time.Time
-
-	mu      sync.Mutex
-	windows map[string]*retryWindow
+	windows      map[string]*retryWindow
 }
 
 type retryWindow struct{ requests, retries []time.Time }
@@ -33,6 +33,13 @@
 		windows: make(map[string]*retryWindow)}
 }
 
+// SetLimits replaces the bound. Retries that were taken before still count.
+func (b *RetryBudget) SetLimits(ratio, slack float64, windowLength time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.windowLength = ratio, slack, windowLength
+}
+
 // windowOf returns the window of a service after removing times that are no longer in it.
 func (b *RetryBudget) windowOf(service string) *retryWindow {
 	window := b.windows[service]
--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -118,3 +118,52 @@
 	sum := runLongPrompts(c)
 	require.Greater(t, sum.InTimeShare(), 0.6)
 }
+
+// largeFleet returns half of a deployment with five failure domains, 103 gateways and 195 endpoints of ten slots, with the given
+// multiples of its usual rates.
+func largeFleet(short, mid, long float64) Config {
+	timing := testTiming()
+	timing.Slots, timing.MemoryTokens, timing.TokensPerPass = 10, 315_000, 80
+	shortLoad, longLoad := shortPrompts(134*short), longPrompts(3.27*long)
+	shortLoad.LatencyTarget, shortLoad.GapTarget, shortLoad.MeanEvents = 400*time.Millisecond, 300*time.Millisecond, 23.5
+	longLoad.GapTarget, longLoad.MeanEvents = 1200*time.Millisecond, 12
+	midLoad := Workload{
+		Name: "mid", RatePerSecond: 9.9 * mid, MeanPromptTokens: 45_000, PromptLogStddev: 0.5, MaxPromptTokens: 110_000, MeanEvents: 14,
+		LatencyTarget: 1500 * time.Millisecond, GapTarget: 800 * time.Millisecond, CallerTimeout: 10 * time.Second,
+		Value: 3.1, LateValue: 0.78,
+	}
+	return Config{
+		Timing: timing, Gateways: 52, Endpoints: 98, PeerViewDelay: 6 * time.Millisecond, Duration: 4 * time.Second,
+		Workloads: []Workload{shortLoad, midLoad, longLoad}, Seed: 3,
+	}
+}
+
+// earnedShare simulates a load with four seeds and returns the value earned, as a share of the value offered.
+func earnedShare(c Config) float64 {
+	offered, earned := 0.0, 0.0
+	for seed := range uint64(4) {
+		c.Seed = seed + 1
+		for _, o := range Run(c).Outcomes {
+			offered, earned = offered+o.OfferedValue, earned+o.EarnedValue
+		}
+	}
+	return earned / offered
+}
+
+// Placing short prompts near their gateway must not serve callers worse than telling all gateways of each placement, also if one
+// failure domain has two and a half times the traffic of the others and must spill. The bound is less than what users count as noise.
+func TestCirclesServeAsWellAsOneExchange(t *testing.T) {
+	const noise = 0.02
+	for name, c := range map[string]Config{
+		"long burst": largeFleet(0.35, 1.3, 2.8), "short burst": largeFleet(2.5, 0.5, 0.05), "even": largeFleet(1, 1, 1),
+	} {
+		all := earnedShare(c)
+		c.Domains = 5
+		near := earnedShare(c)
+		require.Greater(t, near, all-noise, name)
+		c.DomainTraffic = []float64{2.5, 1, 1, 1, 1}
+		uneven := earnedShare(c)
+		require.Greater(t, uneven, all-noise, "%s, uneven", name)
+		t.Logf("%s: all gateways at once %.3f, circles %.3f, uneven traffic %.3f", name, all, near, uneven)
+	}
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -9,11 +9,8 @@
 	stdlog "log"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -86,6 +83,7 @@
 	scheduler       *placement.Scheduler
 	crashTracker    *gateway.CrashTracker
 	backend         *platform.Backend
+	retryBudget     *gateway.RetryBudget
 	gateway         *gateway.Gateway
 	handler         *platform.Handler
 	exchange        *exchange.Exchange
@@ -120,14 +118,15 @@
 			return nil, err
 		}
 	}
+	d.retryBudget = gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow,
+		func() int { return 1 + len(d.exchange.LivePeers()) }, time.Now)
 	d.gateway = gateway.New(gateway.Options{
 		Name: s.Name, FailureDomain: s.FailureDomain, Catalog: d.stateSync.config.Snapshot, Registry: d.stateSync.registry,
 		Scheduler: d.scheduler,
 		Near: func(e *registry.Endpoint) bool {
 			return d.exchange.IsNear(exchange.Member{Name: e.ID, FailureDomain: e.Zone})
 		},
-		RetryBudget: gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow,
-			func() int { return 1 + len(d.exchange.LivePeers()) }, time.Now),
+		RetryBudget:  d.retryBudget,
 		CrashTracker: d.crashTracker, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
@@ -144,7 +143,7 @@
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.validateSettingsOnHangup)
+	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.reloadSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
 	}
@@ -277,27 +276,6 @@
 	return err == nil
 }
 
-// validateSettingsOnHangup validates the settings file on SIGHUP, which the platform sends when the file has changed. The
-// settings themselves only take effect at the next start.
-func (d *daemon) validateSettingsOnHangup(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		entry := d.log.WithField("event", "settings_reloaded")
-		if _, err := platform.LoadSettings(d.opts.SettingsPath); err != nil {
-			entry.WithError(err).Error("settings file is invalid")
-			continue
-		}
-		entry.Info("settings file is valid; it takes effect at the next start")
-	}
-}
-
 // stop drains the gateway: it fails readiness checks and asks callers to close their connections, waits until no new
 // requests arrive, and then lets open requests finish.
 func (d *daemon) stop(context.Context) error {
