gatewayd: read the list of gateways rarely, and less often while the store is away

Gateways write their row before they read the list, and greet everyone on it, so two that start at once find each other. Now the interval is 5 s for each listed gateway, and a failed write is repeated after 1.5 s without a read.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -42,7 +42,9 @@
 	// peerListInterval is the interval between two reads of the list of gateways, for each gateway in the fleet. Gateways that start
 	// announce themselves to the others, so the list only has to heal what both sides have missed.
 	peerListInterval = 5 * time.Second
-	peerListJitter   = 0.5
+	// peerListRetryDelay is the delay after a failed call. Calls are billed, and in an outage all gateways make them.
+	peerListRetryDelay = 1500 * time.Millisecond
+	peerListJitter     = 0.5
 	// drainNoticeTime is the time from the first failing readiness check until the platform sends no new requests: two checks at
 	// an interval of one second and a margin.
 	drainNoticeTime = 2800 * time.Millisecond
@@ -240,15 +242,15 @@
 		if !listed {
 			listed = d.logFailure(d.store.PutPeer(ctx, d.settings.Name, row), "peer_list_write")
 		}
-		rows, err := d.store.Peers(ctx)
-		if d.logFailure(err, "peer_list_read") {
-			d.addPeers(rows)
-		}
-		pause := timing.Jitter(peerListInterval*time.Duration(1+len(d.exchange.LivePeers())), peerListJitter)
-		if !listed {
-			pause = time.Second
+		pause := peerListRetryDelay
+		if listed { // gateways that write before they read cannot miss each other
+			rows, err := d.store.Peers(ctx)
+			if d.logFailure(err, "peer_list_read") {
+				d.addPeers(rows)
+				pause = peerListInterval * time.Duration(max(len(rows), 1))
+			}
 		}
-		if timing.Sleep(ctx, pause) != nil {
+		if timing.Sleep(ctx, timing.Jitter(pause, peerListJitter)) != nil {
 			return
 		}
 	}
