--- a/cloud/cloudhttp/client.go
+++ b/cloud/cloudhttp/client.go
@@ -49,7 +49,10 @@
 		return nil, transportError(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	if err == nil && len(data) > MaxBodyBytes {
+		err = errors.New("response is longer than expected")
+	}
 	if err != nil {
 		return nil, transportError(ctx, err)
 	}
--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -189,7 +189,7 @@
 // readEvent reads one event, which consists of an event line, a data line and an empty line.
 func (s *tokenStream) readEvent() (name string, data []byte, err error) {
 	for {
-		line, err := s.lines.ReadBytes('\n')
+		line, err := s.readLine()
 		if err != nil {
 			return "", nil, err
 		}
@@ -208,6 +208,28 @@
 	}
 }
 
+// maxLineBytes bounds a line of a stream. An engine in trouble may send bytes without end.
+const maxLineBytes = 1 << 20
+
+var errTooLong = errors.New("endpoint sent more than expected")
+
+// readLine reads a line and its line feed.
+func (s *tokenStream) readLine() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := s.lines.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return line, nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(line) > maxLineBytes:
+			return nil, errTooLong
+		}
+	}
+}
+
 // Usage implements endpoint.TokenStream.
 func (s *tokenStream) Usage() endpoint.Usage { return s.usage }
 
@@ -240,7 +262,10 @@
 	if resp.Header.Get(HeaderFailure) != "" {
 		return endpoint.Response{}, responseError(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	if err == nil && len(body) > MaxBodyBytes {
+		err = errTooLong
+	}
 	if err != nil {
 		return endpoint.Response{}, transportError(ctx, err)
 	}
