--- a/internal/fleetsim/fleetsim_test.go
+++ b/internal/fleetsim/fleetsim_test.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -133,17 +134,25 @@
 		Value: 3.1, LateValue: 0.78,
 	}
 	return Config{
-		Timing: timing, Gateways: 52, Endpoints: 98, PeerViewDelay: 6 * time.Millisecond, Duration: 4 * time.Second,
+		Timing: timing, Gateways: 52, Endpoints: 98, PeerViewDelay: 6 * time.Millisecond, Duration: 6 * time.Second,
 		Workloads: []Workload{shortLoad, midLoad, longLoad}, Seed: 3,
 	}
 }
 
-// earnedShare simulates a load with four seeds and returns the value earned, as a share of the value offered.
+// earnedShare simulates a load with eight seeds and returns the value earned, as a share of the value offered. A single simulation
+// has about 20 of the longest prompts, each of which is worth as much as 20 short ones.
 func earnedShare(c Config) float64 {
+	results := make([]Result, 8)
+	var wait sync.WaitGroup
+	for i := range results {
+		seeded := c
+		seeded.Seed = uint64(i) + 1
+		wait.Go(func() { results[i] = Run(seeded) })
+	}
+	wait.Wait()
 	offered, earned := 0.0, 0.0
-	for seed := range uint64(4) {
-		c.Seed = seed + 1
-		for _, o := range Run(c).Outcomes {
+	for _, r := range results {
+		for _, o := range r.Outcomes {
 			offered, earned = offered+o.OfferedValue, earned+o.EarnedValue
 		}
 	}
