Tell callers to return later while the store is away and the configuration is missing

Ruled out: lending by peers (all have restarted). Change: a third of the caller's time while the store does not respond, 0.5 s otherwise; the decision is code of its own in gateway.

--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -68,6 +68,20 @@
 	return min(max(timeLeft/10, minRetryAfter), longest)
 }
 
+// notReadyRetryAfter is the retry delay of a gateway whose configuration is missing or outdated while the store responds: another
+// gateway may have the current one, or this one will have it within a second.
+const notReadyRetryAfter = 500 * time.Millisecond
+
+// NotReadyRetryAfter returns the retry delay suggested to a caller whose request needs a configuration that this gateway does not
+// have. An outage of the store lasts seconds, and after a restart of all gateways nobody else has the configuration either: a caller
+// that returns soon is refused again, and may not try a third time.
+func NotReadyRetryAfter(storeAway bool, timeLeft time.Duration) time.Duration {
+	if storeAway {
+		return max(timeLeft/3, notReadyRetryAfter)
+	}
+	return notReadyRetryAfter
+}
+
 // mayRetry reports whether another attempt is safe and there is time for it. sendCount is the number of attempts that may
 // have reached an endpoint.
 func mayRetry(r *Request, last failure, sendCount int, now time.Time) bool {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -132,7 +132,8 @@
 		CrashTracker: d.crashTracker, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
-		Gateway: d.gateway, Catalog: d.stateSync.config.Snapshot, ConfigCurrent: d.stateSync.configCurrent, Log: d.log,
+		Gateway: d.gateway, Catalog: d.stateSync.config.Snapshot, ConfigCurrent: d.stateSync.configCurrent,
+		StoreAway: d.stateSync.storeAway, Log: d.log,
 	}
 	return d, nil
 }
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -47,6 +47,13 @@
 	return len(s.tableUp) == watchedTables && s.noTableDown()
 }
 
+// storeAway reports whether the latest call for a table failed.
+func (s *stateSync) storeAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.noTableDown()
+}
+
 // noTableDown reports whether no table is known to be unavailable.
 func (s *stateSync) noTableDown() bool {
 	for _, isUp := range s.tableUp {
