--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -200,20 +200,14 @@
 	currentPassPrefill time.Duration // prefill in the current pass, from its start
 	nextPassPrefill    time.Duration // prefill that waits for the next pass
 	decodePassTime     time.Duration // duration of a pass without prefill
-	stalledFor         time.Duration // time by which a prefill is overdue beyond what is tolerated
 	recentPeerRequests int           // requests that peers have placed here within rateWindow
 }
 
 // backlog returns the remaining prefill time.
 func (l *endpointLoad) backlog() time.Duration { return l.splitBacklog + l.wholeBacklog }
 
-const (
-	// overduePrefill is the prefill time assumed to remain for a job that should have ended by its prediction.
-	overduePrefill = 30 * time.Millisecond
-	// toleratedOverdue is the time by which a prefill may be overdue because of what the prediction leaves out: decode steps between
-	// two passes, and reports of far gateways that are half a second old.
-	toleratedOverdue = 600 * time.Millisecond
-)
+// overduePrefill is the prefill time assumed to remain for a job that should have ended by its prediction.
+const overduePrefill = 30 * time.Millisecond
 
 // loadByEndpoint groups the placed jobs by endpoint. The other fields of the loads are set by compute.
 func (s *Scheduler) loadByEndpoint(now time.Time) map[EndpointKey]*endpointLoad {
@@ -269,9 +263,6 @@
 	splitEnd := l.prefillEnd(m, slowdown, true, past, now)
 	l.splitBacklog = max(splitEnd.Sub(now), 0)
 	l.wholeBacklog = max(l.prefillEnd(m, slowdown, false, splitEnd, now).Sub(now)-l.splitBacklog, 0)
-	// The longer a prefill is overdue, the longer it is likely to take: the endpoint may be slow, or answer nobody any more, which is
-	// certain only after more than a second. Parts of split prompts then wait, too.
-	l.splitBacklog = max(l.splitBacklog, l.stalledFor)
 	l.decodePassTime = scale(m.DecodePassTime(l.decoding, l.contextTokens), slowdown)
 	l.assignPasses(m, slowdown, now)
 }
@@ -286,7 +277,6 @@
 			from = j.PlacedAt
 		}
 		from = from.Add(scale(m.PrefillTime(j.PromptTokens, j.Parts), slowdown))
-		l.stalledFor = max(l.stalledFor, now.Sub(from)-toleratedOverdue)
 		if earliest := now.Add(overduePrefill); from.Before(earliest) {
 			from = earliest
 		}
