exchange: never relay through a silent gateway while others are heard

The choice of a relay compared the candidate's index instead of its turn with the last one, so that a silent gateway that happens to be last in the list was taken in one of n states. TestRelaysAreHeardRecently failed before. Tests for who is sent what, for passing on once, and for addresses that stay silent.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -414,8 +414,9 @@
 	relays := make([]net.Addr, 0, len(t.far))
 	for _, circle := range sortedCircles(t.far) {
 		candidates := t.far[circle]
-		for _, i := range rand.Perm(len(candidates)) {
-			if p := candidates[i]; time.Since(p.LastHeard) < relayTimeout || i == len(candidates)-1 {
+		for tried, i := range rand.Perm(len(candidates)) {
+			isLast := tried == len(candidates)-1
+			if p := candidates[i]; time.Since(p.LastHeard) < relayTimeout || isLast {
 				relays = append(relays, p.target)
 				break
 			}
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,6 +1,6 @@
 // Package exchange shares state between gateways over UDP: the jobs that each gateway has placed on endpoints, the calls
-// that crashed endpoints, and the epoch of its configuration. Each state is sent in full, split into datagrams, so a lost
-// datagram is made up for by the next state.
+// that crashed endpoints, and the versions of what it holds of the store. The jobs of a scope are sent in full, split into
+// datagrams, so a lost datagram is made up for by the next state. Gateways form circles, which bound who hears of what and when.
 package exchange
 
 import (
