--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -155,9 +155,28 @@
 
 	mu    sync.Mutex
 	nodes map[string]*testNode // by address; those that run
+	cut   func(a, b *testNode) bool
 	all   []*testNode
 }
 
+// setCut cuts the connections between pairs of gateways, in both directions.
+func (f *testFleet) setCut(cut func(a, b *testNode) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// reachable returns the gateway at an address if another one reaches it.
+func (f *testFleet) reachable(from *testNode, addr string) *testNode {
+	to := f.node(addr)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if to == nil || f.cut != nil && f.cut(from, to) {
+		return nil
+	}
+	return to
+}
+
 type testNode struct {
 	fleet  *testFleet
 	name   string
@@ -317,7 +336,7 @@
 	datagram, addr := slices.Clone(p), to.String()
 	if c.node.fleet.node(c.node.addr) != nil {
 		time.AfterFunc(linkDelay, func() {
-			if receiver := c.node.fleet.node(addr); receiver != nil {
+			if receiver := c.node.fleet.reachable(c.node, addr); receiver != nil {
 				select {
 				case receiver.inbox <- datagram:
 				default: // lost
@@ -339,7 +358,7 @@
 
 func (t peerTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	time.Sleep(2 * linkDelay)
-	receiver := t.node.fleet.node(req.URL.Host)
+	receiver := t.node.fleet.reachable(t.node, req.URL.Host)
 	if receiver == nil || t.node.fleet.node(t.node.addr) == nil {
 		return nil, errors.New("connection refused")
 	}
--- a/internal/gatewayd/following_test.go
+++ b/internal/gatewayd/following_test.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +197,56 @@
 		f.requireEverywhere(time.Second, f.all, "removal", uses("i0", false))
 	})
 }
+
+// Followers that are cut off from all watchers, and reach the store, must not miss a change.
+func TestWatchersCutOffFromFollowers(t *testing.T) {
+	withFleet(t, 30, 3, func(f *testFleet) {
+		watching := f.watchers()
+		f.setCut(func(a, b *testNode) bool { return containsNode(watching, a) != containsNode(watching, b) })
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
+		f.setCut(nil)
+		time.Sleep(10 * time.Second)
+		require.Len(t, f.watchers(), 3*2, "the fleet has found itself again")
+	})
+}
+
+// A rolling restart of all gateways, with changes all the while, must lose none of them and bring nothing back.
+func TestRollingRestartOfAllGateways(t *testing.T) {
+	withFleet(t, 22, 3, func(f *testFleet) {
+		for i, n := range f.all {
+			n.kill()
+			f.store.write("op", "config", fmt.Sprintf(`{"Version":%d}`, i+2))
+			if i < 3 {
+				f.store.write("servers", fmt.Sprintf("i%d", i), "")
+			}
+			time.Sleep(500 * time.Millisecond)
+			n.start()
+			f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(int64(i+2)))
+			f.requireEverywhere(drainBound, f.all, "removal", uses(fmt.Sprintf("i%d", min(i, 2)), false))
+		}
+	})
+}
+
+// Many gateways that are killed at once while the store refuses a third, and silently, must get their state from the others.
+func TestKilledGatewaysWhileTheStoreRefusesSome(t *testing.T) {
+	withFleet(t, 30, 3, func(f *testFleet) {
+		f.store.setMode(storeSilent, names(f.all[:10])...)
+		f.store.write("op", "config", `{"Version":2}`)
+		f.store.write("servers", "i0", "")
+		time.Sleep(500 * time.Millisecond)
+		for i, n := range f.all {
+			if i%2 == 0 {
+				n.kill()
+				n.start()
+			}
+		}
+		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
+		f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
+		f.store.write("servers", "i1", "")
+		f.requireEverywhere(drainBound, f.all, "second removal", uses("i1", false))
+		f.requireEverywhere(0, f.all, "endpoints that stay", uses("i2", true))
+	})
+}
