Clean up after a last read: lock of the compressed configuration, slices.Contains, a function without a receiver

stateSync compressed the configuration for peers under the lock that each datagram of the exchange takes for the versions; it has a lock of its own now. The tests of following had their own copy of slices.Contains, and sampleLoads used nothing of the scheduler.

--- a/internal/gatewayd/following_test.go
+++ b/internal/gatewayd/following_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,22 +30,13 @@
 
 func without(all, excluded []*testNode) (rest []*testNode) {
 	for _, n := range all {
-		if !containsNode(excluded, n) {
+		if !slices.Contains(excluded, n) {
 			rest = append(rest, n)
 		}
 	}
 	return rest
 }
 
-func containsNode(nodes []*testNode, wanted *testNode) bool {
-	for _, n := range nodes {
-		if n == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Changes must reach gateways that do not ask the store, and the calls must not grow with the fleet.
 func TestChangesReachFollowers(t *testing.T) {
 	withFleet(t, 60, 5, func(f *testFleet) {
@@ -202,7 +194,7 @@
 func TestWatchersCutOffFromFollowers(t *testing.T) {
 	withFleet(t, 30, 3, func(f *testFleet) {
 		watching := f.watchers()
-		f.setCut(func(a, b *testNode) bool { return containsNode(watching, a) != containsNode(watching, b) })
+		f.setCut(func(a, b *testNode) bool { return slices.Contains(watching, a) != slices.Contains(watching, b) })
 		f.store.write("op", "config", `{"Version":2}`)
 		f.store.write("servers", "i0", "")
 		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -29,8 +29,11 @@
 	mu                   sync.Mutex
 	tableUp              map[string]bool // by table; has no entry for a table before the first result of a call
 	endpointsConfirmedAt time.Time       // when the store last confirmed the list of endpoints
-	compressedConfig     []byte          // gzip form of the configuration of compressedEpoch, for peers
-	compressedEpoch      int64
+
+	// compressMu is a lock of its own, since compressing takes long on a small VM and each datagram of the exchange needs mu.
+	compressMu       sync.Mutex
+	compressedConfig []byte // gzip form of the configuration of compressedEpoch, for peers
+	compressedEpoch  int64
 }
 
 func newStateSync(log *logrus.Logger) *stateSync {
@@ -236,8 +239,8 @@
 
 // compressed returns the gzip form of a configuration. Many peers fetch the same one.
 func (s *stateSync) compressed(source []byte, epoch int64) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.compressMu.Lock()
+	defer s.compressMu.Unlock()
 	if s.compressedEpoch != epoch {
 		s.compressedEpoch, s.compressedConfig = epoch, exchange.Compress(source)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -170,7 +170,7 @@
 		loads = s.nearOrFar(m.Slots, loads)
 	}
 	if isTightGap(r.GapTarget) {
-		loads = s.sampleLoads(loads)
+		loads = sampleLoads(loads)
 	}
 	p, ok := cheapestPlan(m, loads, r, now)
 	if !ok {
@@ -186,7 +186,7 @@
 // sampleLoads returns a random subset of the loads for a short prompt. Gateways that all took the cheapest endpoint would choose
 // the same one as long as they do not know of each other's placements. The more of these are unseen, the smaller the subset. The
 // loads must be in random order.
-func (s *Scheduler) sampleLoads(loads []candidateLoad) []candidateLoad {
+func sampleLoads(loads []candidateLoad) []candidateLoad {
 	if len(loads) > 0 && !loads[0].Near {
 		return loads[:min(minSampleSize, len(loads))]
 	}
