gateway: log shared prompt parts and progress of broken attempts

The logs could not tell whether the requests of several crashes have a part of their prompt in common, nor how much of an answer had arrived.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -442,6 +442,7 @@
 	s.reportUnreachable(e, err.Error())
 	if mayBeReceived {
 		s.gw.opts.CrashTracker.RecordCrash(s.req.Fingerprint)
+		s.logBrokenAttempt("attempt_broken", err, 0)
 	}
 	return failure{kind: errkind.EndpointFailed, notExecuted: !mayBeReceived, reason: "connection failed"}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,6 +11,7 @@
 	requests   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
+	broken     *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
 }
@@ -24,6 +25,9 @@
 			Name: "bilberry_gateway_retries_total", Help: "Retries by failure reason of the previous attempt."}, []string{"reason"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberry_gateway_refusals_total", Help: "Requests rejected by the gateway, by error kind."}, []string{"error"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_broken_attempts_total", Help: "Attempts that endpoints broke off, by the part of the answer that had arrived.",
+		}, []string{"progress"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bilberry_gateway_request_seconds", Help: "Time from the arrival of a request to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
@@ -32,11 +36,23 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.retries, m.refusals, m.duration, m.firstEvent)
+		reg.MustRegister(m.requests, m.retries, m.refusals, m.broken, m.duration, m.firstEvent)
 	}
 	return m
 }
 
+// observeBroken counts an attempt that an endpoint broke off after a number of events.
+func (m *Metrics) observeBroken(events int) {
+	progress := "later"
+	switch events {
+	case 0:
+		progress = "no_event"
+	case 1:
+		progress = "first_event"
+	}
+	m.broken.WithLabelValues(progress).Inc()
+}
+
 func (m *Metrics) observe(r *Request, outcome string, elapsed, firstEventLatency time.Duration) {
 	kind := r.Route.Kind.String()
 	m.requests.WithLabelValues(kind, outcome).Inc()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
@@ -23,14 +25,13 @@
 	primary := plan.endpoints[0]
 	var splitter EventSplitter
 	buf := make([]byte, streamBufferBytes)
-	started := false
+	received := 0 // events of this attempt
 	watch.reset()
 	for {
 		n, err := resp.Body.Read(buf)
 		events := splitter.Push(buf[:n])
 		for _, e := range events {
-			if !started {
-				started = true
+			if received++; received == 1 {
 				s.recordFirstEvent(plan, sentAt)
 			}
 			wasLate := s.missedTarget()
@@ -53,7 +54,7 @@
 			s.gw.opts.CrashTracker.Forget(s.req.Fingerprint)
 			return failure{}, true
 		}
-		return s.brokenStreamFailure(ctx, primary, err, watch, started), false
+		return s.brokenStreamFailure(ctx, primary, err, watch, received), false
 	}
 }
 
@@ -98,9 +99,10 @@
 	return failure{}, true
 }
 
-// brokenStreamFailure returns the failure for a stream that ended before it was complete.
+// brokenStreamFailure returns the failure for a stream that ended before it was complete. received is the number of events of the
+// attempt.
 func (s *requestState) brokenStreamFailure(
-	ctx context.Context, e *registry.Endpoint, err error, watch *watchdog, started bool,
+	ctx context.Context, e *registry.Endpoint, err error, watch *watchdog, received int,
 ) failure {
 	switch {
 	case watch.expired():
@@ -110,16 +112,26 @@
 		return s.contextFailure(ctx, true)
 	}
 	s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
-	if !started {
+	if received == 0 {
 		s.gw.opts.CrashTracker.RecordCrash(s.req.Fingerprint)
 	}
 	if err == nil {
 		err = errors.New("event without end")
 	}
-	s.logEntry("stream_broken").WithError(err).WithField("resume_after", s.lastEventID).Info("stream ended early")
+	s.logBrokenAttempt("stream_broken", err, received)
 	return failure{kind: errkind.StreamBroken, reason: "stream ended early"}
 }
 
+// logBrokenAttempt logs an attempt that the endpoint broke off, with what tells why it may have done so: how much of the answer had
+// arrived, and what the prompt has in common with others.
+func (s *requestState) logBrokenAttempt(event string, err error, received int) {
+	s.gw.opts.Metrics.observeBroken(received)
+	s.logEntry(event).WithError(err).WithFields(logrus.Fields{
+		"resume_after": s.lastEventID, "attempt_events": received, "shared_parts": s.req.SharedParts,
+		"call": strconv.FormatUint(s.req.Fingerprint, 16), "crashes": s.gw.opts.CrashTracker.Count(s.req.Fingerprint),
+	}).Info("endpoint broke off an attempt")
+}
+
 // watchdog cancels an attempt that makes no progress if another one is allowed.
 type watchdog struct {
 	mu      sync.Mutex
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -22,9 +22,10 @@
 	ArrivedAt    time.Time
 	Deadline     time.Time // of the caller; zero: not given
 	PromptTokens int
-	OutputTokens int   // expected number
-	LastEventID  int64 // last event that the caller has received; -1: none
-	Message      any   // protocol message, for the Backend
+	OutputTokens int      // expected number
+	SharedParts  []string // IDs of the parts of the prompt that other requests may contain too
+	LastEventID  int64    // last event that the caller has received; -1: none
+	Message      any      // protocol message, for the Backend
 }
 
 // EndpointRequest is a request to an endpoint.
