quarantine: stop calls and prompt parts that crash endpoints, at all gateways and across restarts

Cause: crashes were counted per whole call (method, URI, body, workspace), so calls that share only a part of their prompt had nothing in common. Class: evidence kept under too narrow an identity, and only in the memory of processes that restart. Three more faults of the class in the same counter: counts of gateways were merged by maximum, so crashes seen by several did not add up; eight of any number of records travelled, and none older than 30 s, so a restarted gateway learned nothing; a call that crashes after its first event was not counted.

Change: package quarantine records crashes by suspect (call or shared part) as sets that gateways merge, clears them by progress, blocks the narrowest suspect that explains the crashes, tries a blocked part now and then until its fifth crash, and keeps what is blocked in the store. A gateway reads that before it serves. Blocked requests are rejected at once and before each further attempt.

TestCrashingCallIsBlocked moved to package quarantine with the counter; it checks the same and the merge with a peer.

--- a/catalog/current.go
+++ b/catalog/current.go
@@ -11,6 +11,7 @@
 	snapshot    *Snapshot
 	source      []byte // encoded form of snapshot
 	confirmedAt time.Time
+	since       time.Time // when the first snapshot was adopted
 }
 
 // Adopt replaces the snapshot if s is newer and reports whether it did. source is the encoded form of s.
@@ -20,10 +21,20 @@
 	if c.snapshot != nil && s.Epoch <= c.snapshot.Epoch {
 		return false
 	}
+	if c.snapshot == nil {
+		c.since = time.Now()
+	}
 	c.snapshot, c.source = s, source
 	return true
 }
 
+// AvailableSince returns when the first snapshot was adopted; zero: there is none.
+func (c *CurrentSnapshot) AvailableSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
+
 // MarkConfirmed records that the snapshot was the newest one in the store at the given time.
 func (c *CurrentSnapshot) MarkConfirmed(at time.Time) {
 	c.mu.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,18 +28,8 @@
 	// relayTimeout is the time without a message after which a peer is no longer chosen as a relay: two keep-alive intervals and a
 	// margin.
 	relayTimeout = 1200 * time.Millisecond
-	// maxCrashAge is the maximum age of the crash records that are sent.
-	maxCrashAge = 30 * time.Second
 )
 
-// CrashTracker stores how often calls, identified by fingerprint, have crashed endpoints.
-type CrashTracker interface {
-	// Merge records a crash count received from a peer.
-	Merge(fingerprint uint64, count int)
-	// Recent returns up to limit crash counts updated within maxAge, by fingerprint.
-	Recent(maxAge time.Duration, limit int) map[uint64]int
-}
-
 // Options configures an Exchange.
 type Options struct {
 	Name          string // name of this gateway
@@ -47,7 +37,7 @@
 	FailureDomain string
 	Conn          net.PacketConn
 	Scheduler     *placement.Scheduler
-	Crashes       CrashTracker
+	Quarantine    Quarantine
 	Versions      func() Versions // what this gateway holds
 	Log           *logrus.Logger
 	Registerer    prometheus.Registerer
@@ -173,6 +163,12 @@
 		case <-e.kicked:
 			e.sendState(placement.Fleetwide, circleAndRelays)
 			continue
+		case <-e.opts.Quarantine.Changed():
+			if timing.Sleep(ctx, coalesceDelay) != nil {
+				return
+			}
+			e.sendRecords(e.opts.Quarantine.TakeChanged())
+			continue
 		case <-e.opts.Scheduler.Changed():
 		}
 		if timing.Sleep(ctx, coalesceDelay) != nil {
@@ -196,6 +192,7 @@
 	greeted := e.targets.due(now)
 	e.mu.Unlock()
 	e.sendState(placement.Near|placement.Fleetwide, circleAndRelays, greeted...)
+	e.sendRecords(e.opts.Quarantine.Spread(recordsPerDatagram))
 }
 
 // audience selects the gateways that a state is sent to.
@@ -215,7 +212,7 @@
 	e.sequence++
 	state := Message{
 		Name: e.opts.Name, Addr: e.opts.Addr, FailureDomain: e.opts.FailureDomain, Sequence: e.sequence, Versions: versions,
-		Stopping: e.stopping, Relay: true, Scopes: scopes, Crashes: e.opts.Crashes.Recent(maxCrashAge, maxCrashes),
+		Stopping: e.stopping, Relay: true, Scopes: scopes,
 	}
 	direct := append([]net.Addr{}, further...)
 	var relays []net.Addr
@@ -259,6 +256,10 @@
 		}
 		e.metrics.receivedBytes.Add(float64(n))
 		now := time.Now()
+		if isRecords(buf[:n]) {
+			e.handleRecords(buf[:n], now)
+			continue
+		}
 		m, err := decode(buf[:n], now)
 		if err != nil {
 			e.opts.Log.WithError(err).WithField("from", from.String()).Debug("ignoring a malformed datagram")
@@ -298,9 +299,6 @@
 	if versionsChanged {
 		signal(e.versionsChanged)
 	}
-	for fingerprint, count := range m.Crashes {
-		e.opts.Crashes.Merge(fingerprint, count)
-	}
 	for _, scope := range []placement.Scope{placement.Near, placement.Fleetwide} {
 		if m.Scopes&scope != 0 {
 			e.recordJobs(p, m, scope, now)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrylink/bilberrylink/placement"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
@@ -22,7 +23,7 @@
 		Name: "entry-1", Addr: "10.0.0.2:1", FailureDomain: "a", Sequence: 77, Relay: true, Scopes: placement.Near | placement.Fleetwide,
 		Versions: Versions{Epoch: 12, Endpoints: 40, EndpointsChanged: 38, ConfirmedAt: now.Add(-1500 * time.Millisecond),
 			OutageEndedAt: now.Add(-time.Minute), StoreReachable: true},
-		Part: 0, Parts: 1, Crashes: map[uint64]int{9: 2},
+		Part: 0, Parts: 1,
 		Jobs: []placement.Job{{
 			Endpoint: 5, PromptTokens: 700_000, Parts: 16, OutputTokens: 1600, MemoryTokens: 290_000, LatencyTarget: 3 * time.Second,
 			GapTarget: 250 * time.Millisecond, PlacedAt: now.Add(-40 * time.Millisecond), Decoding: true, Late: true,
@@ -77,11 +78,6 @@
 	require.Len(t, splitState(Message{Name: "n"}, nil), 1)
 }
 
-type noopCrashTracker struct{}
-
-func (noopCrashTracker) Merge(uint64, int)                        {}
-func (noopCrashTracker) Recent(time.Duration, int) map[uint64]int { return nil }
-
 // discardConn is a socket that drops everything sent on it.
 type discardConn struct{ net.PacketConn }
 
@@ -92,7 +88,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{Name: "me", Addr: "10.0.0.1:1", FailureDomain: "a", Conn: discardConn{}, Scheduler: scheduler,
-		Crashes: noopCrashTracker{}, Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
+		Quarantine: quarantine.New(quarantine.Options{Log: log}), Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
 }
 
 // A delayed older state must not replace a newer one, and a state with fewer parts must remove the jobs of the others.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -1,5 +1,5 @@
-// Package exchange shares state between gateways over UDP: the jobs that each gateway has placed on endpoints, the calls
-// that crashed endpoints, and the versions of what it holds of the store. The jobs of a scope are sent in full, split into
+// Package exchange shares state between gateways over UDP: the jobs that each gateway has placed on endpoints, what has crashed
+// endpoints, and the versions of what it holds of the store. The jobs of a scope are sent in full, split into
 // datagrams, so a lost datagram is made up for by the next state. Gateways form circles, which bound who hears of what and when.
 package exchange
 
@@ -19,12 +19,11 @@
 	formatMagic        = 0xB17B0002 // identifies the format and its version
 	flagsOffset        = 4          // of the byte with the flags of a datagram
 	headerBytes        = 4 + 1 + 8 + 8 + 8 + 8 + 2 + 2 + 1 + 1 + 1 + 3 + 2
-	crashBytes         = 8 + 1
+	legacyCrashBytes   = 8 + 1 // crash counts of earlier versions, which are skipped
 	jobBytes           = 4 + 4 + 4 + 2 + 2 + 2 + 2 + 1 + 1
-	maxNameBytes       = 200 // of name, address and failure domain together
-	maxCrashes         = 8
+	maxNameBytes       = 200  // of name, address and failure domain together
 	maxDatagramBytes   = 1400 // fits into one Ethernet packet
-	jobsPerPart        = (maxDatagramBytes - headerBytes - maxNameBytes - maxCrashes*crashBytes) / jobBytes
+	jobsPerPart        = (maxDatagramBytes - headerBytes - maxNameBytes) / jobBytes
 	durationUnit       = 10 * time.Millisecond // resolution of encoded durations
 	flagDecoding       = 1
 	flagLate           = 2
@@ -48,7 +47,6 @@
 	Scopes        placement.Scope // the scopes of which Jobs contains the sender's jobs
 	Part          int             // index of this part, below Parts
 	Parts         int
-	Crashes       map[uint64]int // crash counts by call fingerprint
 	Jobs          []placement.Job
 }
 
@@ -79,7 +77,7 @@
 }
 
 func (m *Message) encode(now time.Time) []byte {
-	b := make([]byte, 0, headerBytes+maxNameBytes+len(m.Crashes)*crashBytes+len(m.Jobs)*jobBytes)
+	b := make([]byte, 0, headerBytes+maxNameBytes+len(m.Jobs)*jobBytes)
 	b = binary.BigEndian.AppendUint32(b, formatMagic)
 	var flags byte
 	for flag, set := range map[byte]bool{
@@ -101,11 +99,7 @@
 		b = append(b, byte(len(text)))
 		b = append(b, text...)
 	}
-	b = append(b, byte(len(m.Crashes)))
-	for fingerprint, count := range m.Crashes {
-		b = binary.BigEndian.AppendUint64(b, fingerprint)
-		b = append(b, byte(min(count, math.MaxUint8)))
-	}
+	b = append(b, 0) // number of crash counts, which earlier versions send here
 	b = append(b, byte(len(m.Jobs)))
 	for i := range m.Jobs {
 		b = appendJob(b, &m.Jobs[i], now)
@@ -181,11 +175,7 @@
 	for _, text := range []*string{&m.Name, &m.Addr, &m.FailureDomain} {
 		*text = string(r.next(r.u8()))
 	}
-	m.Crashes = make(map[uint64]int)
-	for range r.u8() {
-		fingerprint := r.u64()
-		m.Crashes[fingerprint] = r.u8()
-	}
+	r.next(r.u8() * legacyCrashBytes)
 	jobs := r.u8()
 	for i := 0; i < jobs && !r.truncated; i++ {
 		m.Jobs = append(m.Jobs, r.readJob(now))
--- a/gateway/components_test.go
+++ b/gateway/components_test.go
@@ -60,24 +60,6 @@
 	require.False(t, b.TryWithdraw("s"))
 }
 
-// A call that crashes one endpoint after the other must be blocked.
-func TestCrashingCallIsBlocked(t *testing.T) {
-	now := time.Unix(0, 0)
-	c := NewCrashTracker(func() time.Time { return now })
-	for range maxCrashes {
-		require.False(t, c.Blocked(7))
-		c.RecordCrash(7)
-	}
-	require.True(t, c.Blocked(7))
-	require.Equal(t, map[uint64]int{7: maxCrashes}, c.Recent(time.Second, 5))
-	now = now.Add(crashTTL + 1)
-	require.False(t, c.Blocked(7))
-	c.Merge(9, maxCrashes)
-	require.True(t, c.Blocked(9))
-	c.Forget(9)
-	require.False(t, c.Blocked(9))
-}
-
 // A request that must not run twice must not be retried once it may have run, and must not be reported as not executed.
 func TestRetriesAndNotExecutedReports(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
@@ -27,7 +28,7 @@
 	Scheduler     *placement.Scheduler
 	Near          func(*registry.Endpoint) bool // whether other gateways' short prompts at it are known at once; nil: always
 	RetryBudget   *RetryBudget
-	CrashTracker  *CrashTracker
+	Quarantine    *quarantine.Tracker
 	Backend       Backend
 	Log           *logrus.Logger
 	Metrics       *Metrics
@@ -62,7 +63,8 @@
 	req                *Request
 	writer             ResponseWriter
 	service            *catalog.Service
-	sendCount          int // attempts that may have reached an endpoint
+	subjects           []quarantine.Subject // what may crash endpoints: the call and the shared parts of its prompt
+	sendCount          int                  // attempts that may have reached an endpoint
 	failedAttempts     int
 	triedEndpoints     []string       // IDs of the endpoints of earlier attempts
 	noSplit            bool           // an endpoint refused a split prompt; later attempts do not split it
@@ -89,7 +91,8 @@
 	if service == nil {
 		service = &catalog.Service{Name: name}
 	}
-	s := &requestState{gw: g, req: r, writer: writer, service: service, notExecuted: true, lastEventID: r.LastEventID}
+	s := &requestState{gw: g, req: r, writer: writer, service: service, subjects: subjectsOf(r), notExecuted: true,
+		lastEventID: r.LastEventID}
 	g.opts.RetryBudget.Deposit(name)
 	ctx, cancel := context.WithDeadline(ctx, deadlineOf(r).Add(-responseMargin))
 	defer cancel()
@@ -97,10 +100,6 @@
 }
 
 func (s *requestState) serve(ctx context.Context) {
-	if s.gw.opts.CrashTracker.Blocked(s.req.Fingerprint) {
-		s.refuse(failure{kind: errkind.PromptBlamed, notExecuted: true, reason: "call has crashed endpoints"}, 0)
-		return
-	}
 	for {
 		f, done := s.attempt(ctx)
 		if done {
@@ -128,7 +127,7 @@
 
 // tryRetry reports whether another attempt follows and takes it from the retry budget.
 func (s *requestState) tryRetry(f failure, now time.Time) bool {
-	if f.final || f.kind == errkind.NoEndpoint || s.gw.opts.CrashTracker.Blocked(s.req.Fingerprint) {
+	if f.final || f.kind == errkind.NoEndpoint || s.isBlocked() {
 		return false
 	}
 	if s.failedAttempts++; s.failedAttempts > maxFailedAttempts || !mayRetry(s.req, f, s.sendCount, now) {
@@ -226,6 +225,9 @@
 func (s *requestState) planAndReserve(ctx context.Context) (*resolvedPlan, *reservationSet, failure, bool) {
 	defer s.leaveQueue()
 	for {
+		if f, blocked := s.blockedFailure(s.gw.opts.Quarantine.Check); blocked {
+			return nil, nil, f, false
+		}
 		plan, decision, f := s.choosePlan()
 		if plan == nil {
 			return nil, nil, f, false
@@ -388,6 +390,9 @@
 	if !s.gw.opts.Registry.StillUsable(primary) {
 		return failure{kind: errkind.Draining, notExecuted: true, reason: "endpoint left while the request was prepared"}, false
 	}
+	if f, blocked := s.blockedFailure(s.gw.opts.Quarantine.Admit); blocked {
+		return f, false
+	}
 	s.triedEndpoints = append(s.triedEndpoints, primary.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -441,8 +446,7 @@
 	}
 	s.reportUnreachable(e, err.Error())
 	if mayBeReceived {
-		s.gw.opts.CrashTracker.RecordCrash(s.req.Fingerprint)
-		s.logBrokenAttempt("attempt_broken", err, 0)
+		s.recordBrokenAttempt("attempt_broken", e, err, 0)
 	}
 	return failure{kind: errkind.EndpointFailed, notExecuted: !mayBeReceived, reason: "connection failed"}
 }
@@ -531,6 +535,6 @@
 	if err := s.writer.Write(body); err != nil {
 		return failure{kind: errkind.Canceled, reason: "caller left"}, false
 	}
-	s.gw.opts.CrashTracker.Forget(s.req.Fingerprint)
+	s.gw.opts.Quarantine.RecordProgress(s.subjects)
 	return failure{}, true
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/bilberrylink/bilberrylink/engine"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/placement"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
@@ -102,8 +103,8 @@
 	tg.gateway = New(Options{
 		Name: "g", Catalog: func() *catalog.Snapshot { return snap }, Registry: tg.registry, Scheduler: tg.scheduler,
 		Backend: tg.fakeBackend, Log: log,
-		RetryBudget:  NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, time.Now),
-		CrashTracker: NewCrashTracker(time.Now), Metrics: NewMetrics(nil),
+		RetryBudget: NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, time.Now),
+		Quarantine:  quarantine.New(quarantine.Options{Log: log}), Metrics: NewMetrics(nil),
 	})
 	return tg
 }
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -53,6 +53,8 @@
 	notExecuted bool // the endpoint has certainly not executed the request
 	final       bool // another attempt would not help
 	retryPaid   bool // the retry has already been taken from the budget
+	// hopeless means that the same request will be rejected for minutes: its caller is not told when to return.
+	hopeless bool
 	// persistent means that the cause persists for seconds, so that a caller who retries earlier is rejected again.
 	persistent bool
 	reason     string
@@ -61,6 +63,9 @@
 // retryAfter returns the retry delay suggested to a rejected caller with the given time left. It is a third of that time
 // at most, since callers that are told a longer delay retry at that point anyway.
 func retryAfter(f failure, timeLeft time.Duration) time.Duration {
+	if f.hopeless {
+		return 0
+	}
 	longest := max(timeLeft/3, 0)
 	if f.persistent {
 		return longest
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"io"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
@@ -31,8 +29,11 @@
 		n, err := resp.Body.Read(buf)
 		events := splitter.Push(buf[:n])
 		for _, e := range events {
-			if received++; received == 1 {
+			switch received++; received {
+			case 1:
 				s.recordFirstEvent(plan, sentAt)
+			case progressEvents:
+				s.gw.opts.Quarantine.RecordProgress(s.subjects)
 			}
 			wasLate := s.missedTarget()
 			if f, ok := s.forwardEvent(resp, e); !ok {
@@ -51,7 +52,7 @@
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && s.headerWritten {
 			s.gw.opts.Registry.ReportOutcome(primary, registry.Succeeded)
-			s.gw.opts.CrashTracker.Forget(s.req.Fingerprint)
+			s.gw.opts.Quarantine.RecordProgress(s.subjects)
 			return failure{}, true
 		}
 		return s.brokenStreamFailure(ctx, primary, err, watch, received), false
@@ -112,26 +113,13 @@
 		return s.contextFailure(ctx, true)
 	}
 	s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
-	if received == 0 {
-		s.gw.opts.CrashTracker.RecordCrash(s.req.Fingerprint)
-	}
 	if err == nil {
 		err = errors.New("event without end")
 	}
-	s.logBrokenAttempt("stream_broken", err, received)
+	s.recordBrokenAttempt("stream_broken", e, err, received)
 	return failure{kind: errkind.StreamBroken, reason: "stream ended early"}
 }
 
-// logBrokenAttempt logs an attempt that the endpoint broke off, with what tells why it may have done so: how much of the answer had
-// arrived, and what the prompt has in common with others.
-func (s *requestState) logBrokenAttempt(event string, err error, received int) {
-	s.gw.opts.Metrics.observeBroken(received)
-	s.logEntry(event).WithError(err).WithFields(logrus.Fields{
-		"resume_after": s.lastEventID, "attempt_events": received, "shared_parts": s.req.SharedParts,
-		"call": strconv.FormatUint(s.req.Fingerprint, 16), "crashes": s.gw.opts.CrashTracker.Count(s.req.Fingerprint),
-	}).Info("endpoint broke off an attempt")
-}
-
 // watchdog cancels an attempt that makes no progress if another one is allowed.
 type watchdog struct {
 	mu      sync.Mutex
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -21,9 +21,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrylink/bilberrylink/exchange"
-	"github.com/bilberrylink/bilberrylink/gateway"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/storewatch"
 )
 
@@ -50,7 +50,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{startedAt: time.Now(), rows: map[string]map[string]platform.Row{"op": {}, "servers": {}, "bilberry-peers": {}},
+	return &fakeStore{startedAt: time.Now(), rows: map[string]map[string]platform.Row{"op": {}, "servers": {}, "bilberry-peers": {}, "bilberry-quarantine": {}},
 		changed: make(chan struct{}), modes: make(map[string]storeMode), calls: make(map[string]int)}
 }
 
@@ -63,6 +63,21 @@
 	s.changed = make(chan struct{})
 }
 
+// transact carries out the writes of a gateway.
+func (s *fakeStore) transact(body io.Reader) error {
+	var writes struct{ Put, Remove []platform.Row }
+	if err := json.NewDecoder(body).Decode(&writes); err != nil {
+		return err
+	}
+	for _, row := range writes.Put {
+		s.write(row.Table, row.Key, string(row.Value))
+	}
+	for _, row := range writes.Remove {
+		s.write(row.Table, row.Key, "")
+	}
+	return nil
+}
+
 func (s *fakeStore) setMode(mode storeMode, gateways ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,6 +127,9 @@
 		<-req.Context().Done()
 		return nil, req.Context().Err()
 	}
+	if req.URL.Path == "/rows-tx" {
+		return response(http.StatusOK, nil), t.store.transact(req.Body)
+	}
 	query, since, deadline := req.URL.Query(), int64(-1), time.Duration(0)
 	if req.URL.Path == "/rows-feed" {
 		since, _ = strconv.ParseInt(query.Get("SinceRev"), 10, 64)
@@ -216,9 +234,10 @@
 	log.SetOutput(io.Discard)
 	d := &daemon{log: log, stateSync: newStateSync(log),
 		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}}),
-		scheduler: placement.NewScheduler(), crashTracker: gateway.NewCrashTracker(time.Now)}
+		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
+	d.storage = newQuarantineStorage(d.store, d.quarantine, log)
 	d.exchange = exchange.New(exchange.Options{Name: n.name, Addr: n.addr, FailureDomain: n.domain, Conn: memConn{n},
-		Scheduler: d.scheduler, Crashes: d.crashTracker, Versions: d.stateSync.versions, Log: log})
+		Scheduler: d.scheduler, Quarantine: d.quarantine, Versions: d.stateSync.versions, Log: log})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
 	d.follower.client = &http.Client{Transport: peerTransport{n}}
@@ -231,7 +250,7 @@
 	n.fleet.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	tasks := []func(context.Context){d.exchange.Run, d.follower.run}
+	tasks := []func(context.Context){d.exchange.Run, d.follower.run, d.storage.run}
 	for _, w := range d.watchers() {
 		tasks = append(tasks, w.Run)
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -21,11 +21,13 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/gateway"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 	"github.com/bilberrylink/bilberrylink/storewatch"
 )
@@ -83,7 +85,8 @@
 	stateSync       *stateSync
 	store           *platform.Store
 	scheduler       *placement.Scheduler
-	crashTracker    *gateway.CrashTracker
+	quarantine      *quarantine.Tracker
+	storage         *quarantineStorage
 	backend         *platform.Backend
 	retryBudget     *gateway.RetryBudget
 	gateway         *gateway.Gateway
@@ -101,16 +104,19 @@
 	s := opts.Settings
 	d := &daemon{
 		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), stateSync: newStateSync(opts.Log),
-		scheduler: placement.NewScheduler(), crashTracker: gateway.NewCrashTracker(time.Now), backend: platform.NewBackend(),
+		scheduler: placement.NewScheduler(), backend: platform.NewBackend(),
 	}
 	d.store = platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Registerer: d.metricsRegistry})
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
+	d.quarantine = quarantine.New(quarantine.Options{Gateways: countGateways, Log: d.log, Registerer: d.metricsRegistry})
+	d.storage = newQuarantineStorage(d.store, d.quarantine, d.log)
 	conn, err := net.ListenPacket("udp", s.InternalAddr)
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange")
 	}
 	d.exchange = exchange.New(exchange.Options{
-		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler, Crashes: d.crashTracker,
+		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler, Quarantine: d.quarantine,
 		Versions: d.stateSync.versions, Log: d.log, Registerer: d.metricsRegistry,
 	})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
@@ -120,19 +126,17 @@
 			return nil, err
 		}
 	}
-	d.retryBudget = gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow,
-		func() int { return 1 + len(d.exchange.LivePeers()) }, time.Now)
+	d.retryBudget = gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, countGateways, time.Now)
 	d.gateway = gateway.New(gateway.Options{
 		Name: s.Name, FailureDomain: s.FailureDomain, Catalog: d.stateSync.config.Snapshot, Registry: d.stateSync.registry,
 		Scheduler: d.scheduler,
 		Near: func(e *registry.Endpoint) bool {
 			return d.exchange.IsNear(exchange.Member{Name: e.ID, FailureDomain: e.Zone})
 		},
-		RetryBudget:  d.retryBudget,
-		CrashTracker: d.crashTracker, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
+		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
-		Gateway: d.gateway, Catalog: d.stateSync.config.Snapshot, ConfigCurrent: d.stateSync.configCurrent,
+		Gateway: d.gateway, Catalog: d.servingSnapshot, ConfigCurrent: d.stateSync.configCurrent,
 		StoreAway: d.stateSync.storeAway, Log: d.log,
 	}
 	return d, nil
@@ -140,13 +144,13 @@
 
 // ready reports whether the gateway can serve requests, for the platform's readiness checks.
 func (d *daemon) ready() bool {
-	return !d.draining.Load() && d.stateSync.config.Snapshot() != nil && d.stateSync.registry.CountUsable() > 0
+	return !d.draining.Load() && d.servingSnapshot() != nil && d.stateSync.registry.CountUsable() > 0
 }
 
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.reloadSettingsOnHangup)
+	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.storage.run, d.reloadSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
 	}
@@ -170,6 +174,15 @@
 	}
 }
 
+// servingSnapshot returns the configuration to serve callers with, or nil if there is none or it is not yet known what is blocked.
+func (d *daemon) servingSnapshot() *catalog.Snapshot {
+	snapshot, since := d.stateSync.config.Snapshot(), d.stateSync.config.AvailableSince()
+	if snapshot == nil || !d.storage.mayServe(time.Since(since)) {
+		return nil
+	}
+	return snapshot
+}
+
 // watchers returns the watchers of the tables of configuration and endpoints.
 func (d *daemon) watchers() []*platform.Watcher {
 	stateSync := d.stateSync
@@ -184,6 +197,7 @@
 	config.OnSuccess = func(now time.Time) {
 		stateSync.config.MarkConfirmed(now)
 		stateSync.markTableUp(config.Table)
+		d.storage.noteAnswer()
 	}
 	endpoints.OnError = func(err error) { stateSync.markTableDown(endpoints.Table, err) }
 	endpoints.OnSuccess = func(now time.Time) {
--- /dev/null
+++ b/quarantine/spread.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Changed returns a channel that signals that records have changed at this gateway since the last call of TakeChanged.
+func (t *Tracker) Changed() <-chan struct{} { return t.changed }
+
+// TakeChanged returns the records that have changed at this gateway since the last call.
+func (t *Tracker) TakeChanged() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	records := make([]Record, 0, len(t.unsent))
+	for s := range t.unsent {
+		if e := t.records[s]; e != nil {
+			records = append(records, e.clone())
+		}
+	}
+	clear(t.unsent)
+	return records
+}
+
+// Spread returns at most limit of the records that peers may lack: those that changed a short while ago, and all that block a subject, so
+// that a gateway learns of these after a restart. Successive calls return one after the other.
+func (t *Tracker) Spread(limit int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	var subjects []Subject
+	for s, e := range t.records {
+		if now.Before(e.ExpiresAt) && (e.verdict != Admitted || now.Sub(e.changedAt) < spreadPeriod) {
+			subjects = append(subjects, s)
+		}
+	}
+	slices.SortFunc(subjects, compareSubjects)
+	start, _ := slices.BinarySearchFunc(subjects, t.lastSent, compareSubjects)
+	if start < len(subjects) && subjects[start] == t.lastSent {
+		start++
+	}
+	records := make([]Record, 0, min(limit, len(subjects)))
+	for i := range min(limit, len(subjects)) {
+		s := subjects[(start+i)%len(subjects)]
+		records = append(records, t.records[s].clone())
+		t.lastSent = s
+	}
+	return records
+}
+
+func compareSubjects(a, b Subject) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Hash, b.Hash))
+}
+
+// heaviest returns the records with the most crashed endpoints, at most limit.
+func heaviest(records []*Record, limit int) []*Record {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b *Record) int {
+		return cmp.Or(cmp.Compare(len(endpointsOf(b)), len(endpointsOf(a))), compareSubjects(a.Subject, b.Subject))
+	})
+	return sorted[:min(len(sorted), limit)]
+}
+
+// Unstored returns the records that block a subject and are not in the store, as far as it is this gateway's turn to store them, and
+// the subjects whose rows are outdated.
+func (t *Tracker) Unstored() (put []Record, remove []Subject) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	for s, e := range t.records {
+		switch {
+		case !now.Before(e.ExpiresAt):
+			delete(t.records, s)
+		case e.verdict != Admitted && !e.isStored(e.verdict) && !now.Before(e.storeAt):
+			put = append(put, e.clone())
+		case e.verdict == Admitted && e.removeRow:
+			remove = append(remove, s)
+		}
+	}
+	return put, remove
+}
+
+// MarkStored records that the store holds the given records.
+func (t *Tracker) MarkStored(records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range records {
+		r := &records[i]
+		e := t.records[r.Subject]
+		switch {
+		case e == nil:
+		case e.Generation != r.Generation:
+			e.removeRow = true // cleared while it was being stored
+		default:
+			e.StoredEndpoints, e.removeRow = max(e.StoredEndpoints, len(endpointsOf(r))), false
+			t.noteChange(e, true)
+		}
+	}
+}
+
+// MarkRemoved records that the store does not hold rows of the given subjects any more.
+func (t *Tracker) MarkRemoved(subjects []Subject) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range subjects {
+		if e := t.records[s]; e != nil {
+			e.removeRow = false
+		}
+	}
+}
+
+// BlockedCount returns the number of blocked subjects.
+func (t *Tracker) BlockedCount() (blocked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.records {
+		if e.verdict != Admitted && t.opts.Now().Before(e.ExpiresAt) {
+			blocked++
+		}
+	}
+	return blocked
+}
