--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -321,6 +321,36 @@
 	assert.Greater(t, endpoints, 2, "without confinement each entry tries others")
 }
 
+// Guards against a message that crashes one endpoint after the other in chats no two of which are alike, and against refusing sound chats
+// that share their first message with it.
+func TestSharedMessageThatCrashesEndpointsIsStopped(t *testing.T) {
+	const maxRunsOfCrashingMessage = 5 // the platform's bound on crashes before a part must be known
+	f := newFleet(t, crashOnPoison)
+	e := newTestEntry(t, f, Disabled{RetryBudget: true})
+	body := func(message string, i int) string {
+		return fmt.Sprintf(`{"model":"clerk","max_tokens":5,"messages":[{"role":"system","content":"be brief"},
+			{"role":"user","content":%q},{"role":"user","content":"question %d"}]}`, message, i)
+	}
+	last := reply{}
+	for i := range 10 {
+		for name := range f.agents {
+			f.members.update(name, func(n *membership.Node) { n.Live = true }) // crashed endpoints are back
+		}
+		last = e.chat(t, body("poison", i), "X-Request-Timeout", "500ms")
+		assert.Equal(t, http.StatusOK, e.chat(t, body("wineskins", i), "X-Request-Timeout", "2s").status)
+	}
+	runs := 0
+	for _, a := range f.agents {
+		for _, r := range a.runs {
+			if strings.Contains(r.GetModel().GetPrompt(), "poison") {
+				runs++
+			}
+		}
+	}
+	assert.LessOrEqual(t, runs, maxRunsOfCrashingMessage)
+	assert.Contains(t, last.body, `"kind":"prompt_blamed"`)
+}
+
 // Guards against answers of a recalled version, and against answers of an entry without fresh evidence.
 func TestRecallAndFreshnessAreCheckedAtTheFirstFrame(t *testing.T) {
 	epochs := new(fakeEpochs)
