blame: refuse chats with a message that blamed chats share

Change: when a prompt is blamed, the fingerprints of its messages but the last get a record of the same kind, with the blamed prompts in place of endpoints. Two blamed prompts blame a message; a completed prompt clears its messages, also at other entries. Records travel and are stored like those of prompts, which already add up by union and survive restarts.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -1,7 +1,8 @@
 // Package blame detects prompts that crash endpoints, so that they are not retried until the whole fleet is down.
 //
 // A prompt that was running on an endpoint when the endpoint crashed is a suspect and is retried alone. After a second
-// crash the prompt is blamed and is refused until its record expires. Prompts are identified by a fingerprint. The
+// crash the prompt is blamed and is refused until its record expires. A part of a prompt that several blamed prompts share is blamed,
+// too, unless prompts with it complete. Prompts and parts are identified by fingerprints. The
 // records are kept in table rows and in the memory of each entry, and nodes exchange them, so that the rule also holds
 // while the table is down.
 package blame
@@ -10,6 +11,7 @@
 	"context"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,9 +26,15 @@
 // RowPrefix is the prefix of the table keys of blame records.
 const RowPrefix = "blame/"
 
-// blameThreshold is the number of crashes at which a prompt is refused.
+// blameThreshold is the number of crashes at which a prompt is refused, and of blamed prompts at which a part of them is.
 const blameThreshold = 2
 
+// recentCompletion is the time for which a completed prompt shows that its parts are harmless.
+const recentCompletion = 2 * time.Second
+
+// partPrefix marks the fingerprints of parts.
+const partPrefix = "part-"
+
 // Limits of the memory of a Tracker, of its messages to other nodes and of its use of the table.
 const (
 	DefaultMaxRecords  = 16_384                 // records, and as many proven fingerprints; about 4 MB
@@ -70,11 +78,11 @@
 	Disabled   bool                  // tests only: no prompt becomes a suspect
 }
 
-// Record holds the crashes that are attributed to one fingerprint.
+// Record holds the crashes that are attributed to one fingerprint. For a part, it holds the blamed prompts that contain it.
 type Record struct {
 	Fingerprint string    `json:"-"`
-	Crashes     int       `json:"crashes"`
-	Endpoints   []string  `json:"endpoints"`
+	Crashes     int       `json:"crashes"`   // of a prompt; of a part: number of blamed prompts
+	Endpoints   []string  `json:"endpoints"` // of a prompt; of a part: fingerprints of the blamed prompts
 	Cleared     bool      `json:"cleared"`
 	Generation  int       `json:"generation"` // grows when the record is cleared or reopened; the highest one is valid
 	Expires     time.Time `json:"-"`
@@ -173,13 +181,53 @@
 	return t.Check(fingerprint)
 }
 
-// RecordCompletion records that the prompt completed. This clears a suspect, but a blamed prompt stays blamed until its
-// record expires.
-func (t *Tracker) RecordCompletion(fingerprint string) {
+// BlamedPart returns a blamed part among the fingerprints of parts, or an empty string.
+func (t *Tracker) BlamedPart(parts []string) string {
+	for _, part := range parts {
+		if t.Check(partPrefix+part) == Blamed {
+			return part
+		}
+	}
+	return ""
+}
+
+// RecordBlamedPrompt records that a prompt with the given parts is blamed. Parts of prompts that have completed lately are not
+// suspected.
+func (t *Tracker) RecordBlamedPrompt(fingerprint string, parts []string) {
+	if t.opts.Disabled {
+		return
+	}
+	for _, part := range parts {
+		key := partPrefix + part
+		if t.completedLately(key) {
+			continue
+		}
+		t.merge(Record{Fingerprint: key, Crashes: 1, Endpoints: []string{fingerprint}}, true)
+		t.enqueue(key)
+	}
+}
+
+func (t *Tracker) completedLately(fingerprint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expiresAt, ok := t.proven.get(fingerprint)
+	return ok && time.Until(expiresAt) > t.opts.TTL()-recentCompletion
+}
+
+// RecordCompletion records that a prompt with the given parts completed. This clears a suspect and the parts, but a blamed prompt stays
+// blamed until its record expires.
+func (t *Tracker) RecordCompletion(fingerprint string, parts []string) {
+	t.recordCompletion(fingerprint)
+	for _, part := range parts {
+		t.recordCompletion(partPrefix + part)
+	}
+}
+
+func (t *Tracker) recordCompletion(fingerprint string) {
 	t.mu.Lock()
 	t.proven.put(fingerprint, time.Now().Add(t.opts.TTL()))
 	r, ok := t.records.get(fingerprint)
-	cleared := ok && !r.Cleared && r.Crashes < blameThreshold
+	cleared := ok && !r.Cleared && r.mayClear()
 	if cleared {
 		r.Cleared = true
 		r.Generation++
@@ -225,7 +273,7 @@
 		// Another request with the same prompt was lost in the same crash, which is counted already.
 	case crashedHere:
 		r.Crashes++
-	case update.Cleared && r.Crashes < blameThreshold && update.Crashes >= r.Crashes:
+	case update.Cleared && r.mayClear() && update.Crashes >= r.Crashes:
 		r.Cleared, r.Crashes = true, update.Crashes
 		r.Generation = max(r.Generation+1, update.Generation)
 	case !update.Cleared:
@@ -242,6 +290,11 @@
 	t.updateTimes(r, &previous, update, now)
 }
 
+// mayClear reports whether a completion clears the record.
+func (r *Record) mayClear() bool {
+	return r.Crashes < blameThreshold || strings.HasPrefix(r.Fingerprint, partPrefix)
+}
+
 // noGeneration is the generation of records from other nodes, whose messages carry none.
 const noGeneration = -1
 
@@ -280,7 +333,7 @@
 	if r.Crashes >= blameThreshold && previous.Crashes < blameThreshold {
 		t.metrics.blamed.Inc()
 		t.opts.Log.WithFields(logrus.Fields{"fingerprint": r.Fingerprint, "endpoints": r.Endpoints}).
-			Warn("prompt blamed for endpoint crashes")
+			Warn("prompt or part blamed for endpoint crashes")
 	}
 }
 
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -98,14 +98,14 @@
 		first.RecordCrash(t.Context(), "p", "model-1")
 		assert.Equal(t, Suspect, first.RecordCrash(t.Context(), "p", "model-1"), "two requests lost in one crash")
 		second.MergeRecords(first.RecentRecords())
-		first.RecordCompletion("p")
+		first.RecordCompletion("p", nil)
 		assert.Equal(t, Proven, first.Check("p"))
 		second.MergeRecords(first.RecentRecords())
 		assert.Equal(t, Unproven, second.Check("p"))
 		assert.Equal(t, Suspect, first.RecordCrash(t.Context(), "p", "model-3"), "a crash that was cleared does not count")
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, Blamed, first.RecordCrash(t.Context(), "p", "model-3"))
-		first.RecordCompletion("p")
+		first.RecordCompletion("p", nil)
 		assert.Equal(t, Blamed, first.Check("p"), "a later success does not clear a blamed prompt")
 		disabled := New(Options{Disabled: true})
 		disabled.RecordCrash(t.Context(), "p", "model-1")
@@ -119,9 +119,38 @@
 	tracker := New(Options{MaxRecords: 10})
 	for _, c := range "abcdefghijklmnopqrstuvwxyz" {
 		tracker.RecordCrash(t.Context(), string(c), "model-1")
-		tracker.RecordCompletion("done-" + string(c))
+		tracker.RecordCompletion("done-"+string(c), nil)
 	}
 	assert.Len(t, tracker.records.items, 10)
 	assert.Len(t, tracker.proven.items, 10)
 	assert.Equal(t, Suspect, tracker.Check("z"))
 }
+
+// Guards against a part that is not blamed because its blamed prompts were seen by different entries, and against one that stays blamed
+// although prompts with it complete.
+func TestPartOfBlamedPromptsIsBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := New(Options{}), New(Options{})
+		common, bad := []string{"common"}, []string{"common", "bad"}
+		first.RecordCompletion("sound", common)
+		first.RecordBlamedPrompt("p1", bad)
+		second.RecordBlamedPrompt("p2", bad)
+		assert.Empty(t, first.BlamedPart(bad))
+		second.MergeRecords(first.RecentRecords())
+		first.MergeRecords(second.RecentRecords())
+		assert.Equal(t, "bad", first.BlamedPart(bad))
+		assert.Equal(t, "bad", second.BlamedPart(bad))
+		assert.Empty(t, first.BlamedPart(common), "a prompt with it has completed")
+
+		time.Sleep(time.Second)
+		first.RecordCompletion("late", bad)
+		assert.Empty(t, first.BlamedPart(bad))
+		second.MergeRecords(first.RecentRecords())
+		assert.Empty(t, second.BlamedPart(bad))
+		time.Sleep(recentCompletion)
+		first.RecordBlamedPrompt("p3", bad)
+		assert.Empty(t, first.BlamedPart(bad))
+		first.RecordBlamedPrompt("p4", bad)
+		assert.Equal(t, "common", first.BlamedPart(bad), "nothing has completed since")
+	})
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -112,6 +112,18 @@
 	return b.String()
 }
 
+// maxSharedParts bounds the messages of a chat that are looked at one by one.
+const maxSharedParts = 64
+
+// sharedParts returns the fingerprints of the first messages. The last one belongs to this chat.
+func (c *chatRequest) sharedParts(model string) []string {
+	var parts []string
+	for _, m := range c.Messages[:min(len(c.Messages)-1, maxSharedParts)] {
+		parts = append(parts, computeFingerprint(model, m.Role, string(m.Content)))
+	}
+	return parts
+}
+
 // maxTokens returns the largest number of answer tokens: what the caller asks for, within the service's limit.
 func (c *chatRequest) maxTokens(spec *fleet.Service) int64 {
 	maximum := int64(spec.MaxAnswerTokens)
@@ -175,6 +187,7 @@
 	r.maxTokens = body.maxTokens(r.target.Spec)
 	r.prefix = prefixHash(r.target.Version, r.prompt)
 	r.fingerprint = computeFingerprint(r.workspace, r.target.Version.Model, r.prompt)
+	r.parts = body.sharedParts(r.target.Version.Model)
 	model := caller.snap.Text.Models[r.target.Version.Model]
 	if model != nil && model.MaxPromptTokens > 0 && r.promptTokens > int64(model.MaxPromptTokens) {
 		return nil, errkind.New(errkind.PromptTooLarge, "prompt is longer than the model allows")
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -158,7 +158,7 @@
 	d.workspaceRetries.Deposit(r.workspace)
 	err := d.execute(ctx, r)
 	if err == nil {
-		d.opts.Blames.RecordCompletion(r.fingerprint)
+		d.opts.Blames.RecordCompletion(r.fingerprint, r.parts)
 		return nil
 	}
 	return r.finalError(err)
@@ -186,15 +186,27 @@
 
 // checkBlame refuses a blamed prompt and sets r.alone for a suspect one.
 func (d *dispatcher) checkBlame(r *request) error {
-	switch d.opts.Blames.Check(r.fingerprint) {
-	case blame.Blamed:
-		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
-	case blame.Suspect:
+	if err := d.blameError(r); err != nil {
+		return err
+	}
+	if d.opts.Blames.Check(r.fingerprint) == blame.Suspect {
 		r.alone = true
 	}
 	return nil
 }
 
+// blameError returns the error for a prompt that is blamed or contains a blamed part, or nil.
+func (d *dispatcher) blameError(r *request) error {
+	if d.opts.Blames.Check(r.fingerprint) == blame.Blamed {
+		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	}
+	if part := d.opts.Blames.BlamedPart(r.parts); part != "" {
+		d.log.WithFields(logrus.Fields{"request": r.id, "part": part}).Info("refusing a prompt: prompts with this message crashed endpoints")
+		return errkind.New(errkind.PromptBlamed, "prompts with one of these messages crashed endpoints; it is refused for a while")
+	}
+	return nil
+}
+
 // execute runs attempts one after another until one completes or no further one is allowed.
 func (d *dispatcher) execute(ctx context.Context, r *request) error {
 	selector := &endpointSelector{d: d, r: r}
@@ -319,8 +331,8 @@
 	if err := d.retryError(r, f); err != nil {
 		return err
 	}
-	if d.opts.Blames.Check(r.fingerprint) == blame.Blamed {
-		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	if err := d.blameError(r); err != nil {
+		return err
 	}
 	if r.buffered && f.err.Kind == errkind.StreamBroken || f.err.Kind == errkind.Recalled {
 		r.discardBuffered()
@@ -343,6 +355,9 @@
 		ep.SetAvailable(false, false)
 		verdict := d.opts.Blames.RecordCrash(ctx, r.fingerprint, ep.Name)
 		r.alone = verdict == blame.Suspect
+		if verdict == blame.Blamed {
+			d.opts.Blames.RecordBlamedPrompt(r.fingerprint, r.parts)
+		}
 	case f.unreachable:
 		ep.SetAvailable(false, false)
 		d.members.ObserveFailure(ep.Name)
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/kvledger"
@@ -396,8 +395,8 @@
 	if f.err.Kind == errkind.Recalled || f.err.Kind == errkind.PromptTooLarge {
 		return f.err
 	}
-	if s.d.opts.Blames.Check(s.r.fingerprint) == blame.Blamed {
-		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
+	if err := s.d.blameError(s.r); err != nil {
+		return err
 	}
 	s.r.discardIfBroken(f)
 	s.markLost(ep, f)
