gateway: log the limits that endpoints state, and sends beyond them

The logs could not tell whether gateways exceed a limit one by one or only together, or by further attempts.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 // Options configures a Gateway.
@@ -29,6 +30,7 @@
 	Near          func(*registry.Endpoint) bool // whether other gateways' short prompts at it are known at once; nil: always
 	RetryBudget   *RetryBudget
 	Quarantine    *quarantine.Tracker
+	Throttle      *throttle.Tracker
 	Backend       Backend
 	Log           *logrus.Logger
 	Metrics       *Metrics
@@ -394,6 +396,7 @@
 		return f, false
 	}
 	s.triedEndpoints = append(s.triedEndpoints, primary.ID)
+	s.gw.opts.Throttle.RecordSend(primary.ID, len(s.triedEndpoints))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := s.startWatchdog(primary, cancel)
@@ -483,6 +486,7 @@
 ) (failure, bool) {
 	primary := plan.endpoints[0]
 	s.reportFault(plan, resp)
+	s.gw.opts.Throttle.Observe(primary.ID, resp.Limit)
 	if resp.NotExecuted || resp.WrongEndpoint {
 		primary.RecordActivity(s.gw.opts.Now())
 		s.noSplit = s.noSplit || len(plan.endpoints) > 1
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 // fakeBackend is a fake Backend. script handles the n-th call of Send, and reserveResult the calls of Reserve.
@@ -104,7 +105,7 @@
 		Name: "g", Catalog: func() *catalog.Snapshot { return snap }, Registry: tg.registry, Scheduler: tg.scheduler,
 		Backend: tg.fakeBackend, Log: log,
 		RetryBudget: NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, time.Now),
-		Quarantine:  quarantine.New(quarantine.Options{Log: log}), Metrics: NewMetrics(nil),
+		Quarantine:  quarantine.New(quarantine.Options{Log: log}), Throttle: throttle.New(throttle.Options{Log: log}), Metrics: NewMetrics(nil),
 	})
 	return tg
 }
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 // Request is a request from a caller.
@@ -46,10 +47,11 @@
 // Response is a response of an endpoint. Its body may still be arriving.
 type Response struct {
 	Status           int
-	NotExecuted      bool   // the endpoint states that it did not execute the request
-	SignatureValid   bool   // the endpoint's signature is present and valid
-	WrongEndpoint    bool   // another endpoint uses the address
-	ClosesConnection bool   // the endpoint closes the connection, which suggests that it is shutting down
+	NotExecuted      bool // the endpoint states that it did not execute the request
+	SignatureValid   bool // the endpoint's signature is present and valid
+	WrongEndpoint    bool // another endpoint uses the address
+	ClosesConnection bool // the endpoint closes the connection, which suggests that it is shutting down
+	Limit            throttle.Statement
 	FaultyEndpoint   string // ID or address of the endpoint that caused the error; empty: the one that responded
 	ContentLength    int64  // -1: not given
 	Message          any    // protocol message, for the ResponseWriter
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -30,6 +30,7 @@
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 	"github.com/bilberrylink/bilberrylink/storewatch"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 const (
@@ -87,6 +88,7 @@
 	scheduler       *placement.Scheduler
 	quarantine      *quarantine.Tracker
 	storage         *quarantineStorage
+	throttle        *throttle.Tracker
 	backend         *platform.Backend
 	retryBudget     *gateway.RetryBudget
 	gateway         *gateway.Gateway
@@ -110,6 +112,7 @@
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
 	d.quarantine = quarantine.New(quarantine.Options{Gateways: countGateways, Log: d.log, Registerer: d.metricsRegistry})
+	d.throttle = throttle.New(throttle.Options{Log: d.log, Registerer: d.metricsRegistry})
 	d.storage = newQuarantineStorage(d.store, d.quarantine, d.log)
 	conn, err := net.ListenPacket("udp", s.InternalAddr)
 	if err != nil {
@@ -133,7 +136,7 @@
 		Near: func(e *registry.Endpoint) bool {
 			return d.exchange.IsNear(exchange.Member{Name: e.ID, FailureDomain: e.Zone})
 		},
-		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
+		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
 		Gateway: d.gateway, Catalog: d.servingSnapshot, ConfigCurrent: d.stateSync.configCurrent,
