gateway: answer requests that outlive a stopping process

Cause: when the grace period ended, the server closed the connections of requests that were still waiting or running; nothing answered them.

Change: 0.4 s before the connections are closed, requests whose answer has not begun end with a refusal that tells whether they may have run; answers that have begun go on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,8 +43,13 @@
 	reservationCount atomic.Uint64
 	active           atomic.Int64
 	answeredInTime   atomic.Uint64
+	ending           context.Context
+	end              context.CancelFunc
 }
 
+// errProcessEnds is the reason why the context of a request ends when the process has no more time for it.
+var errProcessEnds = errors.New("process ends")
+
 // New returns a Gateway.
 func New(opts Options) *Gateway {
 	if opts.Now == nil {
@@ -53,9 +58,15 @@
 	if opts.Near == nil {
 		opts.Near = func(*registry.Endpoint) bool { return true }
 	}
-	return &Gateway{opts: opts}
+	g := &Gateway{opts: opts}
+	g.ending, g.end = context.WithCancel(context.Background())
+	return g
 }
 
+// EndRequests ends the requests whose answer has not begun, with an answer that tells whether they may have run, and refuses later
+// requests.
+func (g *Gateway) EndRequests() { g.end() }
+
 // ActiveRequests returns the number of requests in progress.
 func (g *Gateway) ActiveRequests() int64 { return g.active.Load() }
 
@@ -72,6 +83,7 @@
 	noSplit            bool           // an endpoint refused a split prompt; later attempts do not split it
 	notExecuted        bool           // certainly no attempt so far has been executed
 	headerWritten      bool           // the caller has received the response header
+	answerBegun        atomic.Bool    // headerWritten, for other goroutines
 	lastEventID        int64          // last event that the caller has received; -1: none
 	eventCount         int            // events written to the caller
 	firstEventLatency  time.Duration  // 0: no event yet
@@ -98,6 +110,16 @@
 	g.opts.RetryBudget.Deposit(name)
 	ctx, cancel := context.WithDeadline(ctx, deadlineOf(r).Add(-responseMargin))
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	if g.ending.Err() != nil {
+		cancelCause(errProcessEnds)
+	}
+	defer context.AfterFunc(g.ending, func() {
+		if !s.answerBegun.Load() {
+			cancelCause(errProcessEnds)
+		}
+	})()
 	s.serve(ctx)
 }
 
@@ -109,7 +131,7 @@
 			return
 		}
 		now := s.gw.opts.Now()
-		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if callerLeft(ctx) {
 			s.finish("canceled", f.reason)
 			s.writer.Abort()
 			return
@@ -124,6 +146,12 @@
 	}
 }
 
+// callerLeft reports whether the context of a request has ended because its caller disconnected.
+func callerLeft(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, context.DeadlineExceeded) && !errors.Is(cause, errProcessEnds)
+}
+
 // maxFailedAttempts bounds the failed attempts of a request, including those that reached no endpoint.
 const maxFailedAttempts = 6
 
@@ -206,12 +234,15 @@
 	return s.send(ctx, plan, reservations)
 }
 
-// contextFailure returns the failure of an attempt whose context has ended, at the deadline or because the caller
-// disconnected. mayBeReceived means that an endpoint may have received the request.
+// contextFailure returns the failure of an attempt whose context has ended: at the deadline, because the caller disconnected, or because
+// the process ends. mayBeReceived means that an endpoint may have received the request.
 func (s *requestState) contextFailure(ctx context.Context, mayBeReceived bool) failure {
 	f := failure{kind: errkind.Canceled, notExecuted: !mayBeReceived, reason: "caller left"}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		f.kind, f.reason = errkind.DeadlineExceeded, "time is over"
+	case errors.Is(cause, errProcessEnds):
+		f.kind, f.reason, f.final = errkind.Draining, "process ends", true
 	}
 	return f
 }
@@ -533,6 +564,7 @@
 // writeWhole writes a complete response to the caller.
 func (s *requestState) writeWhole(resp *Response, body []byte) (failure, bool) {
 	s.headerWritten = true
+	s.answerBegun.Store(true)
 	s.firstEventLatency = s.gw.opts.Now().Sub(s.req.ArrivedAt)
 	resp.ContentLength = int64(len(body))
 	s.writer.WriteHeader(resp)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -452,6 +452,39 @@
 	require.True(t, tg.registry.StillUsable(all[2]))
 }
 
+// A request that is still open when the process has to end must get an answer: a refusal that tells the caller to return if it has not
+// run, an error if it may have. An answer that has begun goes on for as long as the process lives.
+func TestRequestsThatOutliveTheProcessAreAnswered(t *testing.T) {
+	for name, test := range map[string]struct {
+		hang func(ctx context.Context) (*Response, error)
+		want errkind.RunState // empty: answered
+	}{
+		"not sent": {func(ctx context.Context) (*Response, error) { <-ctx.Done(); return nil, &SendError{Err: ctx.Err()} }, errkind.NotRun},
+		"sent": {func(ctx context.Context) (*Response, error) {
+			<-ctx.Done()
+			return nil, &SendError{MaybeReceived: true, Err: ctx.Err()}
+		}, errkind.RunUnknown},
+		"begun": {func(context.Context) (*Response, error) {
+			return &Response{Status: 200, SignatureValid: true, ContentLength: -1, Body: &slowBody{pause: 200 * time.Millisecond, last: 4}}, nil
+		}, ""},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			tg := newTestGateway(func(ctx context.Context, _ int, _ *EndpointRequest) (*Response, error) { return test.hang(ctx) })
+			time.AfterFunc(300*time.Millisecond, tg.gateway.EndRequests)
+			caller := tg.serve(t.Context(), catalog.Stream, nil)
+			require.False(t, caller.aborted, name)
+			if test.want == "" {
+				require.Equal(t, eventText(1, 4), caller.body.String(), name)
+			} else {
+				require.Equal(t, test.want, errkind.RuleOf(caller.refusedKind).RunState, name)
+				require.Positive(t, caller.retryAfter, name)
+			}
+			late := tg.serve(t.Context(), catalog.Stream, nil)
+			require.Equal(t, errkind.NotRun, errkind.RuleOf(late.refusedKind).RunState, name)
+		})
+	}
+}
+
 // A request to a service without endpoints must be rejected at once.
 func TestServiceWithoutEndpointsIsRejectedAtOnce(t *testing.T) {
 	tg := newTestGateway(nil)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,6 +82,7 @@
 	}
 	if !s.headerWritten {
 		s.headerWritten = true
+		s.answerBegun.Store(true)
 		resp.ContentLength = -1
 		s.writer.WriteHeader(resp)
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -53,6 +53,8 @@
 	drainNoticeTime = 2800 * time.Millisecond
 	// shutdownMargin is the time reserved before the platform kills the process.
 	shutdownMargin = 400 * time.Millisecond
+	// answerMargin is the time reserved before that to answer the requests that are still open.
+	answerMargin = 400 * time.Millisecond
 	// idleTimeout closes idle connections of callers. Callers close theirs earlier.
 	idleTimeout    = 2 * time.Minute
 	headerTimeout  = 20 * time.Second
@@ -307,8 +309,10 @@
 		d.log.WithError(err).Info("cannot remove the gateway from the list of gateways")
 	}
 	time.Sleep(drainNoticeTime - time.Since(stopStartedAt))
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), d.settings.GracePeriod-shutdownMargin-time.Since(stopStartedAt))
+	timeLeft := d.settings.GracePeriod - shutdownMargin - time.Since(stopStartedAt)
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeLeft)
 	defer cancel()
+	defer time.AfterFunc(timeLeft-answerMargin, d.gateway.EndRequests).Stop()
 	if err := d.callerServer.Shutdown(shutdownCtx); err != nil {
 		d.log.WithError(err).WithField("active", d.gateway.ActiveRequests()).Warn("grace period ended with requests in progress")
 	}
