throttle: keep the requests of all gateways to an endpoint within its stated limit

Callers saw nothing, since these endpoints refuse nothing.

Cause: the header was not read; placement gave endpoints in need their usual share. Class: a statement that is meant for the fleet is left to each process, which sees only its own part. Reading it at each gateway alone would not have been enough: three gateways sent 5 each where 4.8 were allowed together.

Change: package throttle. Gateways report statements and sends to their circle at once and to all with each keep-alive; each sends only while the sum leaves room in a window of the limit. Endpoints with a limit are left to their circle; room that all see at once is taken after a random delay. Endpoints at their limit are no primary endpoints but still help with parts. If all are at their limits, a request waits for a bounded time or is rejected at once with the time to return.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,7 @@
 	Conn          net.PacketConn
 	Scheduler     *placement.Scheduler
 	Quarantine    Quarantine
+	Throttle      Throttle
 	Versions      func() Versions // what this gateway holds
 	Log           *logrus.Logger
 	Registerer    prometheus.Registerer
@@ -113,6 +114,21 @@
 	return e.topology.isNear(m)
 }
 
+// IsCovered reports whether a live gateway, this one or another, belongs to the circle of an endpoint.
+func (e *Exchange) IsCovered(m Member) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	circle := e.topology.circles.Of(m)
+	return circle == e.topology.own || len(e.topology.far[circle]) > 0
+}
+
+// CircleSize returns the number of live gateways in the circle of this one, itself included.
+func (e *Exchange) CircleSize() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.topology.near) + 1
+}
+
 // PeerVersionsChanged returns a channel that signals that the versions of a peer have changed since the last receive.
 func (e *Exchange) PeerVersionsChanged() <-chan struct{} { return e.versionsChanged }
 
@@ -169,6 +185,12 @@
 			}
 			e.sendRecords(e.opts.Quarantine.TakeChanged())
 			continue
+		case <-e.opts.Throttle.Changed():
+			if timing.Sleep(ctx, coalesceDelay) != nil {
+				return
+			}
+			e.sendReports(e.opts.Throttle.TakeChanged(), false)
+			continue
 		case <-e.opts.Scheduler.Changed():
 		}
 		if timing.Sleep(ctx, coalesceDelay) != nil {
@@ -193,6 +215,7 @@
 	e.mu.Unlock()
 	e.sendState(placement.Near|placement.Fleetwide, circleAndRelays, greeted...)
 	e.sendRecords(e.opts.Quarantine.Spread(recordsPerDatagram))
+	e.sendReports(e.opts.Throttle.Reports(), true)
 }
 
 // audience selects the gateways that a state is sent to.
@@ -260,6 +283,10 @@
 			e.handleRecords(buf[:n], now)
 			continue
 		}
+		if isReports(buf[:n]) {
+			e.handleReports(buf[:n])
+			continue
+		}
 		m, err := decode(buf[:n], now)
 		if err != nil {
 			e.opts.Log.WithError(err).WithField("from", from.String()).Debug("ignoring a malformed datagram")
@@ -274,11 +301,16 @@
 
 // relay passes a datagram from another circle on to the gateways of this one.
 func (e *Exchange) relay(datagram []byte, m *Message) {
+	if e.IsNear(Member{m.Name, m.FailureDomain}) {
+		return // its sender reaches them itself
+	}
+	e.passOn(datagram)
+}
+
+// passOn sends a datagram to the other gateways of the circle, which do not pass it on.
+func (e *Exchange) passOn(datagram []byte) {
 	e.mu.Lock()
 	near := e.topology.near
-	if e.topology.isNear(Member{m.Name, m.FailureDomain}) {
-		near = nil // its sender reaches them itself
-	}
 	e.mu.Unlock()
 	e.send(withoutRelay(datagram), near, passedOn)
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 func sampleMessage(now time.Time) Message {
@@ -88,7 +89,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{Name: "me", Addr: "10.0.0.1:1", FailureDomain: "a", Conn: discardConn{}, Scheduler: scheduler,
-		Quarantine: quarantine.New(quarantine.Options{Log: log}), Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
+		Quarantine: quarantine.New(quarantine.Options{Log: log}), Throttle: throttle.New(throttle.Options{Log: log}), Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
 }
 
 // A delayed older state must not replace a newer one, and a state with fewer parts must remove the jobs of the others.
--- a/exchange/records.go
+++ b/exchange/records.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"math"
-	"net"
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/quarantine"
@@ -59,10 +58,7 @@
 		return
 	}
 	if relay {
-		e.mu.Lock()
-		near := append([]net.Addr{}, e.topology.near...)
-		e.mu.Unlock()
-		e.send(withoutRelay(datagram), near, passedOn)
+		e.passOn(datagram)
 	}
 	e.opts.Quarantine.Merge(records)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	Registry      *registry.Registry
 	Scheduler     *placement.Scheduler
 	Near          func(*registry.Endpoint) bool // whether other gateways' short prompts at it are known at once; nil: always
+	Covered       func(*registry.Endpoint) bool // whether any gateways are near it; nil: always
 	RetryBudget   *RetryBudget
 	Quarantine    *quarantine.Tracker
 	Throttle      *throttle.Tracker
@@ -58,6 +59,9 @@
 	if opts.Near == nil {
 		opts.Near = func(*registry.Endpoint) bool { return true }
 	}
+	if opts.Covered == nil {
+		opts.Covered = func(*registry.Endpoint) bool { return true }
+	}
 	g := &Gateway{opts: opts}
 	g.ending, g.end = context.WithCancel(context.Background())
 	return g
@@ -271,6 +275,10 @@
 			}
 			continue
 		}
+		if !s.gw.opts.Throttle.Take(plan.Endpoints[0], s.accessTo(plan.endpoints[0]), len(s.triedEndpoints)+1) {
+			s.releasePlan(plan, nil) // another request took the last one that the endpoint accepts
+			continue
+		}
 		s.recordPlan(plan.Plan)
 		s.logPlan(plan)
 		if plan.ReserveTokens == nil {
@@ -342,6 +350,9 @@
 	}
 	byID := make(map[string]*registry.Endpoint, len(usable))
 	candidates := s.candidates(usable, byID)
+	if !slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.HelperOnly }) {
+		return s.waitForLimits(usable)
+	}
 	placed, decision := s.choosePlacement(candidates)
 	s.queueJobID = placed.QueueJobID
 	if f, rejected := rejections[decision]; rejected {
@@ -356,7 +367,7 @@
 }
 
 // candidates returns the usable endpoints as candidates and adds them to byID. It leaves out endpoints of earlier attempts
-// unless no others are usable.
+// unless no others are usable. Those that are at the limit that they have stated may only help.
 func (s *requestState) candidates(usable []*registry.Endpoint, byID map[string]*registry.Endpoint) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(usable))
 	add := func(skipTried bool) {
@@ -368,7 +379,7 @@
 			byID[e.ID] = e
 			candidates = append(candidates, placement.Candidate{
 				ID: e.ID, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, Near: s.gw.opts.Near(e), FailureRate: failureRate,
-				Slowdown: slowdown,
+				Slowdown: slowdown, HelperOnly: !s.belowLimit(e),
 			})
 		}
 	}
@@ -382,6 +393,7 @@
 func (s *requestState) choosePlacement(candidates []placement.Candidate) (placement.Plan, placement.Decision) {
 	now := s.gw.opts.Now()
 	if s.service.Engine == nil || s.req.PromptTokens == 0 {
+		candidates = slices.DeleteFunc(candidates, func(c placement.Candidate) bool { return c.HelperOnly })
 		return s.gw.opts.Scheduler.ChoosePlain(candidates, now), placement.Admit
 	}
 	return s.gw.opts.Scheduler.Choose(s.service.Engine, candidates, placement.Request{
@@ -427,7 +439,6 @@
 		return f, false
 	}
 	s.triedEndpoints = append(s.triedEndpoints, primary.ID)
-	s.gw.opts.Throttle.RecordSend(primary.ID, len(s.triedEndpoints))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := s.startWatchdog(primary, cancel)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -50,9 +50,10 @@
 // failure describes a failed attempt.
 type failure struct {
 	kind        errkind.Kind
-	notExecuted bool // the endpoint has certainly not executed the request
-	final       bool // another attempt would not help
-	retryPaid   bool // the retry has already been taken from the budget
+	notExecuted bool          // the endpoint has certainly not executed the request
+	final       bool          // another attempt would not help
+	retryPaid   bool          // the retry has already been taken from the budget
+	retryAfter  time.Duration // time after which the request may be served; 0: not known
 	// hopeless means that the same request will be rejected for minutes: its caller is not told when to return.
 	hopeless bool
 	// persistent means that the cause persists for seconds, so that a caller who retries earlier is rejected again.
@@ -70,7 +71,7 @@
 	if f.persistent {
 		return longest
 	}
-	return min(max(timeLeft/10, minRetryAfter), longest)
+	return min(max(timeLeft/10, minRetryAfter, f.retryAfter), longest)
 }
 
 // notReadyRetryAfter is the retry delay of a gateway whose configuration is missing or outdated while the store responds: another
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/storewatch"
+	"github.com/bilberrylink/bilberrylink/throttle"
 )
 
 const linkDelay = 500 * time.Microsecond
@@ -235,9 +236,11 @@
 	d := &daemon{log: log, stateSync: newStateSync(log),
 		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}}),
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
+	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
+		Sharing: func() int { return d.exchange.CircleSize() }})
 	d.storage = newQuarantineStorage(d.store, d.quarantine, log)
 	d.exchange = exchange.New(exchange.Options{Name: n.name, Addr: n.addr, FailureDomain: n.domain, Conn: memConn{n},
-		Scheduler: d.scheduler, Quarantine: d.quarantine, Versions: d.stateSync.versions, Log: log})
+		Scheduler: d.scheduler, Quarantine: d.quarantine, Throttle: d.throttle, Versions: d.stateSync.versions, Log: log})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
 	d.follower.client = &http.Client{Transport: peerTransport{n}}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -114,14 +114,16 @@
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
 	d.quarantine = quarantine.New(quarantine.Options{Gateways: countGateways, Log: d.log, Registerer: d.metricsRegistry})
-	d.throttle = throttle.New(throttle.Options{Log: d.log, Registerer: d.metricsRegistry})
+	d.throttle = throttle.New(throttle.Options{Gateways: countGateways,
+		Sharing: func() int { return d.exchange.CircleSize() }, Log: d.log, Registerer: d.metricsRegistry})
 	d.storage = newQuarantineStorage(d.store, d.quarantine, d.log)
 	conn, err := net.ListenPacket("udp", s.InternalAddr)
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange")
 	}
 	d.exchange = exchange.New(exchange.Options{
-		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler, Quarantine: d.quarantine,
+		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler,
+		Quarantine: d.quarantine, Throttle: d.throttle,
 		Versions: d.stateSync.versions, Log: d.log, Registerer: d.metricsRegistry,
 	})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
@@ -134,11 +136,11 @@
 	d.retryBudget = gateway.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, countGateways, time.Now)
 	d.gateway = gateway.New(gateway.Options{
 		Name: s.Name, FailureDomain: s.FailureDomain, Catalog: d.stateSync.config.Snapshot, Registry: d.stateSync.registry,
-		Scheduler: d.scheduler,
-		Near: func(e *registry.Endpoint) bool {
-			return d.exchange.IsNear(exchange.Member{Name: e.ID, FailureDomain: e.Zone})
-		},
-		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend, Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
+		Scheduler:   d.scheduler,
+		Near:        func(e *registry.Endpoint) bool { return d.exchange.IsNear(memberOf(e)) },
+		Covered:     func(e *registry.Endpoint) bool { return d.exchange.IsCovered(memberOf(e)) },
+		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend,
+		Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
 		Gateway: d.gateway, Catalog: d.servingSnapshot, ConfigCurrent: d.stateSync.configCurrent,
@@ -147,6 +149,10 @@
 	return d, nil
 }
 
+func memberOf(e *registry.Endpoint) exchange.Member {
+	return exchange.Member{Name: e.ID, FailureDomain: e.Zone}
+}
+
 // ready reports whether the gateway can serve requests, for the platform's readiness checks.
 func (d *daemon) ready() bool {
 	return !d.draining.Load() && d.servingSnapshot() != nil && d.stateSync.registry.CountUsable() > 0
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -91,6 +91,7 @@
 	ID                string
 	SameFailureDomain bool    // in the failure domain of this gateway
 	Near              bool    // short prompts that others place on it are known here at once
+	HelperOnly        bool    // it may process parts of prompts, but accepts no request itself now
 	FailureRate       float64 // recent share of failed requests
 	Slowdown          float64 // ratio of observed to predicted time, at least 1
 }
@@ -170,7 +171,7 @@
 		loads = s.nearOrFar(m.Slots, loads)
 	}
 	if isTightGap(r.GapTarget) {
-		loads = sampleLoads(loads)
+		loads = withPrimary(sampleLoads(loads), loads)
 	}
 	p, ok := cheapestPlan(m, loads, r, now)
 	if !ok {
@@ -194,6 +195,20 @@
 	return loads[:min(max(n, minSampleSize), len(loads))]
 }
 
+// withPrimary returns a sample of loads with at least one endpoint that accepts the request, if there is one among all loads.
+func withPrimary(sample, all []candidateLoad) []candidateLoad {
+	if len(sample) == 0 || slices.ContainsFunc(sample, acceptsRequest) {
+		return sample
+	}
+	i := slices.IndexFunc(all, acceptsRequest)
+	if i < 0 {
+		return sample
+	}
+	return append(sample[:len(sample)-1:len(sample)-1], all[i])
+}
+
+func acceptsRequest(c candidateLoad) bool { return !c.HelperOnly }
+
 // unseenPlacements estimates the number of requests that peers have placed on the endpoints and this gateway has not received
 // yet.
 func unseenPlacements(loads []candidateLoad) float64 {
@@ -311,7 +326,7 @@
 func allSlotsTaken(m *engine.TimingModel, loads []candidateLoad, r Request) bool {
 	slots := slotLimit(m, r)
 	for i := range loads {
-		if loads[i].load.slotsUsed < slots {
+		if acceptsRequest(loads[i]) && loads[i].load.slotsUsed < slots {
 			return false
 		}
 	}
@@ -375,7 +390,10 @@
 		loads[i].cost = partCost(m, &loads[i], r, prefill, parts > 1, now)
 		loads[i].cost += prefill.Seconds() * float64(loads[i].load.slotsUsed) * slotCostPerSecond * scarcity
 	}
-	chosen := cheapest(loads, parts)
+	chosen, ok := cheapestWithPrimary(loads, parts)
+	if !ok {
+		return Plan{}, false
+	}
 	primary := primaryIndex(chosen)
 	chosen[0], chosen[primary] = chosen[primary], chosen[0]
 
@@ -400,6 +418,26 @@
 	return plan, plan.reserveMemory(m, chosen, r)
 }
 
+// cheapestWithPrimary returns the n loads with the lowest cost of which at least one endpoint accepts the request. ok is false if there is
+// none.
+func cheapestWithPrimary(loads []candidateLoad, n int) (chosen []candidateLoad, ok bool) {
+	chosen = cheapest(loads, n)
+	if slices.ContainsFunc(chosen, acceptsRequest) {
+		return chosen, true
+	}
+	best := -1
+	for i := range loads {
+		if acceptsRequest(loads[i]) && (best < 0 || loads[i].cost < loads[best].cost) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	chosen[len(chosen)-1] = loads[best]
+	return chosen, true
+}
+
 // cheapest returns the n loads with the lowest cost, in ascending order of cost. n is small compared with the number of loads.
 func cheapest(loads []candidateLoad, n int) []candidateLoad {
 	chosen := make([]candidateLoad, 0, n+1)
@@ -550,12 +588,12 @@
 	return cost
 }
 
-// primaryIndex returns the index of the endpoint with the most free memory. It becomes the primary endpoint, which holds the
-// context while it generates the answer.
+// primaryIndex returns the index of the endpoint with the most free memory among those that accept the request. It becomes the primary
+// endpoint, which holds the context while it generates the answer.
 func primaryIndex(chosen []candidateLoad) int {
-	best := 0
+	best := -1
 	for i := range chosen {
-		if chosen[i].load.memoryTokens < chosen[best].load.memoryTokens {
+		if acceptsRequest(chosen[i]) && (best < 0 || chosen[i].load.memoryTokens < chosen[best].load.memoryTokens) {
 			best = i
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -256,3 +256,33 @@
 	}
 	require.Empty(t, s.LocalJobs())
 }
+
+// An endpoint that accepts no request itself must not become the primary endpoint, and its help must still be used.
+func TestHelpersThatAcceptNoRequest(t *testing.T) {
+	for _, tokens := range []int{2000, 5000, 150_000} {
+		helped := 0
+		for seed := range uint64(20) {
+			s := NewSeededScheduler(seed)
+			var all []Candidate
+			for i := range 12 {
+				all = append(all, Candidate{ID: string(rune('a' + i)), Near: i%2 == 0, HelperOnly: i != 3})
+			}
+			r := Request{PromptTokens: tokens, OutputTokens: 100, LatencyTarget: 3 * time.Second, GapTarget: time.Second, TimeLeft: 9 * time.Second}
+			if tokens <= 5000 {
+				r.LatencyTarget, r.GapTarget = 300*time.Millisecond, 250*time.Millisecond
+			}
+			p, decision := s.Choose(testTimingModel(), all, r, start)
+			require.Equal(t, Admit, decision)
+			require.Equal(t, "d", p.Endpoints[0])
+			helped += len(p.Endpoints) - 1
+			for i := range all {
+				all[i].HelperOnly = true
+			}
+			_, decision = s.Choose(testTimingModel(), all, r, start)
+			require.NotEqual(t, Admit, decision)
+		}
+		if tokens > 5000 {
+			require.Positive(t, helped)
+		}
+	}
+}
--- a/placement/scope.go
+++ b/placement/scope.go
@@ -78,6 +78,9 @@
 			group, room = &near, &nearRoom
 		}
 		*group = append(*group, l)
+		if !acceptsRequest(l) {
+			continue
+		}
 		room.endpoints++
 		if l.load.backlog() < toleratedBacklog {
 			room.freeSlots += max(slots-l.load.slotsUsed, 0)
--- /dev/null
+++ b/throttle/policy.go
@@ -0,0 +1,46 @@
+package throttle
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minWindow is the shortest window over which the requests to an endpoint are counted. A longer one allows larger bursts.
+	minWindow = 2 * time.Second
+	// maxWindow bounds the window of low limits. An endpoint that accepts nothing gets one request in it, whose response tells whether
+	// that still holds.
+	maxWindow = 30 * time.Second
+	// contentionTime is twice the time until gateways hear of each other's requests. A gateway waits for a random share of it, for each
+	// other gateway, before it takes room that all of them see at the same time.
+	contentionTime = 50 * time.Millisecond
+	// uncoveredShare is the share of a limit that gateways use which do not hear of each other's requests to the endpoint at once.
+	uncoveredShare = 0.5
+)
+
+// Access tells how a gateway shares an endpoint with others.
+type Access int
+
+const (
+	Shared    Access = iota // the gateways that use the endpoint hear of each other's requests at once
+	Foreign                 // it is left to gateways near the endpoint
+	Uncovered               // there are no gateways near the endpoint
+)
+
+// allowance returns the number of requests that an endpoint with a limit gets in a window. Their ratio is the limit.
+func allowance(perSecond float64) (requests int, window time.Duration) {
+	requests = int(math.Ceil(perSecond * minWindow.Seconds()))
+	if requests < 1 {
+		return 1, maxWindow
+	}
+	return requests, min(time.Duration(float64(requests)/perSecond*float64(time.Second)), maxWindow)
+}
+
+// contentionDelay returns the longest time for which a gateway waits before it takes room for some requests that it shares with others.
+func contentionDelay(room, gateways int) time.Duration {
+	return contentionTime * time.Duration(max(gateways-1, 0)) / time.Duration(max(room, 1))
+}
+
+// mayWait reports whether a request waits while all endpoints are at their limits. A request that no endpoint accepts in time is
+// rejected at once, so that its caller can return when one does.
+func mayWait(waited, longest, nextFree time.Duration) bool { return waited+nextFree <= longest }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,12 +1,28 @@
 // Package throttle keeps the requests of all gateways to an endpoint within the limit that the endpoint has stated.
+//
+// Gateways tell each other of the limits and of how many requests they have sent in the window of the limit. Each one sends only while the
+// sum leaves room. That holds among gateways that hear of each other within milliseconds; others leave the endpoint to these.
 package throttle
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/placement"
+)
+
+const (
+	// peerTTL is the time without a report after which the requests of a peer no longer count.
+	peerTTL = 2500 * time.Millisecond
+	// statementTTL is the time after which a statement is forgotten that nothing has confirmed: the endpoint is gone or out of use.
+	statementTTL = 2 * time.Minute
+	// liftedTTL is the time for which the end of a limit is remembered, so that late reports of peers do not bring it back.
+	liftedTTL    = 10 * time.Second
+	maxEndpoints = 4096
 )
 
 // Statement is what a response of an endpoint says about the requests that it accepts from all gateways together.
@@ -16,9 +32,20 @@
 	PerSecond float64 // requests per second, if Stated
 }
 
+// Report is what a gateway tells its peers about an endpoint.
+type Report struct {
+	Endpoint  placement.EndpointKey
+	Stated    bool
+	PerSecond float64       // requests per second, if Stated
+	Age       time.Duration // of the statement
+	Sends     int           // requests that the gateway has sent in the window of the limit
+}
+
 // Options configures a Tracker.
 type Options struct {
 	Now        func() time.Time // nil: time.Now
+	Gateways   func() int       // number of gateways in the fleet; nil: 1
+	Sharing    func() int       // number of gateways that share endpoints with this one, itself included; nil: 1
 	Log        *logrus.Logger   // nil: the standard logger
 	Registerer prometheus.Registerer
 }
@@ -27,69 +54,233 @@
 type Tracker struct {
 	opts    Options
 	metrics metrics
+	changed chan struct{}
 
 	mu        sync.Mutex
-	endpoints map[string]*endpoint // by ID; those that have stated a limit
+	endpoints map[placement.EndpointKey]*endpoint // those that have stated a limit
+	unsent    map[placement.EndpointKey]struct{}  // changed here and not reported since
 }
 
 type endpoint struct {
-	limit      float64     // requests per second
-	limited    bool        // the latest statement named a limit
-	sends      []time.Time // of this gateway, within reportWindow
-	reportedAt time.Time   // of the latest report of an excess
+	limit      float64   // requests per second
+	limited    bool      // the latest statement named a limit
+	statedAt   time.Time // of the latest statement, here or at a peer
+	requests   int       // allowed in window
+	window     time.Duration
+	sends      []time.Time // of this gateway, in the window
+	peers      map[string]peerSends
+	nextAt     time.Time // of the next request, if Uncovered
+	freedAt    time.Time // when a request last left the window, or the limit changed
+	patience   float64   // share of the contention delay that this gateway waits, redrawn for each request
+	reportedAt time.Time // of the latest line about an excess
 }
 
-// reportWindow is the time over which sends are compared with a limit for the log.
-const reportWindow = 4 * time.Second
+type peerSends struct {
+	count int
+	at    time.Time // of the report
+}
 
 // New returns a Tracker without limits.
 func New(opts Options) *Tracker {
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Gateways == nil {
+		opts.Gateways = func() int { return 1 }
+	}
+	if opts.Sharing == nil {
+		opts.Sharing = func() int { return 1 }
+	}
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
-	return &Tracker{opts: opts, metrics: newMetrics(opts.Registerer), endpoints: make(map[string]*endpoint)}
+	return &Tracker{opts: opts, metrics: newMetrics(opts.Registerer), changed: make(chan struct{}, 1),
+		endpoints: make(map[placement.EndpointKey]*endpoint), unsent: make(map[placement.EndpointKey]struct{})}
 }
 
 // Observe records the statement in a response of an endpoint.
 func (t *Tracker) Observe(id string, s Statement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.endpoints[id]
-	if s.Unknown || e == nil && !s.Stated {
+	key := placement.KeyOf(id)
+	if s.Unknown || t.endpoints[key] == nil && !s.Stated {
 		return
 	}
+	if t.adopt(key, s.Stated, s.PerSecond, t.opts.Now()) {
+		t.opts.Log.WithFields(logrus.Fields{"event": "endpoint_limit", "endpoint": id, "stated": s.Stated, "per_second": s.PerSecond}).
+			Info("endpoint has stated another limit")
+		t.markChanged(key)
+	}
+}
+
+// adopt takes over a statement and reports whether it says something else than the one before.
+func (t *Tracker) adopt(key placement.EndpointKey, stated bool, perSecond float64, at time.Time) bool {
+	e := t.endpoints[key]
 	if e == nil {
-		e = new(endpoint)
-		t.endpoints[id] = e
+		if len(t.endpoints) >= maxEndpoints {
+			t.forget(t.opts.Now())
+		}
+		e = &endpoint{peers: make(map[string]peerSends)}
+		t.endpoints[key] = e
 	}
-	if e.limited == s.Stated && e.limit == s.PerSecond {
-		return
+	e.statedAt = at
+	if e.limited == stated && e.limit == perSecond {
+		return false
+	}
+	e.limited, e.limit = stated, perSecond
+	e.requests, e.window = allowance(perSecond)
+	e.nextAt, e.freedAt, e.patience = time.Time{}, t.opts.Now(), rand.Float64()
+	return true
+}
+
+// forget removes the endpoints whose statement is old, and all if none is.
+func (t *Tracker) forget(now time.Time) {
+	for key, e := range t.endpoints {
+		if e.isOutdated(now) {
+			delete(t.endpoints, key)
+		}
 	}
-	e.limited, e.limit = s.Stated, s.PerSecond
-	t.opts.Log.WithFields(logrus.Fields{"event": "endpoint_limit", "endpoint": id, "stated": s.Stated, "per_second": s.PerSecond}).
-		Info("endpoint has stated another limit")
+	if len(t.endpoints) >= maxEndpoints {
+		clear(t.endpoints)
+	}
+}
+
+func (e *endpoint) isOutdated(now time.Time) bool {
+	ttl := statementTTL
+	if !e.limited {
+		ttl = liftedTTL
+	}
+	return now.Sub(e.statedAt) > ttl
 }
 
-// RecordSend records a request that is sent to an endpoint. attempt counts the attempts of the request from 1.
-func (t *Tracker) RecordSend(id string, attempt int) {
+func (t *Tracker) markChanged(key placement.EndpointKey) {
+	t.unsent[key] = struct{}{}
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// IsLimited reports whether an endpoint has a limit.
+func (t *Tracker) IsLimited(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.endpoints[id]
-	if e == nil || !e.limited {
-		return
+	return t.limitedEndpoint(id, t.opts.Now()) != nil
+}
+
+// limitedEndpoint returns the state of an endpoint with a limit, or nil.
+func (t *Tracker) limitedEndpoint(id string, now time.Time) *endpoint {
+	if len(t.endpoints) == 0 {
+		return nil // the usual case; skips the hash
+	}
+	e := t.endpoints[placement.KeyOf(id)]
+	if e == nil || !e.limited || e.isOutdated(now) {
+		return nil
+	}
+	return e
+}
+
+// Allows reports whether a request may be sent to an endpoint now.
+func (t *Tracker) Allows(id string, access Access) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	e := t.limitedEndpoint(id, now)
+	return e == nil || t.allows(e, access, now)
+}
+
+func (t *Tracker) allows(e *endpoint, access Access, now time.Time) bool {
+	switch access {
+	case Foreign:
+		return false
+	case Uncovered:
+		if e.nextAt.IsZero() {
+			e.nextAt = now.Add(rand.N(t.uncoveredInterval(e)))
+		}
+		return !now.Before(e.nextAt)
+	}
+	room := e.requests - e.sent(now)
+	if room <= 0 {
+		return false
+	}
+	delay := time.Duration(e.patience * float64(contentionDelay(room, t.opts.Sharing())))
+	return !now.Before(e.freedAt.Add(delay))
+}
+
+// uncoveredInterval is the interval at which this gateway uses an endpoint that has no gateways near it: its share of the limit.
+func (t *Tracker) uncoveredInterval(e *endpoint) time.Duration {
+	perRequest := float64(e.window) / float64(e.requests) / uncoveredShare
+	return time.Duration(perRequest * float64(max(t.opts.Gateways(), 1)))
+}
+
+// dropOld drops the requests of this gateway that have left the window.
+func (e *endpoint) dropOld(now time.Time) {
+	kept := dropBefore(e.sends, now.Add(-e.window))
+	if dropped := len(e.sends) - len(kept); dropped > 0 {
+		e.freedAt = e.sends[dropped-1].Add(e.window)
+	}
+	e.sends = kept
+}
+
+// sent returns the number of requests in the window that this gateway knows of.
+func (e *endpoint) sent(now time.Time) int {
+	e.dropOld(now)
+	total := len(e.sends)
+	for name, p := range e.peers {
+		if now.Sub(p.at) > peerTTL {
+			delete(e.peers, name)
+			e.freedAt = now
+			continue
+		}
+		total += p.count
+	}
+	return total
+}
+
+// Take records a request to an endpoint, if one may be sent now. attempt counts the attempts of the request from 1.
+func (t *Tracker) Take(id string, access Access, attempt int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Now()
+	e := t.limitedEndpoint(id, now)
+	if e == nil {
+		return true
+	}
+	if !t.allows(e, access, now) {
+		return false
+	}
+	e.sends, e.patience = append(e.sends, now), rand.Float64()
+	if access == Uncovered {
+		e.nextAt = now.Add(t.uncoveredInterval(e))
 	}
 	t.metrics.observeSend(attempt)
+	t.markChanged(placement.KeyOf(id))
+	return true
+}
+
+// MayWait reports whether a request for which all the given endpoints are at their limits waits for one of them, after it has waited
+// for a time already and if it may wait for longest in all. If not, it returns the time after which one of them may be free.
+func (t *Tracker) MayWait(ids []string, waited, longest time.Duration) (ok bool, retryAfter time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := t.opts.Now()
-	e.sends = append(dropBefore(e.sends, now.Add(-reportWindow)), now)
-	if float64(len(e.sends)) > e.limit*reportWindow.Seconds() && now.Sub(e.reportedAt) > reportWindow {
-		e.reportedAt = now
-		t.opts.Log.WithFields(logrus.Fields{"event": "endpoint_limit_exceeded", "endpoint": id, "per_second": e.limit,
-			"sends": len(e.sends), "window_ms": reportWindow.Milliseconds()}).
-			Warn("this gateway alone has sent more requests than the endpoint accepts from all")
+	next := maxWindow
+	for _, id := range ids {
+		if e := t.limitedEndpoint(id, now); e != nil {
+			next = min(next, e.nextFree(now))
+		} else {
+			next = 0
+		}
+	}
+	return mayWait(waited, longest, next), next
+}
+
+// nextFree returns the time until one of the requests in the window leaves it, as far as this gateway knows.
+func (e *endpoint) nextFree(now time.Time) time.Duration {
+	if len(e.sends) > 0 && e.sent(now) == len(e.sends) && len(e.sends) >= e.requests {
+		return e.sends[len(e.sends)-e.requests].Add(e.window).Sub(now)
 	}
+	return e.window / time.Duration(e.requests)
 }
 
 func dropBefore(times []time.Time, start time.Time) []time.Time {
