--- a/quarantine/policy.go
+++ b/quarantine/policy.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits of the decision on a subject.
 const (
@@ -30,8 +33,8 @@
 )
 
 // isHeavy reports whether the crashes of a record suffice to block its subject, whatever else may explain them.
-func (r *Record) isHeavy() bool {
-	return len(endpointsOf(r)) >= blockCrashes && (r.Subject.Kind != Part || countCalls(r) >= minBlockCalls)
+func (e *entry) isHeavy() bool {
+	return len(e.endpoints) >= blockCrashes && (e.Subject.Kind != Part || e.calls >= minBlockCalls)
 }
 
 // verdictFor returns the verdict on a subject with a number of unexplained crashes.
@@ -53,44 +56,26 @@
 	return r.StoredEndpoints >= blockCrashes
 }
 
-// unexplainedCrashes returns the number of endpoints that a record's subject has crashed and that no other record explains. A request
+// unexplainedCrashes returns the number of endpoints that the subject of an entry has crashed and that no other entry explains. A request
 // that runs beside one that crashes endpoints meets the same crashes, but not all of them.
-func unexplainedCrashes(r *Record, heavy []*Record) int {
-	crashed := endpointsOf(r)
-	total := len(crashed)
-	for _, other := range heavy {
-		explained := endpointsOf(other)
-		if other == r || !explains(other, len(explained), r, total) {
-			continue
-		}
-		for endpoint := range explained {
-			delete(crashed, endpoint)
+func unexplainedCrashes(e *entry, heavy []*entry) (unexplained int) {
+	for _, endpoint := range e.endpoints {
+		explained := slices.ContainsFunc(heavy, func(other *entry) bool {
+			_, found := slices.BinarySearch(other.endpoints, endpoint)
+			return found && explains(other, e)
+		})
+		if !explained {
+			unexplained++
 		}
 	}
-	return len(crashed)
+	return unexplained
 }
 
-// explains reports whether the crashes of a record may be put down to another one: to the subject that has crashed more endpoints, or
+// explains reports whether the crashes of an entry may be put down to another one: to the subject that has crashed more endpoints, or
 // of two parts with as many to the one that fewer requests contain.
-func explains(other *Record, otherCrashed int, r *Record, crashed int) bool {
-	if otherCrashed != crashed {
-		return otherCrashed > crashed
-	}
-	return other.Subject.Kind == Part && r.Subject.Kind == Part && other.Depth > r.Depth
-}
-
-func endpointsOf(r *Record) map[uint32]struct{} {
-	set := make(map[uint32]struct{}, len(r.Crashes))
-	for _, c := range r.Crashes {
-		set[c.Endpoint] = struct{}{}
-	}
-	return set
-}
-
-func countCalls(r *Record) int {
-	set := make(map[uint32]struct{}, len(r.Crashes))
-	for _, c := range r.Crashes {
-		set[c.Call] = struct{}{}
+func explains(other, e *entry) bool {
+	if len(other.endpoints) != len(e.endpoints) {
+		return len(other.endpoints) > len(e.endpoints)
 	}
-	return len(set)
+	return other.Subject.Kind == Part && e.Subject.Kind == Part && other.Depth > e.Depth
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -54,6 +54,8 @@
 // entry is a record and what this gateway derives from it.
 type entry struct {
 	Record
+	endpoints   []uint32 // distinct crashed endpoints, in ascending order
+	calls       int      // different calls in the crashes
 	verdict     Verdict
 	changedAt   time.Time
 	nextTrialAt time.Time // Suspected only
@@ -300,9 +302,9 @@
 	}
 }
 
-// noteChange records that an entry has changed, here or at a peer.
+// noteChange updates what is derived from the record of an entry that has changed, here or at a peer.
 func (t *Tracker) noteChange(e *entry, here bool) {
-	e.changedAt = t.opts.Now()
+	e.changedAt, e.endpoints, e.calls = t.opts.Now(), e.crashedEndpoints(), e.callCount()
 	if !here {
 		return
 	}
@@ -316,10 +318,10 @@
 // judge recomputes the verdicts after a change.
 func (t *Tracker) judge(cause string) {
 	now := t.opts.Now()
-	var heavy []*Record
+	var heavy []*entry
 	for _, e := range t.records {
 		if now.Before(e.ExpiresAt) && e.isHeavy() {
-			heavy = append(heavy, &e.Record)
+			heavy = append(heavy, e)
 		}
 	}
 	explaining := heaviest(heavy, maxExplaining)
@@ -328,7 +330,7 @@
 		previous := e.verdict
 		e.verdict = Admitted
 		if now.Before(e.ExpiresAt) && e.isHeavy() {
-			e.verdict = verdictFor(e.Subject.Kind, unexplainedCrashes(&e.Record, explaining))
+			e.verdict = verdictFor(e.Subject.Kind, unexplainedCrashes(e, explaining))
 		}
 		if e.verdict != Admitted {
 			blocked[e.Subject.Kind]++
@@ -349,7 +351,7 @@
 
 func (t *Tracker) log(e *entry, event string) *logrus.Entry {
 	return t.opts.Log.WithFields(logrus.Fields{
-		"event": event, "subject": e.Subject.Key(), "endpoints": len(endpointsOf(&e.Record)), "calls": countCalls(&e.Record),
+		"event": event, "subject": e.Subject.Key(), "endpoints": len(e.endpoints), "calls": e.calls,
 		"generation": e.Generation, "verdict": e.verdict.String(),
 	})
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -85,13 +85,33 @@
 		}
 		sameEndpoint = sameEndpoint || known.Endpoint == c.Endpoint
 	}
-	if len(r.Crashes) >= MaxCrashes || sameEndpoint && countCalls(r) > 1 {
+	if len(r.Crashes) >= MaxCrashes || sameEndpoint && r.callCount() > 1 {
 		return false
 	}
 	r.Crashes = append(r.Crashes, c)
 	return true
 }
 
+// crashedEndpoints returns the distinct endpoints of the crashes in ascending order.
+func (r *Record) crashedEndpoints() []uint32 {
+	endpoints := make([]uint32, 0, len(r.Crashes))
+	for _, c := range r.Crashes {
+		endpoints = append(endpoints, c.Endpoint)
+	}
+	slices.Sort(endpoints)
+	return slices.Compact(endpoints)
+}
+
+// callCount returns the number of different calls in the crashes.
+func (r *Record) callCount() int {
+	calls := make([]uint32, 0, len(r.Crashes))
+	for _, c := range r.Crashes {
+		calls = append(calls, c.Call)
+	}
+	slices.Sort(calls)
+	return len(slices.Compact(calls))
+}
+
 // merge adds what another record of the subject tells and reports whether that changed anything.
 func (r *Record) merge(other *Record) bool {
 	r.Depth = max(r.Depth, other.Depth)
--- a/quarantine/row.go
+++ b/quarantine/row.go
@@ -45,6 +45,6 @@
 	if latest := now.Add(recordTTL); r.ExpiresAt.After(latest) {
 		r.ExpiresAt = latest // the clock of the writer is ahead
 	}
-	r.StoredEndpoints = len(endpointsOf(&r))
+	r.StoredEndpoints = len(r.crashedEndpoints())
 	return r, nil
 }
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -52,11 +52,11 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Hash, b.Hash))
 }
 
-// heaviest returns the records with the most crashed endpoints, at most limit.
-func heaviest(records []*Record, limit int) []*Record {
-	sorted := slices.Clone(records)
-	slices.SortFunc(sorted, func(a, b *Record) int {
-		return cmp.Or(cmp.Compare(len(endpointsOf(b)), len(endpointsOf(a))), compareSubjects(a.Subject, b.Subject))
+// heaviest returns the entries with the most crashed endpoints, at most limit.
+func heaviest(entries []*entry, limit int) []*entry {
+	sorted := slices.Clone(entries)
+	slices.SortFunc(sorted, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(len(b.endpoints), len(a.endpoints)), compareSubjects(a.Subject, b.Subject))
 	})
 	return sorted[:min(len(sorted), limit)]
 }
@@ -92,7 +92,7 @@
 		case e.Generation != r.Generation:
 			e.removeRow = true // cleared while it was being stored
 		default:
-			e.StoredEndpoints, e.removeRow = max(e.StoredEndpoints, len(endpointsOf(r))), false
+			e.StoredEndpoints, e.removeRow = max(e.StoredEndpoints, len(r.crashedEndpoints())), false
 			t.noteChange(e, true)
 		}
 	}
