--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -25,6 +25,9 @@
 	// peerTimeout is the time without a message after which a peer is considered gone. It tolerates the loss of several
 	// states in a row.
 	peerTimeout = 2500 * time.Millisecond
+	// fartherReports is the number of keep-alives of which one carries the reports on limits to the other circles, which leave limited
+	// endpoints alone and only have to hear that a limit still holds.
+	fartherReports = 20
 	// relayTimeout is the time without a message after which a peer is no longer chosen as a relay: two keep-alive intervals and a
 	// margin.
 	relayTimeout = 1200 * time.Millisecond
@@ -62,6 +65,7 @@
 	opts            Options
 	metrics         *metrics
 	versionsChanged chan struct{}
+	keepAlives      int // sent so far
 
 	mu       sync.Mutex
 	targets  *targetList
@@ -189,7 +193,9 @@
 			if timing.Sleep(ctx, coalesceDelay) != nil {
 				return
 			}
-			e.sendReports(e.opts.Throttle.TakeChanged(), false)
+			statements, sends := e.opts.Throttle.TakeChanged()
+			e.sendReports(statements, true)
+			e.sendReports(sends, false)
 			continue
 		case <-e.opts.Scheduler.Changed():
 		}
@@ -215,7 +221,8 @@
 	e.mu.Unlock()
 	e.sendState(placement.Near|placement.Fleetwide, circleAndRelays, greeted...)
 	e.sendRecords(e.opts.Quarantine.Spread(recordsPerDatagram))
-	e.sendReports(e.opts.Throttle.Reports(), true)
+	e.keepAlives++
+	e.sendReports(e.opts.Throttle.Reports(), e.keepAlives%fartherReports == 0)
 }
 
 // audience selects the gateways that a state is sent to.
--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -16,9 +16,10 @@
 	Merge(peer string, reports []throttle.Report)
 	// Changed returns a channel that signals that there is something to report.
 	Changed() <-chan struct{}
-	// TakeChanged returns the reports on what has changed at this gateway since the last call.
-	TakeChanged() []throttle.Report
-	// Reports returns the reports on all endpoints with a statement.
+	// TakeChanged returns the reports on what has changed at this gateway since the last call: those with another statement, and those
+	// with other requests only.
+	TakeChanged() (statements, sends []throttle.Report)
+	// Reports returns the reports that are repeated to the gateways of the circle.
 	Reports() []throttle.Report
 }
 
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -27,7 +27,7 @@
 
 // belowLimit reports whether an endpoint accepts a request now.
 func (s *requestState) belowLimit(e *registry.Endpoint) bool {
-	return !s.gw.opts.Throttle.IsLimited(e.ID) || s.gw.opts.Throttle.Allows(e.ID, s.accessTo(e))
+	return s.gw.opts.Throttle.Accepts(e.ID, func() throttle.Access { return s.accessTo(e) })
 }
 
 // waitForLimits decides on a request for which all usable endpoints are at their limits.
--- a/throttle/reports.go
+++ b/throttle/reports.go
@@ -11,22 +11,32 @@
 // Changed returns a channel that signals that there is something to report since the last call of TakeChanged.
 func (t *Tracker) Changed() <-chan struct{} { return t.changed }
 
-// TakeChanged returns the reports on the endpoints for which something has changed at this gateway since the last call.
-func (t *Tracker) TakeChanged() []Report {
+// TakeChanged returns the reports on the endpoints for which something has changed at this gateway and that have to be sent, some of them
+// again: those with another statement, which concern all gateways, and those with other requests only, which concern the gateways that share the endpoint.
+func (t *Tracker) TakeChanged() (statements, sends []Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
-	reports := make([]Report, 0, len(t.unsent))
-	for key := range t.unsent {
-		if e := t.endpoints[key]; e != nil {
-			reports = append(reports, e.report(key, now))
+	for key, c := range t.unsent {
+		switch e := t.endpoints[key]; {
+		case e == nil:
+		case c.statement:
+			statements = append(statements, e.report(key, now))
+		default:
+			sends = append(sends, e.report(key, now))
+		}
+		if c.reports--; c.reports > 0 {
+			t.unsent[key] = c
+			t.signal()
+		} else {
+			delete(t.unsent, key)
 		}
 	}
-	clear(t.unsent)
-	return reports
+	return statements, sends
 }
 
-// Reports returns the reports on all endpoints with a statement.
+// Reports returns the reports on the endpoints that this gateway has sent requests to or heard from, or of which it has reported requests that
+// have left the window. It repeats them to the gateways that share them.
 func (t *Tracker) Reports() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -34,14 +44,18 @@
 	t.forget(now)
 	var reports []Report
 	for key, e := range t.endpoints {
-		reports = append(reports, e.report(key, now))
+		reported := e.reported
+		if r := e.report(key, now); r.Sends > 0 || reported > 0 || !e.heardAt.IsZero() && now.Sub(e.heardAt) < heardPeriod {
+			reports = append(reports, r)
+		}
 	}
 	return reports
 }
 
 func (e *endpoint) report(key placement.EndpointKey, now time.Time) Report {
 	e.dropOld(now)
-	return Report{Endpoint: key, Stated: e.limited, PerSecond: e.limit, Age: now.Sub(e.statedAt), Sends: len(e.sends)}
+	e.reported = len(e.sends) + e.reusable
+	return Report{Endpoint: key, Stated: e.limited, PerSecond: e.limit, Age: now.Sub(e.statedAt), Sends: e.reported}
 }
 
 // Merge adds the reports of a peer. The latest statement on an endpoint counts, here or there.
@@ -61,10 +75,7 @@
 				"per_second": r.PerSecond, "peer": peer, "age_ms": r.Age.Milliseconds()}).Info("a peer has heard another limit")
 		}
 		e = t.endpoints[r.Endpoint]
-		if r.Sends < e.peers[peer].count {
-			e.freedAt = now
-		}
-		e.peers[peer] = peerSends{count: r.Sends, at: now}
+		e.setPeer(peer, r.Sends, now)
 		t.checkSum(r.Endpoint, e, now)
 	}
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -18,8 +18,11 @@
 const (
 	// peerTTL is the time without a report after which the requests of a peer no longer count.
 	peerTTL = 2500 * time.Millisecond
-	// statementTTL is the time after which a statement is forgotten that nothing has confirmed: the endpoint is gone or out of use.
+	// statementTTL is the time after which a statement is forgotten that nothing has confirmed: the endpoint is gone or out of use. Those
+	// who use it hear more often, and tell others more often.
 	statementTTL = 2 * time.Minute
+	// heardPeriod is the time for which a gateway repeats what an endpoint has told it.
+	heardPeriod = 2 * time.Second
 	// liftedTTL is the time for which the end of a limit is remembered, so that late reports of peers do not bring it back.
 	liftedTTL    = 10 * time.Second
 	maxEndpoints = 4096
@@ -38,7 +41,7 @@
 	Stated    bool
 	PerSecond float64       // requests per second, if Stated
 	Age       time.Duration // of the statement
-	Sends     int           // requests that the gateway has sent in the window of the limit
+	Sends     int           // requests that the gateway has sent in the window of the limit, or keeps room for
 }
 
 // Options configures a Tracker.
@@ -58,23 +61,38 @@
 
 	mu        sync.Mutex
 	endpoints map[placement.EndpointKey]*endpoint // those that have stated a limit
-	unsent    map[placement.EndpointKey]struct{}  // changed here and not reported since
+	unsent    map[placement.EndpointKey]change
 }
 
 type endpoint struct {
-	limit      float64   // requests per second
-	limited    bool      // the latest statement named a limit
-	statedAt   time.Time // of the latest statement, here or at a peer
-	requests   int       // allowed in window
-	window     time.Duration
-	sends      []time.Time // of this gateway, in the window
-	peers      map[string]peerSends
-	nextAt     time.Time // of the next request, if Uncovered
-	freedAt    time.Time // when a request last left the window, or the limit changed
-	patience   float64   // share of the contention delay that this gateway waits, redrawn for each request
-	reportedAt time.Time // of the latest line about an excess
+	limit         float64   // requests per second
+	limited       bool      // the latest statement named a limit
+	statedAt      time.Time // of the latest statement, here or at a peer
+	requests      int       // allowed in window
+	window        time.Duration
+	sends         []time.Time          // of this gateway, in the window
+	reported      int                  // number of sends in the latest report
+	heardAt       time.Time            // of the latest statement to this gateway; zero: only peers have heard one
+	peers         map[string]peerSends // those that have sent requests in the window
+	peerTotal     int                  // sum of the counts of peers
+	peersExpireAt time.Time            // when the first of peers expires
+	nextAt        time.Time            // of the next request, if Uncovered
+	freedAt       time.Time            // when a request last left the window, or the limit changed
+	reusable      int                  // requests of this gateway that have left the window and that it may replace before others do
+	reusableUntil time.Time
+	patience      float64   // share of the contention delay that this gateway waits, redrawn for each request
+	reportedAt    time.Time // of the latest line about an excess
 }
 
+// change is a change at this gateway that is to be reported.
+type change struct {
+	statement bool // the endpoint has stated something else; otherwise only the requests have changed
+	reports   int  // still to be sent
+}
+
+// reportsPerChange is the number of reports on a change: a gateway that misses one sends too much until the next keep-alive.
+const reportsPerChange = 2
+
 type peerSends struct {
 	count int
 	at    time.Time // of the report
@@ -95,7 +113,7 @@
 		opts.Log = logrus.StandardLogger()
 	}
 	return &Tracker{opts: opts, metrics: newMetrics(opts.Registerer), changed: make(chan struct{}, 1),
-		endpoints: make(map[placement.EndpointKey]*endpoint), unsent: make(map[placement.EndpointKey]struct{})}
+		endpoints: make(map[placement.EndpointKey]*endpoint), unsent: make(map[placement.EndpointKey]change)}
 }
 
 // Observe records the statement in a response of an endpoint.
@@ -106,10 +124,13 @@
 	if s.Unknown || t.endpoints[key] == nil && !s.Stated {
 		return
 	}
-	if t.adopt(key, s.Stated, s.PerSecond, t.opts.Now()) {
+	now := t.opts.Now()
+	changed := t.adopt(key, s.Stated, s.PerSecond, now)
+	t.endpoints[key].heardAt = now
+	if changed {
 		t.opts.Log.WithFields(logrus.Fields{"event": "endpoint_limit", "endpoint": id, "stated": s.Stated, "per_second": s.PerSecond}).
 			Info("endpoint has stated another limit")
-		t.markChanged(key)
+		t.markChanged(key, true)
 	}
 }
 
@@ -153,8 +174,12 @@
 	return now.Sub(e.statedAt) > ttl
 }
 
-func (t *Tracker) markChanged(key placement.EndpointKey) {
-	t.unsent[key] = struct{}{}
+func (t *Tracker) markChanged(key placement.EndpointKey, statement bool) {
+	t.unsent[key] = change{statement: statement || t.unsent[key].statement, reports: reportsPerChange}
+	t.signal()
+}
+
+func (t *Tracker) signal() {
 	select {
 	case t.changed <- struct{}{}:
 	default:
@@ -180,13 +205,13 @@
 	return e
 }
 
-// Allows reports whether a request may be sent to an endpoint now.
-func (t *Tracker) Allows(id string, access Access) bool {
+// Accepts reports whether a request may be sent to an endpoint now. access is asked for if the endpoint has a limit.
+func (t *Tracker) Accepts(id string, access func() Access) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	e := t.limitedEndpoint(id, now)
-	return e == nil || t.allows(e, access, now)
+	return e == nil || t.allows(e, access(), now)
 }
 
 func (t *Tracker) allows(e *endpoint, access Access, now time.Time) bool {
@@ -200,8 +225,8 @@
 		return !now.Before(e.nextAt)
 	}
 	room := e.requests - e.sent(now)
-	if room <= 0 {
-		return false
+	if room <= 0 || e.reusable > 0 {
+		return room > 0
 	}
 	delay := time.Duration(e.patience * float64(contentionDelay(room, t.opts.Sharing())))
 	return !now.Before(e.freedAt.Add(delay))
@@ -216,25 +241,59 @@
 // dropOld drops the requests of this gateway that have left the window.
 func (e *endpoint) dropOld(now time.Time) {
 	kept := dropBefore(e.sends, now.Add(-e.window))
-	if dropped := len(e.sends) - len(kept); dropped > 0 {
-		e.freedAt = e.sends[dropped-1].Add(e.window)
+	for _, sentAt := range e.sends[:len(e.sends)-len(kept)] {
+		e.freedAt = sentAt.Add(e.window)
+		if rand.Float64() < reuseShare {
+			e.reusable++
+			e.reusableUntil = e.freedAt.Add(reuseTime)
+		}
 	}
 	e.sends = kept
+	if e.reusable > 0 && now.After(e.reusableUntil) {
+		e.reusable, e.freedAt = 0, e.reusableUntil
+	}
 }
 
 // sent returns the number of requests in the window that this gateway knows of.
 func (e *endpoint) sent(now time.Time) int {
 	e.dropOld(now)
-	total := len(e.sends)
-	for name, p := range e.peers {
-		if now.Sub(p.at) > peerTTL {
-			delete(e.peers, name)
-			e.freedAt = now
-			continue
+	if len(e.peers) > 0 && !now.Before(e.peersExpireAt) {
+		for name, p := range e.peers {
+			if now.Sub(p.at) >= peerTTL {
+				delete(e.peers, name)
+				e.freedAt = now
+			}
+		}
+		e.sumPeers()
+	}
+	return len(e.sends) + e.peerTotal
+}
+
+// setPeer records the requests that a peer has sent in the window.
+func (e *endpoint) setPeer(name string, count int, now time.Time) {
+	previous := e.peers[name].count
+	if previous == 0 && count == 0 {
+		return
+	}
+	if count < previous {
+		e.freedAt = now
+	}
+	if count == 0 {
+		delete(e.peers, name)
+	} else {
+		e.peers[name] = peerSends{count: count, at: now}
+	}
+	e.sumPeers()
+}
+
+func (e *endpoint) sumPeers() {
+	e.peerTotal, e.peersExpireAt = 0, time.Time{}
+	for _, p := range e.peers {
+		e.peerTotal += p.count
+		if expiresAt := p.at.Add(peerTTL); e.peersExpireAt.IsZero() || expiresAt.Before(e.peersExpireAt) {
+			e.peersExpireAt = expiresAt
 		}
-		total += p.count
 	}
-	return total
 }
 
 // Take records a request to an endpoint, if one may be sent now. attempt counts the attempts of the request from 1.
@@ -250,11 +309,12 @@
 		return false
 	}
 	e.sends, e.patience = append(e.sends, now), rand.Float64()
+	e.reusable = max(e.reusable-1, 0)
 	if access == Uncovered {
 		e.nextAt = now.Add(t.uncoveredInterval(e))
 	}
 	t.metrics.observeSend(attempt)
-	t.markChanged(placement.KeyOf(id))
+	t.markChanged(placement.KeyOf(id), false)
 	return true
 }
 
