gateway: IDs of reservations differ after a restart

Cause: the new process counted its reservations from 1 again, so endpoints that still held one of the killed process under the same ID renewed it. The ID has a random number of the process now. TestReservationIDsDifferAfterARestart failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -41,6 +42,7 @@
 // Gateway forwards requests to endpoints. It is safe for concurrent use.
 type Gateway struct {
 	opts             Options
+	incarnation      string // of this process; part of the IDs of reservations, which outlive a killed process
 	reservationCount atomic.Uint64
 	active           atomic.Int64
 	answeredInTime   atomic.Uint64
@@ -62,7 +64,7 @@
 	if opts.Covered == nil {
 		opts.Covered = func(*registry.Endpoint) bool { return true }
 	}
-	g := &Gateway{opts: opts}
+	g := &Gateway{opts: opts, incarnation: strconv.FormatUint(uint64(rand.Uint32()), 36)}
 	g.ending, g.end = context.WithCancel(context.Background())
 	return g
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -503,3 +503,30 @@
 	require.Equal(t, 100*time.Millisecond, retryAfter(failure{}, 300*time.Millisecond))
 	require.Zero(t, retryAfter(rejections[placement.QueueTooLong], -time.Second))
 }
+
+// A gateway that has restarted must not repeat the IDs of its reservations: endpoints hold those of the process before it for some
+// seconds, and would renew them instead of reserving anew.
+func TestReservationIDsDifferAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seen := make(map[string]bool)
+		for range 3 {
+			time.Sleep(time.Second)
+			tg := newTestGateway(nil)
+			tg.script = func(_ context.Context, _ int, s *EndpointRequest) (*Response, error) {
+				for _, h := range s.Helpers {
+					if h.Reservation != "" {
+						require.False(t, seen[h.Reservation], h.Reservation)
+						seen[h.Reservation] = true
+					}
+				}
+				return newResponse(200, eventText(1, 2)), nil
+			}
+			tg.serve(t.Context(), catalog.Stream, func(r *Request) {
+				r.PromptTokens, r.Route.LatencyTarget, r.Route.GapTarget, r.Route.Timeout =
+					500_000, 30*time.Second, 5*time.Second, 100*time.Second
+			})
+			time.Sleep(maxExecutionDelay + 2*releaseInterval)
+		}
+		require.NotEmpty(t, seen)
+	})
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		r := &reservation{state: s, endpoint: plan.endpoints[i], tokens: tokens,
-			id: s.gw.opts.Name + "-" + strconv.FormatUint(s.gw.reservationCount.Add(1), 36)}
+			id: s.gw.opts.Name + "-" + s.gw.incarnation + "-" + strconv.FormatUint(s.gw.reservationCount.Add(1), 36)}
 		set.list[i] = r
 		pending++
 		go func() { results <- r.reserveOrRenew(ctx) }()
