entry: ready only when the configuration is confirmed and endpoints are known

Cause found by reading: /readyz answered 200 as soon as a configuration was known, so the next entry was stopped while this one had neither fresh evidence nor heard of an agent. It waits for both now, once, and for at most 10 s. TestEntryIsReadyWhenItKnowsWhatItNeeds fails before.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -107,7 +107,7 @@
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
 	d := &daemon{opts: opts, routingView: route.NewView(route.Options{})}
-	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log,
+	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, startedAt: time.Now(),
 		rateLimiter: limit.NewRateLimiter(limit.RateLimiterOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Platform.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
 	if err := d.buildComponents(reg); err != nil {
--- a/internal/entry/module_test.go
+++ b/internal/entry/module_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxtest"
 
+	"github.com/bilberrylink/bilberrylink/membership"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -79,6 +80,36 @@
 	assert.NoError(t, d.stop(t.Context()))
 }
 
+// Guards against an entry that says it is ready, so that the next one is restarted, before it has heard of the endpoints that it needs and
+// before its configuration is confirmed.
+func TestEntryIsReadyWhenItKnowsWhatItNeeds(t *testing.T) {
+	epochs := new(fakeEpochs)
+	epochs.set(t, 1, "")
+	f := newFleet(t, answerTokens)
+	d, err := newDaemon(moduleOptions(f, epochs, time.Millisecond), Timing{}, Disabled{})
+	require.NoError(t, err)
+	require.NoError(t, d.start(t.Context()))
+	e := &testEntry{url: "http://" + d.callerListener.Addr().String()}
+	ready := func() int { return e.do(t, http.MethodGet, "/readyz", "").status }
+	setLive := func(live bool, prefix string) {
+		for name := range f.agents {
+			if strings.HasPrefix(name, prefix) {
+				f.members.update(name, func(n *membership.Node) { n.Live = live })
+			}
+		}
+	}
+	epochs.stale.Store(true)
+	assert.Equal(t, http.StatusServiceUnavailable, ready())
+	epochs.stale.Store(false)
+	setLive(false, "order-")
+	assert.Equal(t, http.StatusServiceUnavailable, ready())
+	setLive(true, "order-")
+	assert.Equal(t, http.StatusOK, ready())
+	setLive(false, "")
+	assert.Equal(t, http.StatusOK, ready(), "it has served; the endpoints are away for all entries")
+	assert.NoError(t, d.stop(t.Context()))
+}
+
 // Guards against a module whose dependencies are incomplete, and against one that hides why it cannot start.
 func TestModuleStarts(t *testing.T) {
 	epochs := new(fakeEpochs)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -31,7 +31,7 @@
 	arrived       time.Time
 	fingerprint   string
 	parts         []string // fingerprints of the messages that other chats may share: all but the last
-	alone         bool // suspected of crashing an endpoint: to be run while nothing else runs there
+	alone         bool     // suspected of crashing an endpoint: to be run while nothing else runs there
 
 	// Chats.
 	prompt       string
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -37,8 +37,14 @@
 	gatherer    prometheus.Gatherer
 	log         *logrus.Logger
 	draining    atomic.Bool
+	startedAt   time.Time
+	settled     atomic.Bool // what the entry needs to serve has been known once
 }
 
+// maxSettleTime bounds the time after its start in which an entry waits to hear from endpoints before it says that it is ready: services
+// whose endpoints are all away must not keep it from serving others.
+const maxSettleTime = 10 * time.Second
+
 // router returns the routes of the callers' API, extended by the register functions.
 func (s *server) router(register ...func(*mux.Router)) http.Handler {
 	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
@@ -66,11 +72,37 @@
 		writeError(w, errkind.New(errkind.Draining, "entry is stopping"))
 	case s.epochs.Snapshot() == nil:
 		writeError(w, errkind.New(errkind.NotReady, "no configuration is known yet"))
+	case !s.isSettled(s.epochs.Snapshot()):
+		writeError(w, errkind.New(errkind.NotReady, "configuration is not confirmed, or no endpoint of a service is known yet"))
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// isSettled reports whether the entry has once had fresh evidence of its configuration and a live endpoint for each service. Before
+// that it refuses requests that others can serve.
+func (s *server) isSettled(snap *fleet.Snapshot) bool {
+	if s.settled.Load() || time.Since(s.startedAt) > maxSettleTime {
+		return true
+	}
+	if !s.epochs.Fresh() {
+		return false
+	}
+	for name := range snap.Text.Services {
+		target, err := snap.Resolve(name)
+		if err == nil && len(target.Endpoints) > 0 && !slices.ContainsFunc(target.Endpoints, s.isLive) {
+			return false
+		}
+	}
+	s.settled.Store(true)
+	return true
+}
+
+func (s *server) isLive(endpoint string) bool {
+	n, ok := s.members.Endpoint(endpoint)
+	return ok && n.Live && !n.Leaving
+}
+
 // handledError is returned by a handler that has sent the error itself or whose caller has disconnected: the request is
 // counted, but no error response is written.
 type handledError struct{ kind errkind.Kind }
