soak: gateway processes under faults, checked from what callers and endpoints see

Real processes on loopback addresses before stand-ins of store and endpoints. A seed gives the plan: planned stops, kills of one and of all, pauses, a store that refuses or is silent, endpoints that crash, garble answers, repeat them late and state limits, and a prompt part that crashes them. Checked: whole answers of one's own, orders at most once, refusals that are true, answers from stopping gateways, bounds on a crashing part and on limits, processes that end by themselves.

--- /dev/null
+++ b/internal/soak/checker.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the platform that are checked.
+const (
+	contactTime      = 3 * time.Second // after a disturbance, until what others know must be known to a gateway
+	crashesBeforeEnd = 5               // crashes of a part after which only maxLateSends of its requests may reach endpoints
+	maxLateSends     = 3
+	limitWindow      = 4 * time.Second
+	limitFactor      = 1.5
+	limitSlack       = 5
+)
+
+// result is what a caller got for one attempt.
+type result struct {
+	attempt     string
+	kind        string // chat, order or stock
+	gateway     string
+	sentAt      time.Time
+	endedAt     time.Time
+	status      int    // 0: no answer
+	body        string // of a complete answer
+	complete    bool
+	bytes       int // received
+	parts       string
+	badResponse string // what is wrong with the answer itself
+}
+
+// limitChange is a limit that an endpoint states from a time on; 0: none.
+type limitChange struct {
+	perSecond float64
+	at        time.Time
+}
+
+// checker collects what callers and endpoints have seen, and compares it with the promises of the platform's pages.
+type checker struct {
+	mu           sync.Mutex
+	runs         []run
+	results      []result
+	crashes      []time.Time            // of endpoints, by the crashing part
+	faults       []time.Time            // of gateways and the store: starts, kills, pauses, ends of outages
+	stops        map[string][]time.Time // planned stops, by gateway
+	hardFaults   map[string][]time.Time // kills and pauses, by gateway
+	limits       map[string]limitChange // by endpoint incarnation
+	limitedUntil map[string]time.Time
+	violations   []string
+}
+
+func newChecker() *checker {
+	return &checker{stops: make(map[string][]time.Time), hardFaults: make(map[string][]time.Time), limits: make(map[string]limitChange),
+		limitedUntil: make(map[string]time.Time)}
+}
+
+func (c *checker) violate(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+}
+
+// recordRun records a request that an endpoint executes while it states a limit; 0: none.
+func (c *checker) recordRun(r run, limit float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs = append(c.runs, r)
+	if current, known := c.limits[r.endpoint]; limit > 0 && (!known || current.perSecond != limit) {
+		c.limits[r.endpoint] = limitChange{perSecond: limit, at: r.at}
+	}
+	if limit > 0 {
+		c.limitedUntil[r.endpoint] = r.at
+	}
+}
+
+func (c *checker) recordCrash(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, at)
+}
+
+func (c *checker) recordResult(r result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
+// recordFault records a disturbance of all gateways, or of one.
+func (c *checker) recordFault(gateway string, planned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.faults = append(c.faults, now)
+	switch {
+	case gateway == "":
+	case planned:
+		c.stops[gateway] = append(c.stops[gateway], now)
+	default:
+		c.hardFaults[gateway] = append(c.hardFaults[gateway], now)
+	}
+}
+
+// check returns all violations.
+func (c *checker) check() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runsByAttempt := make(map[string][]run)
+	for _, r := range c.runs {
+		runsByAttempt[r.attempt] = append(runsByAttempt[r.attempt], r)
+	}
+	for i := range c.results {
+		c.checkResult(&c.results[i], runsByAttempt[c.results[i].attempt])
+	}
+	c.checkCrashingPart()
+	c.checkLimits()
+	return c.violations
+}
+
+func (c *checker) add(format string, args ...any) {
+	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) checkResult(r *result, runs []run) {
+	if r.badResponse != "" {
+		c.add("%s %s at %s: %s", r.kind, r.attempt, r.gateway, r.badResponse)
+	}
+	if r.kind == "order" && len(runs) > 1 {
+		c.add("order %s ran %d times", r.attempt, len(runs))
+	}
+	if r.kind == "order" && (r.status == 429 || r.status == 503) && len(runs) > 0 {
+		c.add("order %s was answered %d by %s and ran", r.attempt, r.status, r.gateway)
+	}
+	if r.status == 200 && r.complete && len(runs) == 0 {
+		c.add("%s %s was answered and never ran", r.kind, r.attempt)
+	}
+	plannedStop := slices.ContainsFunc(c.stops[r.gateway], func(at time.Time) bool {
+		return r.endedAt.After(at) && r.endedAt.Before(at.Add(graceTime))
+	})
+	disturbed := slices.ContainsFunc(c.hardFaults[r.gateway], func(at time.Time) bool {
+		return at.After(r.sentAt.Add(-contactTime)) && at.Before(r.endedAt.Add(time.Second))
+	})
+	if plannedStop && !disturbed && r.bytes == 0 && r.status == 0 && len(runs) > 0 {
+		c.add("%s %s got no answer from %s, which was stopping", r.kind, r.attempt, r.gateway)
+	}
+}
+
+// disturbedAt reports whether a gateway or the store was disturbed shortly before a time.
+func (c *checker) disturbedAt(at time.Time) bool {
+	return slices.ContainsFunc(c.faults, func(fault time.Time) bool { return !fault.After(at) && at.Sub(fault) < contactTime })
+}
+
+func (c *checker) checkCrashingPart() {
+	if len(c.crashes) < crashesBeforeEnd {
+		return
+	}
+	slices.SortFunc(c.crashes, time.Time.Compare)
+	known := c.crashes[crashesBeforeEnd-1].Add(contactTime)
+	late := 0
+	for _, r := range c.runs {
+		if strings.Contains(r.parts, crashingPart+":") && r.at.After(known) && !c.disturbedAt(r.at) {
+			late++
+		}
+	}
+	if late > maxLateSends {
+		c.add("%d requests with a part that had crashed %d endpoints were sent", late, crashesBeforeEnd)
+	}
+}
+
+func (c *checker) checkLimits() {
+	for endpoint, limit := range c.limits {
+		var arrivals []time.Time
+		for _, r := range c.runs {
+			if r.endpoint == endpoint && r.at.After(limit.at.Add(contactTime)) && r.at.Before(c.limitedUntil[endpoint]) && !c.disturbedAt(r.at) {
+				arrivals = append(arrivals, r.at)
+			}
+		}
+		slices.SortFunc(arrivals, time.Time.Compare)
+		allowed := int(limitFactor*limit.perSecond*limitWindow.Seconds()) + limitSlack
+		for i := range arrivals {
+			if j := i + allowed; j < len(arrivals) && arrivals[j].Sub(arrivals[i]) <= limitWindow {
+				c.add("endpoint %s accepts %g a second and got over %d requests in %s", endpoint, limit.perSecond, allowed, limitWindow)
+				break
+			}
+		}
+	}
+}
+
+// outcomes counts the results by kind and status.
+func (c *checker) outcomes() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := make(map[string]int)
+	for i := range c.results {
+		r := &c.results[i]
+		label := fmt.Sprintf("%s %d", r.kind, r.status)
+		if r.status != 0 && !r.complete {
+			label += " broken off"
+		}
+		counts[label]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/soak/endpoint.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	eventsPerAnswer = 8
+	eventPause      = 40 * time.Millisecond
+	restartTime     = 1500 * time.Millisecond
+	crashingPart    = "badbad"
+)
+
+// run is a request that an endpoint has begun to execute.
+type run struct {
+	attempt  string
+	path     string
+	endpoint string
+	at       time.Time
+	parts    string
+}
+
+// endpoint is a stand-in of a worker at an address of its own. It lives through several incarnations.
+type endpoint struct {
+	world   *world
+	service string
+	addr    string
+
+	mu       sync.Mutex
+	id       string // of the current incarnation
+	limit    float64
+	garbles  bool // breaks off or adds to some answers
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+}
+
+// start begins a new incarnation, which registers in the store.
+func (e *endpoint) start() error {
+	listener, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addr, e.listener, e.conns = listener.Addr().String(), listener, make(map[net.Conn]struct{})
+	e.id = fmt.Sprintf("i-%s-%d", e.service, e.world.nextID())
+	e.world.store.put("servers", e.id, map[string]any{"Service": e.service, "Address": e.addr, "Zone": "z", "State": "ready",
+		"Slots": 16, "born": time.Now().UnixMilli()})
+	go e.accept(listener, e.conns)
+	return nil
+}
+
+func (e *endpoint) accept(listener net.Listener, conns map[net.Conn]struct{}) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		conns[c] = struct{}{}
+		e.mu.Unlock()
+		go func() {
+			e.serve(c)
+			_ = c.Close() // the other side may have closed it
+			e.mu.Lock()
+			delete(conns, c)
+			e.mu.Unlock()
+		}()
+	}
+}
+
+// crash cuts all connections and starts a new incarnation after a while.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	id, listener := e.id, e.listener
+	if listener == nil {
+		e.mu.Unlock()
+		return
+	}
+	e.listener = nil
+	_ = listener.Close()
+	for c := range e.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	e.mu.Unlock()
+	time.AfterFunc(restartTime, func() {
+		e.world.store.remove("servers", id)
+		for e.world.ctx.Err() == nil && e.start() != nil {
+			time.Sleep(eventPause)
+		}
+	})
+}
+
+func (e *endpoint) state() (id string, limit float64, garbles bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id, e.limit, e.garbles
+}
+
+// set changes how the endpoint behaves.
+func (e *endpoint) set(change func(e *endpoint)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	reader := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || !e.answer(c, req) {
+			return
+		}
+	}
+}
+
+// answer responds to a request and reports whether the connection stays open.
+func (e *endpoint) answer(c net.Conn, req *http.Request) bool {
+	id, limit, garbles := e.state()
+	attempt := req.Header.Get("X-Bilberrylink-Attempt-Id")
+	if want := req.Header.Get("X-Bilberrylink-Expect-Instance"); want != "" && want != id {
+		fmt.Fprintf(c, "HTTP/1.1 421 x\r\nX-Bilberrylink-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt)
+		return true
+	}
+	if req.URL.Path == "/order" { // reserves or releases memory
+		_, err := io.WriteString(c, "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n{}")
+		return err == nil
+	}
+	parts := req.Header.Get("X-Bilberrylink-Prompt-Prefix")
+	e.world.checker.recordRun(run{attempt: attempt, path: req.URL.Path, endpoint: id, at: time.Now(), parts: parts}, limit)
+	head := fmt.Sprintf("HTTP/1.1 200 x\r\nX-Bilberrylink-Attempt-Id: %s\r\nX-Bilberrylink-Response-Signature: s\r\n", attempt)
+	if limit > 0 {
+		head += fmt.Sprintf("Server-Limit: %g\r\n", limit)
+	}
+	faulty := garbles && rand.IntN(10) == 0
+	time.Sleep(eventPause)
+	if strings.Contains(parts, crashingPart+":") {
+		e.world.checker.recordCrash(time.Now())
+		e.crash()
+		return false
+	}
+	if !strings.HasPrefix(req.URL.Path, "/chat/") {
+		body := "ran " + attempt
+		if faulty {
+			_, _ = io.WriteString(c, head+"Content-Length: 99\r\n\r\n"+body) // breaks off
+			return false
+		}
+		_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		if err == nil && garbles && rand.IntN(10) == 0 { // a second copy, late
+			time.Sleep(eventPause)
+			_, err = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+		return err == nil
+	}
+	return e.stream(c, head, attempt, req.Header.Get("Last-Event-Id"), faulty)
+}
+
+// stream sends the events after the last one that the caller has. A faulty stream ends inside an event.
+func (e *endpoint) stream(c net.Conn, head, attempt, lastEventID string, faulty bool) bool {
+	first := 1
+	if last, err := strconv.Atoi(lastEventID); err == nil {
+		first = last + 1
+	}
+	if _, err := io.WriteString(c, head+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"); err != nil {
+		return false
+	}
+	for i := first; i <= eventsPerAnswer; i++ {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, attempt)
+		if faulty && i == eventsPerAnswer/2 {
+			_, _ = io.WriteString(c, event[:len(event)/2]) // it is cut in any case
+			return false
+		}
+		if _, err := io.WriteString(c, event); err != nil {
+			return false
+		}
+		time.Sleep(eventPause)
+	}
+	return false // the end of the connection ends the answer
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+)
+
+// faultPause is the longest pause between two disturbances, which may overlap.
+const faultPause = 3500 * time.Millisecond
+
+// disturb carries out random disturbances for the duration of the run.
+func (w *world) disturb() {
+	kinds := []struct {
+		name string
+		run  func(seconds float64)
+	}{
+		{"planned stop", w.stopGateway},
+		{"planned stop", w.stopGateway},
+		{"kill", func(float64) { w.killGateways(1) }},
+		{"kill of all", func(float64) { w.killGateways(len(w.gateways)) }},
+		{"pause", w.pauseGateway},
+		{"store refuses", func(s float64) { w.disturbStore(storeRefuses, s) }},
+		{"store silent", func(s float64) { w.disturbStore(storeSilent, s) }},
+		{"endpoint crash", func(float64) { w.randomEndpoint().crash() }},
+		{"limits", w.limitEndpoints},
+		{"garbled answers", w.garbleAnswers},
+	}
+	for time.Since(w.startedAt) < w.opts.Duration {
+		time.Sleep(time.Duration(w.rng.Int64N(int64(faultPause))))
+		kind := kinds[w.rng.IntN(len(kinds))]
+		w.faults[kind.name]++
+		kind.run(1 + 3*w.rng.Float64())
+	}
+}
+
+func (w *world) randomEndpoint() *endpoint { return w.endpoints[w.rng.IntN(len(w.endpoints))] }
+
+// after runs f after a time. The run waits for it.
+func (w *world) after(d time.Duration, f func()) {
+	w.pending.Go(func() {
+		time.Sleep(d)
+		f()
+	})
+}
+
+// claim returns up to n random gateways that no other fault is using, and marks them as used.
+func (w *world) claim(n int) (claimed []*gateway) {
+	for _, i := range w.rng.Perm(len(w.gateways)) {
+		g := w.gateways[i]
+		if _, used := w.busy.LoadOrStore(g, true); !used {
+			claimed = append(claimed, g)
+		}
+		if len(claimed) == n {
+			break
+		}
+	}
+	return claimed
+}
+
+func (w *world) restart(g *gateway) {
+	if err := g.start(); err != nil {
+		w.checker.violate("%s cannot start: %v", g.name, err)
+	}
+	w.checker.recordFault("", false)
+	w.busy.Delete(g)
+}
+
+func (w *world) stopGateway(float64) {
+	for _, g := range w.claim(1) {
+		w.checker.recordFault(g.name, true)
+		w.pending.Go(func() {
+			if !g.end(syscall.SIGTERM) {
+				w.checker.violate("%s did not stop in time", g.name)
+			}
+			w.restart(g)
+		})
+	}
+}
+
+func (w *world) killGateways(n int) {
+	for _, g := range w.claim(n) {
+		w.checker.recordFault(g.name, false)
+		w.pending.Go(func() {
+			g.end(syscall.SIGKILL)
+			w.restart(g)
+		})
+	}
+}
+
+func (w *world) pauseGateway(seconds float64) {
+	for _, g := range w.claim(1) {
+		w.checker.recordFault(g.name, false)
+		g.signal(syscall.SIGSTOP)
+		w.after(time.Duration(seconds*float64(time.Second)), func() {
+			g.signal(syscall.SIGCONT)
+			w.checker.recordFault(g.name, false)
+			w.busy.Delete(g)
+		})
+	}
+}
+
+func (w *world) disturbStore(mode storeMode, seconds float64) {
+	w.checker.recordFault("", false)
+	w.store.setMode(mode)
+	w.after(time.Duration(seconds*float64(time.Second)), func() {
+		w.store.setMode(storeServes)
+		w.checker.recordFault("", false)
+	})
+}
+
+func (w *world) limitEndpoints(seconds float64) {
+	const share, stretch = 0.6, 5.0
+	for _, e := range w.endpoints {
+		if w.rng.Float64() >= share {
+			continue
+		}
+		limit := 0.5 + 3*w.rng.Float64()
+		e.set(func(e *endpoint) { e.limit = limit })
+		w.after(time.Duration(stretch*seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.limit = 0 }) })
+	}
+}
+
+func (w *world) garbleAnswers(seconds float64) {
+	e := w.randomEndpoint()
+	e.set(func(e *endpoint) { e.garbles = true })
+	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.garbles = false }) })
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,171 @@
+// Package soak runs gateway processes on loopback against stand-ins of the platform's store and endpoints, disturbs all of them, and checks
+// what callers and endpoints see. A seed determines the plan of disturbances and the requests.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options configures a run.
+type Options struct {
+	Seed      uint64
+	Duration  time.Duration // of the disturbances
+	Gateways  int
+	Endpoints int // of the model service; the order service has three
+	Callers   int
+	Binary    string // path of the gateway program
+	Dir       string // for settings and logs
+	BasePort  int    // the first of four ports that the gateways use, each at an address of its own
+}
+
+// Report is the result of a run.
+type Report struct {
+	Violations []string
+	Outcomes   map[string]int // results of callers, by kind of request and status
+	Faults     map[string]int // by kind
+}
+
+// String returns the report as text.
+func (r *Report) String() string {
+	var b strings.Builder
+	for _, counts := range []map[string]int{r.Faults, r.Outcomes} {
+		for _, key := range slices.Sorted(maps.Keys(counts)) {
+			fmt.Fprintf(&b, "%s: %d\n", key, counts[key])
+		}
+	}
+	for _, v := range r.Violations {
+		b.WriteString("VIOLATION: " + v + "\n")
+	}
+	return b.String()
+}
+
+// world is everything in a run.
+type world struct {
+	opts      Options
+	ctx       context.Context
+	rng       *rand.Rand // of the plan
+	binary    string
+	dir       string
+	storeAddr string
+	store     *store
+	checker   *checker
+	gateways  []*gateway
+	endpoints []*endpoint
+	lastID    atomic.Int64
+	startedAt time.Time
+	faults    map[string]int
+	busy      sync.Map // gateways that a fault is using
+	pending   sync.WaitGroup
+}
+
+const (
+	startTime = 2 * time.Second // until the gateways know each other and the endpoints
+	// crashingFrom is the share of the duration after which requests with the crashing part come.
+	crashingFrom = 0.2
+	crashingRate = 0.04
+)
+
+func (w *world) nextID() int64 { return w.lastID.Add(1) }
+
+func (w *world) port(offset int) string { return strconv.Itoa(w.opts.BasePort + offset) }
+
+// crashingShare returns the share of chats that contain the crashing part now.
+func (w *world) crashingShare() float64 {
+	if time.Since(w.startedAt) < time.Duration(crashingFrom*float64(w.opts.Duration)) {
+		return 0
+	}
+	return crashingRate
+}
+
+// Run runs the processes for a while. The error tells that the run could not be set up.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &world{opts: opts, ctx: ctx, rng: rand.New(rand.NewPCG(opts.Seed, 0)), binary: opts.Binary, dir: opts.Dir, store: newStore(),
+		checker: newChecker(), faults: make(map[string]int)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "store")
+	}
+	w.storeAddr = listener.Addr().String()
+	server := &http.Server{Handler: w.store, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	defer func() { _ = server.Close() }()
+	w.writeConfiguration()
+	if err := w.startAll(); err != nil {
+		return nil, err
+	}
+	time.Sleep(startTime)
+	w.startedAt = time.Now()
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range opts.Callers {
+		c := &caller{world: w, rng: rand.New(rand.NewPCG(opts.Seed, uint64(1+i)))}
+		callers.Go(func() { c.run(callersCtx) })
+	}
+	w.disturb()
+	w.pending.Wait()
+	stopCallers()
+	callers.Wait()
+	for _, g := range w.gateways {
+		w.pending.Go(func() { g.end(syscall.SIGTERM) })
+	}
+	w.pending.Wait()
+	return &Report{Violations: w.checker.check(), Outcomes: w.checker.outcomes(), Faults: w.faults}, nil
+}
+
+func (w *world) writeConfiguration() {
+	route := func(prefix, kind, service string, goalMs int) map[string]any {
+		return map[string]any{"Name": "r" + prefix, "Host": "soak.example", "Prefix": prefix, "Kind": kind, "Service": service, "Attempts": 2,
+			"TimeoutMs": callerTimeout.Milliseconds(), "GoalMs": goalMs, "GapAimMs": 500, "Resumable": kind == "streaming"}
+	}
+	w.store.put("op", "config", map[string]any{
+		"Version": 1,
+		"Routes": []any{route("/chat/", "streaming", "model", 500), route("/orders/", "non_idempotent", "shop", 500),
+			route("/stock/", "idempotent", "shop", 500)},
+		"Services": []any{map[string]any{"Name": "model", "Engine": map[string]any{"Slots": 16, "KvTokens": 315000, "Stride": 51,
+			"step_ms": 0.85, "read_per_s": 177000.0, "chunk": 2048}}, map[string]any{"Name": "shop"}},
+		"Limits":  map[string]any{"MaxBodyBytes": 1 << 20},
+		"Tenants": []any{map[string]any{"Name": "t", "ApiKeys": []string{"key"}}},
+	})
+}
+
+func (w *world) startAll() error {
+	const shopEndpoints = 3
+	for i := range w.opts.Endpoints + shopEndpoints {
+		e := &endpoint{world: w, service: "model", addr: "127.0.0.1:0"}
+		if i >= w.opts.Endpoints {
+			e.service = "shop"
+		}
+		if err := e.start(); err != nil {
+			return errors.Wrap(err, "endpoint")
+		}
+		w.endpoints = append(w.endpoints, e)
+	}
+	for i := range w.opts.Gateways {
+		g, err := newGateway(w, i)
+		if err == nil {
+			err = g.start()
+		}
+		if err != nil {
+			return errors.Wrap(err, "gateway")
+		}
+		w.gateways = append(w.gateways, g)
+	}
+	w.checker.recordFault("", false)
+	return nil
+}
