--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -27,6 +27,9 @@
 
 // belowLimit reports whether an endpoint accepts a request now.
 func (s *requestState) belowLimit(e *registry.Endpoint) bool {
+	if !s.gw.opts.Throttle.Active() {
+		return true
+	}
 	return s.gw.opts.Throttle.Accepts(e.ID, func() throttle.Access { return s.accessTo(e) })
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +42,7 @@
 	opts    Options
 	metrics metrics
 	changed chan struct{}
+	blocked atomic.Int32 // subjects that are not Admitted
 
 	mu       sync.Mutex
 	records  map[Subject]*entry
@@ -83,6 +85,9 @@
 
 // Check returns the verdict on a request and the subject that decided it. A request that may be a trial is Admitted.
 func (t *Tracker) Check(subjects []Subject) (Verdict, Subject) {
+	if t.blocked.Load() == 0 {
+		return Admitted, Subject{} // the usual case, without the lock that all requests share
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.check(subjects)
@@ -107,6 +112,9 @@
 
 // Admit is Check for a request that is sent to an endpoint if it is Admitted. A trial is taken by it.
 func (t *Tracker) Admit(subjects []Subject) (Verdict, Subject) {
+	if t.blocked.Load() == 0 {
+		return Admitted, Subject{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	verdict, by := t.check(subjects)
@@ -344,6 +352,7 @@
 		e.storeAt = now.Add(storeTime(e.sawCrash))
 		t.log(e, "quarantine_verdict").WithField("cause", cause).Info("verdict on what may crash endpoints has changed")
 	}
+	t.blocked.Store(int32(blocked[Call] + blocked[Part]))
 	for _, kind := range []Kind{Call, Part} {
 		t.metrics.blocked.WithLabelValues(kind.String()).Set(float64(blocked[kind]))
 	}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,6 +59,7 @@
 	opts    Options
 	metrics metrics
 	changed chan struct{}
+	active  atomic.Bool // there are endpoints with a statement
 
 	mu        sync.Mutex
 	endpoints map[placement.EndpointKey]*endpoint // those that have stated a limit
@@ -143,6 +145,7 @@
 		}
 		e = &endpoint{peers: make(map[string]peerSends)}
 		t.endpoints[key] = e
+		t.active.Store(true)
 	}
 	e.statedAt = at
 	if e.limited == stated && e.limit == perSecond {
@@ -164,8 +167,12 @@
 	if len(t.endpoints) >= maxEndpoints {
 		clear(t.endpoints)
 	}
+	t.active.Store(len(t.endpoints) > 0)
 }
 
+// Active reports whether any endpoint has stated a limit lately. It is cheap: each request asks for each endpoint.
+func (t *Tracker) Active() bool { return t.active.Load() }
+
 func (e *endpoint) isOutdated(now time.Time) bool {
 	ttl := statementTTL
 	if !e.limited {
