quarantine: records of calls end after five minutes again

A call has no trials, and many callers may look up the same thing, so a call that was blocked by coincidence stayed blocked three times as long as before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,7 +21,8 @@
 
 // Limits of the memory of a Tracker and of what it sends.
 const (
-	recordTTL     = 15 * time.Minute // life of a record after its last crash
+	recordTTL     = 15 * time.Minute // life of the record of a part after its last crash
+	callTTL       = 5 * time.Minute  // the same of a call, which is not tried: many callers may look up the same thing
 	clearedTTL    = time.Minute      // life of a record without crashes, which overrides older records of peers
 	spreadPeriod  = 10 * time.Second // time after a change during which a record is sent to peers
 	maxRecords    = 2048
@@ -158,12 +159,19 @@
 			continue
 		}
 		t.metrics.crashes.WithLabelValues(s.Kind.String()).Inc()
-		e.ExpiresAt, e.sawCrash = now.Add(recordTTL), true
+		e.ExpiresAt, e.sawCrash = now.Add(ttlOf(s.Kind)), true
 		t.noteChange(e, true)
 	}
 	t.judge("crash")
 }
 
+func ttlOf(kind Kind) time.Duration {
+	if kind == Call {
+		return callTTL
+	}
+	return recordTTL
+}
+
 // distinguish gives a crash of its own to an endpoint that crashes again although its start time is the same as before: the start time
 // of the new incarnation is not known yet.
 func (t *Tracker) distinguish(c Crash, now time.Time) Crash {
@@ -281,7 +289,7 @@
 	if len(t.records) >= maxRecords {
 		t.evict()
 	}
-	e := &entry{Record: Record{Subject: s, ExpiresAt: t.opts.Now().Add(recordTTL)}}
+	e := &entry{Record: Record{Subject: s, ExpiresAt: t.opts.Now().Add(ttlOf(s.Kind))}}
 	t.records[s] = e
 	return e
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 	for i := range blockCrashes {
 		crash(tracker, 10+i, 9)
 	}
-	c.advance(recordTTL)
+	c.advance(callTTL)
 	require.Equal(t, Admitted, verdictOn(tracker, 9))
 }
 
