--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -509,10 +509,7 @@
 	a.mu.Lock()
 	a.collectUntil = time.Now().Add(collectDuration)
 	a.mu.Unlock()
-	select {
-	case a.wakeRun <- struct{}{}:
-	default:
-	}
+	timing.Signal(a.wakeRun)
 }
 
 func (a *Acceptor) shouldCollect() bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -137,14 +137,7 @@
 func (e *Exchange) PeerVersionsChanged() <-chan struct{} { return e.versionsChanged }
 
 // AnnounceVersions makes the exchange send the versions of this gateway at once.
-func (e *Exchange) AnnounceVersions() { signal(e.kicked) }
-
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (e *Exchange) AnnounceVersions() { timing.Signal(e.kicked) }
 
 // AnnounceStop tells the peers that this gateway is shutting down.
 func (e *Exchange) AnnounceStop() {
@@ -336,7 +329,7 @@
 			Info("discovered another gateway")
 	}
 	if versionsChanged {
-		signal(e.versionsChanged)
+		timing.Signal(e.versionsChanged)
 	}
 	for _, scope := range []placement.Scope{placement.Near, placement.Fleetwide} {
 		if m.Scopes&scope != 0 {
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // Shares of the platform's bound on retries that this gateway uses. The rest covers gateways that stop and start within a
@@ -48,18 +50,10 @@
 		b.windows[service] = window
 	}
 	windowStart := b.now().Add(-b.windowLength)
-	window.requests, window.retries = dropBefore(window.requests, windowStart), dropBefore(window.retries, windowStart)
+	window.requests, window.retries = timing.DropBefore(window.requests, windowStart), timing.DropBefore(window.retries, windowStart)
 	return window
 }
 
-func dropBefore(times []time.Time, start time.Time) []time.Time {
-	i := 0
-	for i < len(times) && times[i].Before(start) {
-		i++
-	}
-	return times[i:]
-}
-
 // Deposit counts a request from a caller.
 func (b *RetryBudget) Deposit(service string) {
 	b.mu.Lock()
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 const (
@@ -43,10 +44,7 @@
 
 // requestOrder wakes runOrders.
 func (a *Agent) requestOrder() {
-	select {
-	case a.orderRequested <- struct{}{}:
-	default:
-	}
+	timing.Signal(a.orderRequested)
 }
 
 // watchEpochs cancels attempts of recalled versions and requests an order whenever the configuration changes.
--- a/internal/agent/schedule.go
+++ b/internal/agent/schedule.go
@@ -6,6 +6,7 @@
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/limit/fairqueue"
 )
 
@@ -57,10 +58,7 @@
 
 // wakeScheduler wakes the scheduler.
 func (a *Agent) wakeScheduler() {
-	select {
-	case a.wakeup <- struct{}{}:
-	default:
-	}
+	timing.Signal(a.wakeup)
 }
 
 // runScheduler starts queued attempts in the order of the fair queue, as the endpoint has capacity.
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -44,10 +44,7 @@
 	if q.loaded.Load() {
 		return
 	}
-	select {
-	case q.answered <- struct{}{}:
-	default:
-	}
+	timing.Signal(q.answered)
 }
 
 // mayServe reports whether the stored records are known, or have been waited for long enough since the gateway got its first
--- a/internal/standin/scheduler.go
+++ b/internal/standin/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // step is the work of one iteration of continuous batching.
@@ -61,10 +62,7 @@
 
 // wakeUp ends the pause of an idle engine.
 func (e *Engine) wakeUp() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	timing.Signal(e.wake)
 }
 
 // planStep returns the next step and its duration, or a nil step and how long to wait: until an import is done, without
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -1,4 +1,4 @@
-// Package timing provides context-aware sleeps, periodic calls and jitter.
+// Package timing provides context-aware sleeps, periodic calls, jitter, signals and windows of times.
 package timing
 
 import (
@@ -41,3 +41,21 @@
 func Jitter(d time.Duration, spread float64) time.Duration {
 	return time.Duration((1 - spread + 2*spread*rand.Float64()) * float64(d))
 }
+
+// Signal puts a signal into a channel with room for one, unless one is waiting there already. Receivers learn that something has
+// happened since their last receive, not how often.
+func Signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// DropBefore returns the times of an ascending list that are not before start.
+func DropBefore(times []time.Time, start time.Time) []time.Time {
+	i := 0
+	for i < len(times) && times[i].Before(start) {
+		i++
+	}
+	return times[i:]
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -14,6 +14,7 @@
 
 	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -173,10 +174,7 @@
 // queuePushLocked queues the record of a node for an immediate push.
 func (t *Table) queuePushLocked(name string) {
 	t.pushNames[name] = true
-	select {
-	case t.pushSignal <- struct{}{}:
-	default:
-	}
+	timing.Signal(t.pushSignal)
 }
 
 // moveToGossipFront makes the record of a node the next one to be gossiped.
--- a/placement/scope.go
+++ b/placement/scope.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/bilberrylink/bilberrylink/internal/timing"
+
 // Scope selects the jobs that concern only the gateways near to this one, or those that concern every gateway.
 //
 // A short prompt is placed on an endpoint near its gateway, so only the gateways that share these endpoints have to know of
@@ -32,10 +34,7 @@
 // markChanged records a change of a job of this gateway and signals it.
 func (s *Scheduler) markChanged(scope Scope) {
 	s.changedScopes |= scope
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	timing.Signal(s.changed)
 }
 
 // headroom is the room for short prompts of a group of endpoints.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -17,6 +17,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // Limits of the memory of a Tracker and of what it sends.
@@ -325,10 +327,7 @@
 		return
 	}
 	t.unsent[e.Subject] = struct{}{}
-	select {
-	case t.changed <- struct{}{}:
-	default:
-	}
+	timing.Signal(t.changed)
 }
 
 // judge recomputes the verdicts after a change.
--- a/ringbuffer/ringbuffer.go
+++ b/ringbuffer/ringbuffer.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 // Errors of a Buffer.
@@ -100,8 +102,5 @@
 
 // signal wakes one waiting Pop.
 func (b *Buffer[T]) signal() {
-	select {
-	case b.nonEmpty <- struct{}{}:
-	default:
-	}
+	timing.Signal(b.nonEmpty)
 }
--- a/throttle/policy.go
+++ b/throttle/policy.go
@@ -7,7 +7,7 @@
 
 const (
 	// minWindow is the shortest window over which the requests to an endpoint are counted. A longer one allows larger bursts.
-	minWindow = 2000 * time.Millisecond
+	minWindow = 2 * time.Second
 	// maxWindow bounds the window of low limits. An endpoint that accepts nothing gets one request in it, whose response tells whether
 	// that still holds.
 	maxWindow = 30 * time.Second
--- a/throttle/reports.go
+++ b/throttle/reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 )
 
@@ -27,7 +28,7 @@
 		}
 		if c.reports--; c.reports > 0 {
 			t.unsent[key] = c
-			t.signal()
+			timing.Signal(t.changed)
 		} else {
 			delete(t.unsent, key)
 		}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 )
 
@@ -183,14 +184,7 @@
 
 func (t *Tracker) markChanged(key placement.EndpointKey, statement bool) {
 	t.unsent[key] = change{statement: statement || t.unsent[key].statement, reports: reportsPerChange}
-	t.signal()
-}
-
-func (t *Tracker) signal() {
-	select {
-	case t.changed <- struct{}{}:
-	default:
-	}
+	timing.Signal(t.changed)
 }
 
 // IsLimited reports whether an endpoint has a limit.
@@ -247,7 +241,7 @@
 
 // dropOld drops the requests of this gateway that have left the window.
 func (e *endpoint) dropOld(now time.Time) {
-	kept := dropBefore(e.sends, now.Add(-e.window))
+	kept := timing.DropBefore(e.sends, now.Add(-e.window))
 	for _, sentAt := range e.sends[:len(e.sends)-len(kept)] {
 		e.freedAt = sentAt.Add(e.window)
 		if rand.Float64() < reuseShare {
@@ -349,11 +343,3 @@
 	}
 	return e.window / time.Duration(e.requests)
 }
-
-func dropBefore(times []time.Time, start time.Time) []time.Time {
-	i := 0
-	for i < len(times) && times[i].Before(start) {
-		i++
-	}
-	return times[i:]
-}
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
 
 type clock struct{ now time.Time }
@@ -38,7 +40,7 @@
 // contactTime is the time after the first statement from which the bound holds.
 const contactTime = 3 * time.Second
 
-func after(times []time.Time, start time.Time) []time.Time { return dropBefore(times, start) }
+func after(times []time.Time, start time.Time) []time.Time { return timing.DropBefore(times, start) }
 
 func maxInWindow(sends []time.Time) (most int) {
 	for i := range sends {
