exchange: one way to choose recipients, to send and to receive a datagram

Records of quarantine and reports on limits had each brought their own choice of recipients beside the audience of states, their own loop over parts and their own log line for malformed datagrams. recipientsOf, sendTo and handleDatagram serve all three. What is sent, to whom and when is the same.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -187,8 +188,8 @@
 				return
 			}
 			statements, sends := e.opts.Throttle.TakeChanged()
-			e.sendReports(statements, true)
-			e.sendReports(sends, false)
+			e.sendReports(statements, circleAndRelays)
+			e.sendReports(sends, ownCircle)
 			continue
 		case <-e.opts.Scheduler.Changed():
 		}
@@ -214,11 +215,14 @@
 	e.mu.Unlock()
 	e.sendState(placement.Near|placement.Fleetwide, circleAndRelays, greeted...)
 	e.sendRecords(e.opts.Quarantine.Spread(recordsPerDatagram))
-	e.keepAlives++
-	e.sendReports(e.opts.Throttle.Reports(), e.keepAlives%fartherReports == 0)
+	reportsTo := ownCircle
+	if e.keepAlives++; e.keepAlives%fartherReports == 0 {
+		reportsTo = circleAndRelays
+	}
+	e.sendReports(e.opts.Throttle.Reports(), reportsTo)
 }
 
-// audience selects the gateways that a state is sent to.
+// audience selects the gateways that a datagram is sent to.
 type audience int
 
 const (
@@ -227,6 +231,31 @@
 	everyone                        // all known gateways directly
 )
 
+// recipients are the addresses of an audience.
+type recipients struct {
+	direct []net.Addr
+	relays []net.Addr // they pass the datagram on to their circles
+}
+
+func (e *Exchange) recipientsOf(to audience) (r recipients) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if to == everyone {
+		return recipients{direct: e.targets.all()}
+	}
+	r.direct = slices.Clone(e.topology.near)
+	if to == circleAndRelays {
+		r.relays = e.topology.randomRelays()
+	}
+	return r
+}
+
+// sendTo sends a datagram, which is encoded with flagRelay.
+func (e *Exchange) sendTo(r recipients, datagram []byte) {
+	e.send(datagram, r.relays, toRelay)
+	e.send(withoutRelay(datagram), r.direct, toGateway)
+}
+
 // sendState sends the jobs of this gateway in the given scopes to an audience and to further addresses.
 func (e *Exchange) sendState(scopes placement.Scope, to audience, further ...net.Addr) {
 	jobs := e.opts.Scheduler.LocalJobsIn(scopes)
@@ -237,22 +266,12 @@
 		Name: e.opts.Name, Addr: e.opts.Addr, FailureDomain: e.opts.FailureDomain, Sequence: e.sequence, Versions: versions,
 		Stopping: e.stopping, Relay: true, Scopes: scopes,
 	}
-	direct := append([]net.Addr{}, further...)
-	var relays []net.Addr
-	if to == everyone {
-		direct = append(direct, e.targets.all()...)
-	} else {
-		direct = append(direct, e.topology.near...)
-	}
-	if to == circleAndRelays {
-		relays = e.topology.randomRelays()
-	}
 	e.mu.Unlock()
+	r := e.recipientsOf(to)
+	r.direct = append(r.direct, further...)
 	now := time.Now()
 	for _, part := range splitState(state, jobs) {
-		datagram := part.encode(now)
-		e.send(datagram, relays, toRelay)
-		e.send(withoutRelay(datagram), direct, toGateway)
+		e.sendTo(r, part.encode(now))
 	}
 }
 
@@ -278,27 +297,32 @@
 			continue
 		}
 		e.metrics.receivedBytes.Add(float64(n))
-		now := time.Now()
-		if isRecords(buf[:n]) {
-			e.handleRecords(buf[:n], now)
-			continue
-		}
-		if isReports(buf[:n]) {
-			e.handleReports(buf[:n])
-			continue
-		}
-		m, err := decode(buf[:n], now)
-		if err != nil {
+		if err := e.handleDatagram(buf[:n], time.Now()); err != nil {
 			e.opts.Log.WithError(err).WithField("from", from.String()).Debug("ignoring a malformed datagram")
-			continue
 		}
-		if m.Relay {
-			e.relay(buf[:n], m)
-		}
-		e.handleMessage(m, now)
 	}
 }
 
+// handleDatagram processes a datagram by its format, and passes it on if it is meant for all gateways of the circle.
+func (e *Exchange) handleDatagram(datagram []byte, now time.Time) error {
+	r := &reader{rest: datagram}
+	switch r.u32() {
+	case recordsMagic:
+		return e.handleRecords(datagram, now)
+	case limitsMagic:
+		return e.handleReports(datagram)
+	}
+	m, err := decode(datagram, now)
+	if err != nil {
+		return err
+	}
+	if m.Relay {
+		e.relay(datagram, m)
+	}
+	e.handleMessage(m, now)
+	return nil
+}
+
 // relay passes a datagram from another circle on to the gateways of this one.
 func (e *Exchange) relay(datagram []byte, m *Message) {
 	if e.IsNear(Member{m.Name, m.FailureDomain}) {
--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
-	"net"
+	"slices"
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/placement"
@@ -32,42 +32,28 @@
 	flagStated         = 1
 )
 
-// sendReports sends reports to the gateways of the circle and, if farther is set, to a gateway of each other circle, which passes them on.
-func (e *Exchange) sendReports(reports []throttle.Report, farther bool) {
+// sendReports sends reports to an audience.
+func (e *Exchange) sendReports(reports []throttle.Report, to audience) {
 	if len(reports) == 0 {
 		return
 	}
-	e.mu.Lock()
-	near := e.topology.near
-	var relays []net.Addr
-	if farther {
-		relays = e.topology.randomRelays()
+	r := e.recipientsOf(to)
+	for part := range slices.Chunk(reports, reportsPerDatagram) {
+		e.sendTo(r, encodeReports(e.opts.Name, part))
 	}
-	e.mu.Unlock()
-	for start := 0; start < len(reports); start += reportsPerDatagram {
-		datagram := encodeReports(e.opts.Name, reports[start:min(start+reportsPerDatagram, len(reports))])
-		e.send(datagram, relays, toRelay)
-		e.send(withoutRelay(datagram), near, toGateway)
-	}
-}
-
-func isReports(datagram []byte) bool {
-	return len(datagram) >= 4 && binary.BigEndian.Uint32(datagram) == limitsMagic
 }
 
-// handleReports merges the reports of a datagram, and passes it on if it is meant for all gateways of the circle.
-func (e *Exchange) handleReports(datagram []byte) {
+// handleReports merges the reports of a datagram.
+func (e *Exchange) handleReports(datagram []byte) error {
 	name, reports, relay, err := decodeReports(datagram)
 	if err != nil || name == e.opts.Name {
-		if err != nil {
-			e.opts.Log.WithError(err).Debug("ignoring a malformed datagram")
-		}
-		return
+		return err
 	}
 	if relay {
 		e.passOn(datagram)
 	}
 	e.opts.Throttle.Merge(name, reports)
+	return nil
 }
 
 // encodeReports returns a datagram with at most reportsPerDatagram reports, which its receiver passes on.
--- a/exchange/records.go
+++ b/exchange/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/quarantine"
@@ -30,37 +31,28 @@
 	recordsPerDatagram = (maxDatagramBytes - recordsHeaderBytes) / maxRecordBytes
 )
 
-// sendRecords sends quarantine records to the gateways of the circle, and to a gateway of each other circle, which passes them on.
+// sendRecords sends quarantine records to all gateways.
 func (e *Exchange) sendRecords(records []quarantine.Record) {
 	if len(records) == 0 {
 		return
 	}
-	e.mu.Lock()
-	near, relays := e.topology.near, e.topology.randomRelays()
-	e.mu.Unlock()
-	now := time.Now()
-	for start := 0; start < len(records); start += recordsPerDatagram {
-		datagram := encodeRecords(records[start:min(start+recordsPerDatagram, len(records))], now)
-		e.send(datagram, relays, toRelay)
-		e.send(withoutRelay(datagram), near, toGateway)
+	r, now := e.recipientsOf(circleAndRelays), time.Now()
+	for part := range slices.Chunk(records, recordsPerDatagram) {
+		e.sendTo(r, encodeRecords(part, now))
 	}
 }
 
-func isRecords(datagram []byte) bool {
-	return len(datagram) >= recordsHeaderBytes && binary.BigEndian.Uint32(datagram) == recordsMagic
-}
-
-// handleRecords merges the records of a datagram, and passes it on if it is meant for all gateways of the circle.
-func (e *Exchange) handleRecords(datagram []byte, now time.Time) {
+// handleRecords merges the records of a datagram.
+func (e *Exchange) handleRecords(datagram []byte, now time.Time) error {
 	records, relay, err := decodeRecords(datagram, now)
 	if err != nil {
-		e.opts.Log.WithError(err).Debug("ignoring a malformed datagram")
-		return
+		return err
 	}
 	if relay {
 		e.passOn(datagram)
 	}
 	e.opts.Quarantine.Merge(records)
+	return nil
 }
 
 // encodeRecords returns a datagram with at most recordsPerDatagram records, which its receiver passes on.
