quarantine: judge only after a change; functions for tests only are gone

Verdicts depend on records and their expiry, so records that expire are dropped in one place, which judges then. Verdicts are the same.

--- a/internal/gatewayd/throttle_test.go
+++ b/internal/gatewayd/throttle_test.go
@@ -34,8 +34,10 @@
 	}
 }
 
+// limits reports whether a gateway knows a limit of an endpoint: endpoints without one are left to nobody.
 func limits(endpoint string) func(*daemon) bool {
-	return func(d *daemon) bool { return d.throttle.IsLimited(endpoint) }
+	foreign := func() throttle.Access { return throttle.Foreign }
+	return func(d *daemon) bool { return !d.throttle.Accepts(endpoint, foreign) }
 }
 
 // takeAll sends requests to an endpoint for as long as its limit allows, without waiting for room.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -147,7 +147,7 @@
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	c = t.distinguish(c, now)
-	depth := 0
+	depth, changed := 0, false
 	for _, s := range subjects {
 		if s.Kind == Part {
 			depth++
@@ -156,15 +156,20 @@
 			continue
 		}
 		e := t.entry(s)
-		e.Depth = max(e.Depth, depth)
+		if depth > e.Depth {
+			e.Depth, changed = depth, true
+		}
 		if !e.add(c) {
 			continue
 		}
 		t.metrics.crashes.WithLabelValues(s.Kind.String()).Inc()
 		e.ExpiresAt, e.sawCrash = now.Add(ttlOf(s.Kind)), true
 		t.noteChange(e, true)
+		changed = true
+	}
+	if changed {
+		t.judge("crash")
 	}
-	t.judge("crash")
 }
 
 func ttlOf(kind Kind) time.Duration {
@@ -207,7 +212,7 @@
 			t.noteProgress(s, now)
 		}
 		if e := t.records[s]; e != nil && len(e.Crashes) > 0 {
-			t.clear(e, "progress")
+			t.clear(e)
 			cleared = true
 		}
 	}
@@ -231,10 +236,10 @@
 }
 
 // clear forgets the crashes of a subject that has made progress.
-func (t *Tracker) clear(e *entry, cause string) {
+func (t *Tracker) clear(e *entry) {
 	if e.verdict != Admitted {
 		t.metrics.cleared.Inc()
-		t.log(e, "quarantine_cleared").WithField("cause", cause).Info("a blocked subject is harmless")
+		t.log(e, "quarantine_cleared").WithField("cause", "progress").Info("a blocked subject is harmless")
 	}
 	e.removeRow = e.removeRow || e.StoredEndpoints > 0
 	e.Generation, e.Crashes, e.StoredEndpoints, e.verdict = e.Generation+1, nil, 0, Admitted
@@ -246,7 +251,7 @@
 func (t *Tracker) Merge(records []Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.opts.Now()
+	now, changed := t.opts.Now(), false
 	for i := range records {
 		r := &records[i]
 		if !now.Before(r.ExpiresAt) || r.Subject.Kind != Call && r.Subject.Kind != Part {
@@ -263,11 +268,14 @@
 			continue
 		}
 		t.noteChange(e, false)
+		changed = true
 		if len(e.Crashes) > 0 && t.madeProgress(r.Subject, now) {
-			t.clear(e, "progress")
+			t.clear(e)
 		}
 	}
-	t.judge("peer")
+	if changed {
+		t.judge("peer")
+	}
 }
 
 // Delays after which a gateway stores a record, unless another one has done so. Gateways that saw one of the crashes go first.
@@ -296,14 +304,22 @@
 	return e
 }
 
-// evict removes expired entries, and if there are none, those that block nothing.
-func (t *Tracker) evict() {
-	now := t.opts.Now()
+// dropExpired removes the expired entries, which explain nothing any more.
+func (t *Tracker) dropExpired() {
+	now, before := t.opts.Now(), len(t.records)
 	for s, e := range t.records {
 		if !now.Before(e.ExpiresAt) {
 			delete(t.records, s)
 		}
 	}
+	if len(t.records) < before {
+		t.judge("expiry")
+	}
+}
+
+// evict removes expired entries, and if too few have expired, those that block nothing.
+func (t *Tracker) evict() {
+	t.dropExpired()
 	for s, e := range t.records {
 		if len(t.records) < maxRecords*3/4 {
 			return
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -36,6 +36,18 @@
 	return list
 }
 
+// blockedCount returns the number of blocked subjects.
+func blockedCount(t *Tracker) (blocked int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.records {
+		if e.verdict != Admitted && t.opts.Now().Before(e.ExpiresAt) {
+			blocked++
+		}
+	}
+	return blocked
+}
+
 func verdictOn(t *Tracker, call uint64, parts ...string) Verdict {
 	v, _ := t.Check(subjects(call, parts...))
 	return v
@@ -265,7 +277,7 @@
 	for range 5 {
 		restarted.Merge(tracker.Spread(8))
 	}
-	require.Equal(t, 30, restarted.BlockedCount())
+	require.Equal(t, 30, blockedCount(restarted))
 }
 
 // Records must not outlive their time by being passed around, and memory must stay bounded.
@@ -280,7 +292,7 @@
 		b.Merge(a.Spread(8))
 		a.Merge(b.Spread(8))
 	}
-	require.Zero(t, a.BlockedCount()+b.BlockedCount())
+	require.Zero(t, blockedCount(a)+blockedCount(b))
 	for i := range 3 * maxRecords {
 		crash(a, i, uint64(i), "p"+strconv.Itoa(i))
 	}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -114,6 +114,7 @@
 
 // merge adds what another record of the subject tells and reports whether that changed anything.
 func (r *Record) merge(other *Record) bool {
+	changed := other.Depth > r.Depth
 	r.Depth = max(r.Depth, other.Depth)
 	switch {
 	case other.Generation < r.Generation:
@@ -123,7 +124,7 @@
 		r.Crashes = slices.Clone(other.Crashes[:min(len(other.Crashes), MaxCrashes)])
 		return true
 	}
-	changed := other.StoredEndpoints > r.StoredEndpoints
+	changed = changed || other.StoredEndpoints > r.StoredEndpoints
 	r.StoredEndpoints = max(r.StoredEndpoints, other.StoredEndpoints)
 	for _, c := range other.Crashes {
 		if r.add(c) {
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -66,11 +66,10 @@
 func (t *Tracker) Unstored() (put []Record, remove []Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dropExpired()
 	now := t.opts.Now()
 	for s, e := range t.records {
 		switch {
-		case !now.Before(e.ExpiresAt):
-			delete(t.records, s)
 		case e.verdict != Admitted && !e.isStored(e.verdict) && !now.Before(e.storeAt):
 			put = append(put, e.clone())
 		case e.verdict == Admitted && e.removeRow:
@@ -108,15 +107,3 @@
 		}
 	}
 }
-
-// BlockedCount returns the number of blocked subjects.
-func (t *Tracker) BlockedCount() (blocked int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, e := range t.records {
-		if e.verdict != Admitted && t.opts.Now().Before(e.ExpiresAt) {
-			blocked++
-		}
-	}
-	return blocked
-}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -187,13 +187,6 @@
 	timing.Signal(t.changed)
 }
 
-// IsLimited reports whether an endpoint has a limit.
-func (t *Tracker) IsLimited(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.limitedEndpoint(id, t.opts.Now()) != nil
-}
-
 // limitedEndpoint returns the state of an endpoint with a limit, or nil.
 func (t *Tracker) limitedEndpoint(id string, now time.Time) *endpoint {
 	if len(t.endpoints) == 0 {
