--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,8 +88,7 @@
 	triedEndpoints     []string       // IDs of the endpoints of earlier attempts
 	noSplit            bool           // an endpoint refused a split prompt; later attempts do not split it
 	notExecuted        bool           // certainly no attempt so far has been executed
-	headerWritten      bool           // the caller has received the response header
-	answerBegun        atomic.Bool    // headerWritten, for other goroutines
+	headerWritten      atomic.Bool    // the caller has received the response header; read by EndRequests, too
 	lastEventID        int64          // last event that the caller has received; -1: none
 	eventCount         int            // events written to the caller
 	firstEventLatency  time.Duration  // 0: no event yet
@@ -122,7 +121,7 @@
 		cancelCause(errProcessEnds)
 	}
 	defer context.AfterFunc(g.ending, func() {
-		if !s.answerBegun.Load() {
+		if !s.headerWritten.Load() {
 			cancelCause(errProcessEnds)
 		}
 	})()
@@ -177,7 +176,7 @@
 	kind := finalKind(last, s.notExecuted)
 	s.finish("refused", last.reason)
 	s.gw.opts.Metrics.refusals.WithLabelValues(string(kind)).Inc()
-	if s.headerWritten {
+	if s.headerWritten.Load() {
 		s.writer.Abort()
 		return
 	}
@@ -561,14 +560,14 @@
 	if resp.Status >= 500 {
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
 		f := failure{kind: errkind.EndpointFailed, reason: "endpoint failed " + strconv.Itoa(resp.Status)}
-		if !s.headerWritten && !s.tryRetry(f, s.gw.opts.Now()) {
+		if !s.headerWritten.Load() && !s.tryRetry(f, s.gw.opts.Now()) {
 			return s.writeWhole(resp, body)
 		}
 		f.retryPaid = true
 		return f, false
 	}
 	s.gw.opts.Registry.ReportOutcome(e, registry.Succeeded)
-	if s.headerWritten {
+	if s.headerWritten.Load() {
 		return failure{kind: errkind.StreamBroken, reason: "resumed stream answered " + strconv.Itoa(resp.Status)}, false
 	}
 	return s.writeWhole(resp, body)
@@ -576,8 +575,7 @@
 
 // writeWhole writes a complete response to the caller.
 func (s *requestState) writeWhole(resp *Response, body []byte) (failure, bool) {
-	s.headerWritten = true
-	s.answerBegun.Store(true)
+	s.headerWritten.Store(true)
 	s.firstEventLatency = s.gw.opts.Now().Sub(s.req.ArrivedAt)
 	resp.ContentLength = int64(len(body))
 	s.writer.WriteHeader(resp)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,7 +50,7 @@
 		if err == nil && !splitter.Overflowed() {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && s.headerWritten {
+		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && s.headerWritten.Load() {
 			s.gw.opts.Registry.ReportOutcome(primary, registry.Succeeded)
 			s.gw.opts.Quarantine.RecordProgress(s.subjects)
 			return failure{}, true
@@ -80,9 +80,8 @@
 	if e.ID >= 0 && e.ID <= s.lastEventID {
 		return failure{}, true
 	}
-	if !s.headerWritten {
-		s.headerWritten = true
-		s.answerBegun.Store(true)
+	if !s.headerWritten.Load() {
+		s.headerWritten.Store(true)
 		resp.ContentLength = -1
 		s.writer.WriteHeader(resp)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -67,12 +67,12 @@
 }
 
 func (s *server) handleReady(w http.ResponseWriter, _ *http.Request) {
-	switch {
+	switch snap := s.epochs.Snapshot(); {
 	case s.draining.Load():
 		writeError(w, errkind.New(errkind.Draining, "entry is stopping"))
-	case s.epochs.Snapshot() == nil:
+	case snap == nil:
 		writeError(w, errkind.New(errkind.NotReady, "no configuration is known yet"))
-	case !s.isSettled(s.epochs.Snapshot()):
+	case !s.isSettled(snap):
 		writeError(w, errkind.New(errkind.NotReady, "configuration is not confirmed, or no endpoint of a service is known yet"))
 	default:
 		w.WriteHeader(http.StatusOK)
