platformtest: one stand-in of the store; the platform's names leave the soak

The tests of the fleet and the soak each had a stand-in of the store's tables, long polls and refusals, and the soak wrote the headers, rows and settings of the platform outside its folder. platform/platformtest has the store for both, and the messages of callers and endpoints. One difference: a long poll that the store has held while it began to refuse hangs in the soak, too, instead of ending with 503.

--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -1,16 +1,13 @@
 package gatewayd
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +20,7 @@
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/storewatch"
 	"github.com/bilberrylink/bilberrylink/throttle"
@@ -30,147 +28,26 @@
 
 const linkDelay = 500 * time.Microsecond
 
-// storeMode tells how the emulated store treats the calls of a gateway.
-type storeMode int
-
-const (
-	storeServes  storeMode = iota
-	storeRefuses           // 503 at once
-	storeSilent            // no answer
-)
-
-// fakeStore is a store with two tables, each row of which has a version.
-type fakeStore struct {
-	mu        sync.Mutex
-	startedAt time.Time
-	version   int64
-	rows      map[string]map[string]platform.Row // by table and key; removed rows stay, marked
-	changed   chan struct{}                      // closed at each change
-	modes     map[string]storeMode               // by gateway
-	calls     map[string]int                     // by gateway
-}
-
-func newFakeStore() *fakeStore {
-	return &fakeStore{startedAt: time.Now(), rows: map[string]map[string]platform.Row{"op": {}, "servers": {}, "bilberry-peers": {}, "bilberry-quarantine": {}},
-		changed: make(chan struct{}), modes: make(map[string]storeMode), calls: make(map[string]int)}
-}
-
-func (s *fakeStore) write(table, key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.rows[table][key] = platform.Row{Table: table, Key: key, Value: []byte(value), Version: s.version, Removed: value == ""}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// transact carries out the writes of a gateway.
-func (s *fakeStore) transact(body io.Reader) error {
-	var writes struct{ Put, Remove []platform.Row }
-	if err := json.NewDecoder(body).Decode(&writes); err != nil {
-		return err
-	}
-	for _, row := range writes.Put {
-		s.write(row.Table, row.Key, string(row.Value))
-	}
-	for _, row := range writes.Remove {
-		s.write(row.Table, row.Key, "")
-	}
-	return nil
-}
-
-func (s *fakeStore) setMode(mode storeMode, gateways ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, name := range gateways {
-		s.modes[name] = mode
-	}
-}
-
-func (s *fakeStore) totalCalls() (total int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, n := range s.calls {
-		total += n
-	}
-	return total
-}
-
-// page returns the rows of a table after a version. A full read returns no removed rows.
-func (s *fakeStore) page(table string, since int64) (rows []platform.Row, version int64, changed chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, row := range s.rows[table] {
-		if row.Version > since && (since >= 0 || !row.Removed) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return int(a.Version - b.Version) })
-	return rows, s.version, s.changed
-}
-
-// storeTransport carries the calls of one gateway.
+// storeTransport carries the calls of one gateway to the store.
 type storeTransport struct {
-	store *fakeStore
+	store *platformtest.Store
 	name  string
 }
 
 func (t storeTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	time.Sleep(linkDelay)
-	t.store.mu.Lock()
-	t.store.calls[t.name]++
-	mode := t.store.modes[t.name]
-	t.store.mu.Unlock()
-	switch mode {
-	case storeRefuses:
-		return response(http.StatusServiceUnavailable, nil), nil
-	case storeSilent:
-		<-req.Context().Done()
-		return nil, req.Context().Err()
-	}
-	if req.URL.Path == "/rows-tx" {
-		return response(http.StatusOK, nil), t.store.transact(req.Body)
-	}
-	query, since, deadline := req.URL.Query(), int64(-1), time.Duration(0)
-	if req.URL.Path == "/rows-feed" {
-		since, _ = strconv.ParseInt(query.Get("SinceRev"), 10, 64)
-		ms, _ := strconv.Atoi(query.Get("WaitMs"))
-		deadline = time.Duration(ms) * time.Millisecond
-	}
-	timeout := time.NewTimer(deadline)
-	defer timeout.Stop()
-	for {
-		rows, version, changed := t.store.page(query.Get("Table"), since)
-		waitOver := since < 0 || len(rows) > 0
-		if !waitOver {
-			select {
-			case <-changed:
-				continue
-			case <-timeout.C:
-			case <-req.Context().Done():
-				return nil, req.Context().Err()
-			}
-		}
-		t.store.mu.Lock()
-		mode = t.store.modes[t.name]
-		t.store.mu.Unlock()
-		if mode != storeServes {
-			<-req.Context().Done() // the connection has been cut since
-			return nil, req.Context().Err()
-		}
-		body, err := json.Marshal(map[string]any{"Rows": rows, "Ver": version, "NowMs": time.Since(t.store.startedAt).Milliseconds() + 1})
-		return response(http.StatusOK, body), err
+	recorder := httptest.NewRecorder()
+	t.store.Serve(recorder, req, t.name)
+	if err := req.Context().Err(); err != nil {
+		return nil, err
 	}
-}
-
-func response(status int, body []byte) *http.Response {
-	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}
+	return recorder.Result(), nil
 }
 
 // testFleet is a fleet of gateways without callers: the real watching, following and exchange over an emulated network.
 type testFleet struct {
 	t     *testing.T
-	store *fakeStore
+	store *platformtest.Store
 
 	mu    sync.Mutex
 	nodes map[string]*testNode // by address; those that run
@@ -210,10 +87,10 @@
 }
 
 func newTestFleet(t *testing.T, gateways, domains int) *testFleet {
-	f := &testFleet{t: t, store: newFakeStore(), nodes: make(map[string]*testNode)}
-	f.store.write("op", "config", `{"Version":1}`)
+	f := &testFleet{t: t, store: platformtest.NewStore(), nodes: make(map[string]*testNode)}
+	f.store.SetEpoch(1)
 	for i := range 5 {
-		f.store.write("servers", fmt.Sprintf("i%d", i), endpointValue(i, "ready"))
+		f.store.SetEndpoint(fmt.Sprintf("i%d", i), testEndpoint(i))
 	}
 	for i := range gateways {
 		f.all = append(f.all, &testNode{fleet: f, name: fmt.Sprintf("entry-%d", i), domain: fmt.Sprintf("domain-%d", i%domains),
@@ -225,8 +102,14 @@
 	return f
 }
 
-func endpointValue(i int, state string) string {
-	return fmt.Sprintf(`{"Service":"s","Address":"10.9.0.%d:80","State":%q}`, i+1, state)
+func testEndpoint(i int) platformtest.Endpoint {
+	return platformtest.Endpoint{Service: "s", Addr: fmt.Sprintf("10.9.0.%d:80", i+1)}
+}
+
+func drainingEndpoint(i int) platformtest.Endpoint {
+	e := testEndpoint(i)
+	e.Draining = true
+	return e
 }
 
 // start runs the gateway as a new process, which knows the addresses of all others.
@@ -288,13 +171,13 @@
 func (f *testFleet) setFrozen(frozen bool, nodes ...*testNode) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	mode := storeServes
+	mode := platformtest.Serves
 	if frozen {
-		mode = storeSilent
+		mode = platformtest.Silent
 	}
 	for _, n := range nodes {
 		n.frozen = frozen
-		f.store.setMode(mode, n.name)
+		f.store.SetMode(mode, n.name)
 	}
 }
 
--- a/internal/gatewayd/following_test.go
+++ b/internal/gatewayd/following_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 // Bounds of the platforms that the fleet serves: the shortest times in which a change must be in force and a leaving endpoint
@@ -41,15 +43,15 @@
 func TestChangesReachFollowers(t *testing.T) {
 	withFleet(t, 60, 5, func(f *testFleet) {
 		require.Len(t, f.watchers(), 10)
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", endpointValue(0, "draining"))
-		f.store.write("servers", "i1", "")
+		f.store.SetEpoch(2)
+		f.store.SetEndpoint("i0", drainingEndpoint(0))
+		f.store.RemoveEndpoint("i1")
 		f.requireEverywhere(time.Second, f.all, "configuration", hasEpoch(2))
 		f.requireEverywhere(time.Second, f.all, "draining", uses("i0", false))
 		f.requireEverywhere(time.Second, f.all, "removal", uses("i1", false))
-		before := f.store.totalCalls()
+		before := f.store.TotalCalls()
 		time.Sleep(20 * time.Second)
-		require.Less(t, f.store.totalCalls()-before, 10*2*20, "two tables, ten watchers, a call a second")
+		require.Less(t, f.store.TotalCalls()-before, 10*2*20, "two tables, ten watchers, a call a second")
 		for _, n := range f.all {
 			require.True(t, n.daemon.stateSync.configCurrent(), n.name)
 		}
@@ -60,9 +62,9 @@
 func TestChangeWhileAllWatchersAreCutOff(t *testing.T) {
 	withFleet(t, 22, 3, func(f *testFleet) {
 		watching := f.watchers()
-		f.store.setMode(storeSilent, names(watching)...)
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetMode(platformtest.Silent, names(watching)...)
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		f.requireEverywhere(configBound, without(f.all, watching), "configuration", hasEpoch(2))
 		f.requireEverywhere(drainBound, without(f.all, watching), "removal", uses("i0", false))
 	})
@@ -73,8 +75,8 @@
 	withFleet(t, 22, 3, func(f *testFleet) {
 		watching := f.watchers()
 		f.setFrozen(true, watching...)
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		rest := without(f.all, watching)
 		f.requireEverywhere(configBound, rest, "configuration", hasEpoch(2))
 		f.requireEverywhere(drainBound, rest, "removal", uses("i0", false))
@@ -102,8 +104,8 @@
 		for _, n := range lost {
 			n.kill()
 		}
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		rest := without(f.all, lost)
 		f.requireEverywhere(configBound, rest, "configuration", hasEpoch(2))
 		f.requireEverywhere(drainBound, rest, "removal", uses("i0", false))
@@ -117,18 +119,18 @@
 
 // A store that refuses some gateways, watchers among them, must not keep a change from any gateway: the others pass it on.
 func TestStoreRefusesSomeGateways(t *testing.T) {
-	for name, mode := range map[string]storeMode{"refuses": storeRefuses, "silent": storeSilent} {
+	for name, mode := range map[string]platformtest.StoreMode{"refuses": platformtest.Refuses, "silent": platformtest.Silent} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 30, 3, func(f *testFleet) {
 				refused := append(f.watchers()[:3], f.all[:9]...)
-				f.store.setMode(mode, names(refused)...)
+				f.store.SetMode(mode, names(refused)...)
 				time.Sleep(time.Second)
-				f.store.write("op", "config", `{"Version":2}`)
-				f.store.write("servers", "i0", "")
+				f.store.SetEpoch(2)
+				f.store.RemoveEndpoint("i0")
 				f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
 				f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
 				time.Sleep(5 * time.Second)
-				f.store.write("servers", "i1", "")
+				f.store.RemoveEndpoint("i1")
 				f.requireEverywhere(time.Second, f.all, "removal by relays", uses("i1", false))
 			})
 		})
@@ -139,19 +141,19 @@
 // outage must not cost calls of the whole fleet all the time.
 func TestOutageOfTheStore(t *testing.T) {
 	withFleet(t, 30, 3, func(f *testFleet) {
-		before := f.store.totalCalls()
-		f.store.setMode(storeRefuses, names(f.all)...)
+		before := f.store.TotalCalls()
+		f.store.SetMode(platformtest.Refuses, names(f.all)...)
 		time.Sleep(4 * time.Second)
-		f.store.write("servers", "i0", "")
-		f.store.write("servers", "i1", "")
+		f.store.RemoveEndpoint("i0")
+		f.store.RemoveEndpoint("i1")
 		time.Sleep(2 * time.Second)
-		require.Less(t, f.store.totalCalls()-before, 30*2*6, "one call a second and table")
-		f.store.setMode(storeServes, names(f.all)...)
+		require.Less(t, f.store.TotalCalls()-before, 30*2*6, "one call a second and table")
+		f.store.SetMode(platformtest.Serves, names(f.all)...)
 		for range 15 {
 			time.Sleep(100 * time.Millisecond)
 			f.requireEverywhere(0, f.all, "entry that expired", uses("i0", true))
 		}
-		f.store.write("servers", "i0", endpointValue(0, "ready"))
+		f.store.SetEndpoint("i0", testEndpoint(0))
 		f.requireEverywhere(drainBound, f.all, "entry that is gone", uses("i1", false))
 		f.requireEverywhere(0, f.all, "entry that came back", uses("i0", true))
 	})
@@ -160,9 +162,9 @@
 // A gateway that starts while the store is away must get its state from the others.
 func TestStartWhileTheStoreIsAway(t *testing.T) {
 	withFleet(t, 22, 3, func(f *testFleet) {
-		f.store.write("op", "config", `{"Version":2}`)
+		f.store.SetEpoch(2)
 		time.Sleep(time.Second)
-		f.store.setMode(storeRefuses, names(f.all)...)
+		f.store.SetMode(platformtest.Refuses, names(f.all)...)
 		time.Sleep(time.Second)
 		restarted := f.all[:5]
 		for _, n := range restarted {
@@ -180,8 +182,8 @@
 		for _, n := range f.all {
 			n.kill()
 		}
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		for _, n := range f.all {
 			n.start()
 		}
@@ -195,8 +197,8 @@
 	withFleet(t, 30, 3, func(f *testFleet) {
 		watching := f.watchers()
 		f.setCut(func(a, b *testNode) bool { return slices.Contains(watching, a) != slices.Contains(watching, b) })
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
 		f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
 		f.setCut(nil)
@@ -210,9 +212,9 @@
 	withFleet(t, 22, 3, func(f *testFleet) {
 		for i, n := range f.all {
 			n.kill()
-			f.store.write("op", "config", fmt.Sprintf(`{"Version":%d}`, i+2))
+			f.store.SetEpoch(int64(i + 2))
 			if i < 3 {
-				f.store.write("servers", fmt.Sprintf("i%d", i), "")
+				f.store.RemoveEndpoint(fmt.Sprintf("i%d", i))
 			}
 			time.Sleep(500 * time.Millisecond)
 			n.start()
@@ -225,9 +227,9 @@
 // Many gateways that are killed at once while the store refuses a third, and silently, must get their state from the others.
 func TestKilledGatewaysWhileTheStoreRefusesSome(t *testing.T) {
 	withFleet(t, 30, 3, func(f *testFleet) {
-		f.store.setMode(storeSilent, names(f.all[:10])...)
-		f.store.write("op", "config", `{"Version":2}`)
-		f.store.write("servers", "i0", "")
+		f.store.SetMode(platformtest.Silent, names(f.all[:10])...)
+		f.store.SetEpoch(2)
+		f.store.RemoveEndpoint("i0")
 		time.Sleep(500 * time.Millisecond)
 		for i, n := range f.all {
 			if i%2 == 0 {
@@ -237,7 +239,7 @@
 		}
 		f.requireEverywhere(configBound, f.all, "configuration", hasEpoch(2))
 		f.requireEverywhere(drainBound, f.all, "removal", uses("i0", false))
-		f.store.write("servers", "i1", "")
+		f.store.RemoveEndpoint("i1")
 		f.requireEverywhere(drainBound, f.all, "second removal", uses("i1", false))
 		f.requireEverywhere(0, f.all, "endpoints that stay", uses("i2", true))
 	})
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 )
 
@@ -46,7 +47,7 @@
 				f.requireEverywhere(time.Second, f.all, "part", blocks("bad"))
 				time.Sleep(time.Second)
 				if storeAway > 0 {
-					f.store.setMode(storeRefuses, names(f.all)...)
+					f.store.SetMode(platformtest.Refuses, names(f.all)...)
 				}
 				for _, n := range f.all {
 					n.kill()
@@ -55,7 +56,7 @@
 					n.start()
 				}
 				time.Sleep(storeAway)
-				f.store.setMode(storeServes, names(f.all)...)
+				f.store.SetMode(platformtest.Serves, names(f.all)...)
 				f.requireEverywhere(contactBound, f.all, "part", blocks("bad"))
 			})
 		})
@@ -85,7 +86,7 @@
 		}
 		require.NotNil(t, f.all[0].daemon.servingSnapshot())
 
-		f.store.setMode(storeSilent, f.all[0].name)
+		f.store.SetMode(platformtest.Silent, f.all[0].name)
 		f.all[0].kill()
 		f.all[0].start()
 		time.Sleep(3 * time.Second)
@@ -97,14 +98,14 @@
 // A part that was blocked while the store was away must be stored when it is back, by whoever is left.
 func TestBlockedPartIsStoredWhenTheStoreIsBack(t *testing.T) {
 	withFleet(t, 6, 3, func(f *testFleet) {
-		f.store.setMode(storeRefuses, names(f.all)...)
+		f.store.SetMode(platformtest.Refuses, names(f.all)...)
 		for i := range 5 {
 			crashAt(f.all[0], i)
 		}
 		f.requireEverywhere(time.Second, f.all, "part", blocks("bad"))
 		f.all[0].kill()
 		time.Sleep(5 * time.Second)
-		f.store.setMode(storeServes, names(f.all)...)
+		f.store.SetMode(platformtest.Serves, names(f.all)...)
 		time.Sleep(contactBound)
 		for _, n := range f.all[1:] {
 			n.kill()
@@ -125,7 +126,7 @@
 		time.Sleep(2 * time.Minute)
 		late := f.all[3]
 		late.kill()
-		f.store.setMode(storeSilent, late.name)
+		f.store.SetMode(platformtest.Silent, late.name)
 		late.start()
 		f.requireEverywhere(contactBound, []*testNode{late}, "part", blocks("bad"))
 	})
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 const (
@@ -56,28 +58,24 @@
 		return
 	}
 	r := result{attempt: fmt.Sprintf("%016x", c.rng.Uint64()), gateway: c.gateway.name}
-	var head string
+	request := platformtest.CallerRequest{Method: http.MethodPost, Host: host, AttemptID: r.attempt, APIKey: apiKey, Timeout: callerTimeout,
+		Body: "body of " + r.attempt}
 	switch c.rng.IntN(10) {
 	case 0, 1:
-		r.kind, head = "order", "POST /orders/"+r.attempt
+		r.kind, request.Path = "order", "/orders/"+r.attempt
 	case 2:
-		r.kind, head = "stock", "GET /stock/"+r.attempt
+		r.kind, request.Method, request.Path = "stock", http.MethodGet, "/stock/"+r.attempt
 	default:
-		r.kind, head = "chat", "POST /chat/x"
+		r.kind, request.Path = "chat", chatPrefix+"x"
 		r.parts = "c0ffee:40," + r.attempt + ":4000"
 		if c.rng.Float64() < c.world.crashingShare() {
 			r.parts = "c0ffee:40," + crashingPart + ":100," + r.attempt + ":4000"
 		}
-	}
-	body := "body of " + r.attempt
-	request := fmt.Sprintf("%s HTTP/1.1\r\nHost: soak.example\r\nX-Bilberrylink-Attempt-Id: %s\r\nX-Bilberrylink-Deadline-Ms: %d\r\n"+
-		"X-Bilberrylink-Key: key\r\nContent-Length: %d\r\n", head, r.attempt, callerTimeout.Milliseconds(), len(body))
-	if r.kind == "chat" {
-		request += "X-Bilberrylink-Token-Usage: 4140,400\r\nX-Bilberrylink-Prompt-Prefix: " + r.parts + "\r\n"
+		request.Parts, request.PromptTokens, request.OutputTokens = r.parts, 4140, 400
 	}
 	r.sentAt = time.Now()
 	_ = c.conn.SetDeadline(r.sentAt.Add(callerTimeout + answerMargin))
-	_, err := io.WriteString(c.conn, request+"\r\n"+body)
+	_, err := c.conn.Write(request.Encode())
 	keep := err == nil && c.receive(&r)
 	r.endedAt = time.Now()
 	if took := r.endedAt.Sub(r.sentAt); r.status == 0 && took >= callerTimeout+answerMargin && !c.gateway.wasDisturbed(r.sentAt) {
@@ -106,7 +104,7 @@
 	if r.status == http.StatusOK {
 		r.badResponse = badBody(r, err == nil)
 	}
-	if got := resp.Header.Get("X-Bilberrylink-Attempt-Id"); got != "" && got != r.attempt {
+	if got := platformtest.AttemptID(resp); got != "" && got != r.attempt {
 		r.badResponse = "answer of " + got
 	}
 	return err == nil && !resp.Close && c.reader.Buffered() == 0
@@ -118,7 +116,7 @@
 	if r.kind == "chat" {
 		var events strings.Builder
 		for i := 1; i <= eventsPerAnswer; i++ {
-			fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", i, r.attempt)
+			events.WriteString(eventOf(r.attempt, i))
 		}
 		want = events.String()
 	}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -6,11 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 const (
@@ -53,8 +53,7 @@
 	defer e.mu.Unlock()
 	e.addr, e.listener, e.conns = listener.Addr().String(), listener, make(map[net.Conn]struct{})
 	e.id = fmt.Sprintf("i-%s-%d", e.service, e.world.nextID())
-	e.world.store.put("servers", e.id, map[string]any{"Service": e.service, "Address": e.addr, "Zone": "z", "State": "ready",
-		"Slots": 16, "born": time.Now().UnixMilli()})
+	e.world.store.SetEndpoint(e.id, platformtest.Endpoint{Service: e.service, Addr: e.addr, Zone: zone, StartedAt: time.Now()})
 	go e.accept(listener, e.conns)
 	return nil
 }
@@ -96,7 +95,7 @@
 	}
 	e.mu.Unlock()
 	time.AfterFunc(restartTime, func() {
-		e.world.store.remove("servers", id)
+		e.world.store.RemoveEndpoint(id)
 		for e.world.ctx.Err() == nil && e.start() != nil {
 			time.Sleep(eventPause)
 		}
@@ -119,68 +118,58 @@
 func (e *endpoint) serve(c net.Conn) {
 	reader := bufio.NewReader(c)
 	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil || !e.answer(c, req) {
+		req, err := platformtest.ReadEndpointRequest(reader)
+		if err != nil || !e.answer(c, req) {
 			return
 		}
 	}
 }
 
 // answer responds to a request and reports whether the connection stays open.
-func (e *endpoint) answer(c net.Conn, req *http.Request) bool {
+func (e *endpoint) answer(c net.Conn, req *platformtest.EndpointRequest) bool {
 	id, limit, garbles := e.state()
-	attempt := req.Header.Get("X-Bilberrylink-Attempt-Id")
-	if want := req.Header.Get("X-Bilberrylink-Expect-Instance"); want != "" && want != id {
-		fmt.Fprintf(c, "HTTP/1.1 421 x\r\nX-Bilberrylink-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt)
-		return true
-	}
-	if req.URL.Path == "/order" { // reserves or releases memory
-		_, err := io.WriteString(c, "HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n{}")
+	if req.EndpointID != "" && req.EndpointID != id {
+		_, err := io.WriteString(c, platformtest.WrongEndpoint(req.AttemptID))
 		return err == nil
 	}
-	parts := req.Header.Get("X-Bilberrylink-Prompt-Prefix")
-	e.world.checker.recordRun(run{attempt: attempt, path: req.URL.Path, endpoint: id, at: time.Now(), parts: parts}, limit)
-	head := fmt.Sprintf("HTTP/1.1 200 x\r\nX-Bilberrylink-Attempt-Id: %s\r\nX-Bilberrylink-Response-Signature: s\r\n", attempt)
-	if limit > 0 {
-		head += fmt.Sprintf("Server-Limit: %g\r\n", limit)
+	if req.IsOrder {
+		_, err := io.WriteString(c, platformtest.OrderDone)
+		return err == nil
 	}
+	e.world.checker.recordRun(run{attempt: req.AttemptID, path: req.Path, endpoint: id, at: time.Now(), parts: req.Parts}, limit)
+	head := platformtest.SuccessHead(req.AttemptID, limit)
 	faulty := garbles && rand.IntN(10) == 0
 	time.Sleep(eventPause)
-	if strings.Contains(parts, crashingPart+":") {
+	if strings.Contains(req.Parts, crashingPart+":") {
 		e.world.checker.recordCrash(time.Now())
 		e.crash()
 		return false
 	}
-	if !strings.HasPrefix(req.URL.Path, "/chat/") {
-		body := "ran " + attempt
-		if faulty {
-			_, _ = io.WriteString(c, head+"Content-Length: 99\r\n\r\n"+body) // breaks off
-			return false
-		}
-		_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-		if err == nil && garbles && rand.IntN(10) == 0 { // a second copy, late
-			time.Sleep(eventPause)
-			_, err = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-		}
-		return err == nil
+	if strings.HasPrefix(req.Path, chatPrefix) {
+		return e.stream(c, head, req, faulty)
+	}
+	body := "ran " + req.AttemptID
+	if faulty {
+		_, _ = io.WriteString(c, head+"Content-Length: 99\r\n\r\n"+body) // breaks off
+		return false
 	}
-	return e.stream(c, head, attempt, req.Header.Get("Last-Event-Id"), faulty)
+	response := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	_, err := io.WriteString(c, response)
+	if err == nil && garbles && rand.IntN(10) == 0 { // a second copy, late
+		time.Sleep(eventPause)
+		_, err = io.WriteString(c, response)
+	}
+	return err == nil
 }
 
-// stream sends the events after the last one that the caller has. A faulty stream ends inside an event.
-func (e *endpoint) stream(c net.Conn, head, attempt, lastEventID string, faulty bool) bool {
-	first := 1
-	if last, err := strconv.Atoi(lastEventID); err == nil {
-		first = last + 1
-	}
+// stream sends the events after the last one that the caller has. A faulty stream ends inside an event. The end of the connection ends
+// the answer.
+func (e *endpoint) stream(c net.Conn, head string, req *platformtest.EndpointRequest, faulty bool) bool {
 	if _, err := io.WriteString(c, head+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"); err != nil {
 		return false
 	}
-	for i := first; i <= eventsPerAnswer; i++ {
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, attempt)
+	for i := req.LastEventID + 1; i <= eventsPerAnswer; i++ {
+		event := eventOf(req.AttemptID, i)
 		if faulty && i == eventsPerAnswer/2 {
 			_, _ = io.WriteString(c, event[:len(event)/2]) // it is cut in any case
 			return false
@@ -190,5 +179,8 @@
 		}
 		time.Sleep(eventPause)
 	}
-	return false // the end of the connection ends the answer
+	return false
 }
+
+// eventOf returns an event of the answer to a request.
+func eventOf(attempt string, i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, attempt) }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"syscall"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 // faultPause is the longest pause between two disturbances, which may overlap.
@@ -19,8 +21,8 @@
 		{"kill", func(float64) { w.killGateways(1) }},
 		{"kill of all", func(float64) { w.killGateways(len(w.gateways)) }},
 		{"pause", w.pauseGateway},
-		{"store refuses", func(s float64) { w.disturbStore(storeRefuses, s) }},
-		{"store silent", func(s float64) { w.disturbStore(storeSilent, s) }},
+		{"store refuses", func(s float64) { w.disturbStore(platformtest.Refuses, s) }},
+		{"store silent", func(s float64) { w.disturbStore(platformtest.Silent, s) }},
 		{"endpoint crash", func(float64) { w.randomEndpoint().crash() }},
 		{"limits", w.limitEndpoints},
 		{"garbled answers", w.garbleAnswers},
@@ -99,11 +101,11 @@
 	}
 }
 
-func (w *world) disturbStore(mode storeMode, seconds float64) {
+func (w *world) disturbStore(mode platformtest.StoreMode, seconds float64) {
 	w.checker.recordFault("", false)
-	w.store.setMode(mode)
+	w.store.SetMode(mode)
 	w.after(time.Duration(seconds*float64(time.Second)), func() {
-		w.store.setMode(storeServes)
+		w.store.SetMode(platformtest.Serves)
 		w.checker.recordFault("", false)
 	})
 }
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 // graceTime is the time from SIGTERM until a process must have ended.
@@ -31,20 +33,20 @@
 	disturbed []time.Time // kills, pauses and starts
 }
 
+// zone is the failure domain of all gateways and endpoints.
+const zone = "z"
+
+// gatewayIP returns the loopback address of a gateway.
+func gatewayIP(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+
 func newGateway(w *world, i int) (*gateway, error) {
-	g := &gateway{world: w, name: fmt.Sprintf("gateway-%d", i), ip: fmt.Sprintf("127.0.0.%d", 11+i)}
+	g := &gateway{world: w, name: fmt.Sprintf("gateway-%d", i), ip: gatewayIP(i)}
 	g.callerAddr = net.JoinHostPort(g.ip, w.port(0))
 	g.settings = filepath.Join(w.dir, g.name+".yaml")
-	text := fmt.Sprintf(`NodeName: %q
-Zone: z
-Ip: %q
-Listen: {Front: %q, Ready: %q}
-PortRange: [%s, %s]
-SeedNodes: ["127.0.0.11:1", "127.0.0.12:1"]
-Bounds: {GraceS: %g, RetryRatio: 0.2, RetrySlack: 100, BudgetWindowS: 10}
-Provider: {Address: %q}
-`, g.name, g.ip, g.callerAddr, net.JoinHostPort(g.ip, w.port(1)), w.port(2), w.port(3), graceTime.Seconds(), w.storeAddr)
-	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
+	text := platformtest.GatewaySettings{Name: g.name, Zone: zone, IP: g.ip, CallerAddr: g.callerAddr,
+		ReadinessAddr: net.JoinHostPort(g.ip, w.port(1)), FirstPort: w.port(2), LastPort: w.port(3),
+		SeedIPs: []string{gatewayIP(0), gatewayIP(1)}, GracePeriod: graceTime, StoreAddr: w.storeAddr}.Encode()
+	if err := os.WriteFile(g.settings, text, 0o600); err != nil {
 		return nil, err
 	}
 	log, err := os.Create(filepath.Join(w.dir, g.name+".log"))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 // Options configures a run.
@@ -61,7 +63,7 @@
 	binary    string
 	dir       string
 	storeAddr string
-	store     *store
+	store     *platformtest.Store
 	checker   *checker
 	gateways  []*gateway
 	endpoints []*endpoint
@@ -72,6 +74,16 @@
 	pending   sync.WaitGroup
 }
 
+// Names of the configuration.
+const (
+	host          = "soak.example"
+	chatPrefix    = "/chat/"
+	modelService  = "model"
+	shopService   = "shop"
+	apiKey        = "key"
+	latencyTarget = 500 * time.Millisecond
+)
+
 const (
 	startTime = 2 * time.Second // until the gateways know each other and the endpoints
 	// crashingFrom is the share of the duration after which requests with the crashing part come.
@@ -95,7 +107,7 @@
 func Run(ctx context.Context, opts Options) (*Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &world{opts: opts, ctx: ctx, rng: rand.New(rand.NewPCG(opts.Seed, 0)), binary: opts.Binary, dir: opts.Dir, store: newStore(),
+	w := &world{opts: opts, ctx: ctx, rng: rand.New(rand.NewPCG(opts.Seed, 0)), binary: opts.Binary, dir: opts.Dir, store: platformtest.NewStore(),
 		checker: newChecker(), faults: make(map[string]int)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -129,27 +141,24 @@
 }
 
 func (w *world) writeConfiguration() {
-	route := func(prefix, kind, service string, goalMs int) map[string]any {
-		return map[string]any{"Name": "r" + prefix, "Host": "soak.example", "Prefix": prefix, "Kind": kind, "Service": service, "Attempts": 2,
-			"TimeoutMs": callerTimeout.Milliseconds(), "GoalMs": goalMs, "GapAimMs": 500, "Resumable": kind == "streaming"}
+	route := func(prefix, kind, service string) platformtest.Route {
+		return platformtest.Route{Host: host, Prefix: prefix, Kind: kind, Service: service, Attempts: 2, Timeout: callerTimeout,
+			LatencyTarget: latencyTarget}
 	}
-	w.store.put("op", "config", map[string]any{
-		"Version": 1,
-		"Routes": []any{route("/chat/", "streaming", "model", 500), route("/orders/", "non_idempotent", "shop", 500),
-			route("/stock/", "idempotent", "shop", 500)},
-		"Services": []any{map[string]any{"Name": "model", "Engine": map[string]any{"Slots": 16, "KvTokens": 315000, "Stride": 51,
-			"step_ms": 0.85, "read_per_s": 177000.0, "chunk": 2048}}, map[string]any{"Name": "shop"}},
-		"Limits":  map[string]any{"MaxBodyBytes": 1 << 20},
-		"Tenants": []any{map[string]any{"Name": "t", "ApiKeys": []string{"key"}}},
-	})
+	w.store.SetConfig(platformtest.Config{
+		Epoch: 1,
+		Routes: []platformtest.Route{route(chatPrefix, "streaming", modelService), route("/orders/", "non_idempotent", shopService),
+			route("/stock/", "idempotent", shopService)},
+		Models: []string{modelService}, Services: []string{shopService}, APIKeys: []string{apiKey},
+	}.Encode())
 }
 
 func (w *world) startAll() error {
 	const shopEndpoints = 3
 	for i := range w.opts.Endpoints + shopEndpoints {
-		e := &endpoint{world: w, service: "model", addr: "127.0.0.1:0"}
+		e := &endpoint{world: w, service: modelService, addr: "127.0.0.1:0"}
 		if i >= w.opts.Endpoints {
-			e.service = "shop"
+			e.service = shopService
 		}
 		if err := e.start(); err != nil {
 			return errors.Wrap(err, "endpoint")
