--- a/throttle/policy.go
+++ b/throttle/policy.go
@@ -13,8 +13,8 @@
 	maxWindow = 30 * time.Second
 	// usedShare is the share of a limit that is used. The rest makes up for requests that gateways send before they hear of each other's.
 	usedShare = 0.95
-	// contentionTime is three times the time until gateways hear of each other's requests. A gateway waits for a random share of it, for each
-	// other gateway, before it takes room that all of them see at the same time.
+	// contentionTime is the longest time that a gateway waits, for each other gateway, before it takes room that all of them see at the same
+	// time. The share that it waits is random, so that most hear of a request before they send one.
 	contentionTime = 75 * time.Millisecond
 	// reuseTime is the time for which a gateway keeps room for itself that its own request has left: nobody else takes it at the same
 	// moment. It does so for reuseShare of its requests, so that others get their turn.
