store, gatewayd: log the era of the store and the versions at which state is taken

The hypotheses for a configuration that is confirmed and not in force could not be told apart: no line said that the store had come back from a copy, nor from which version a configuration or a list came. store_restored, and version in config_adopted and endpoints_read, do. No change of behaviour; unit tests of platform and gatewayd pass.

--- a/internal/gatewayd/follower.go
+++ b/internal/gatewayd/follower.go
@@ -104,7 +104,7 @@
 	if err == nil && len(state.Config) > 0 {
 		var config []byte
 		if config, err = exchange.Decompress(state.Config); err == nil {
-			f.stateSync.updateConfig(config, p.Name)
+			f.stateSync.updateConfig(config, p.Name, 0)
 		}
 	}
 	if err != nil {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -110,7 +110,7 @@
 		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), stateSync: newStateSync(opts.Log),
 		scheduler: placement.NewScheduler(), backend: platform.NewBackend(),
 	}
-	d.store = platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Registerer: d.metricsRegistry})
+	d.store = platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Registerer: d.metricsRegistry, Log: d.log})
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
 	d.quarantine = quarantine.New(quarantine.Options{Gateways: countGateways, Log: d.log, Registerer: d.metricsRegistry})
@@ -201,7 +201,7 @@
 	endpoints.CoalesceDelay = endpointCoalesceDelay
 	config.Await, endpoints.Await = d.follower.awaitTurn(), d.follower.awaitTurn()
 	endpoints.KnownVersion = stateSync.registry.Version
-	config.OnFullRead = func(rows []platform.Row, _ int64) { stateSync.applyConfigRows(rows) }
+	config.OnFullRead = func(rows []platform.Row, version int64) { stateSync.applyConfigRows(rows, version) }
 	config.OnChange = config.OnFullRead
 	endpoints.OnFullRead, endpoints.OnChange = stateSync.replaceEndpoints, stateSync.updateEndpoints
 	config.OnError = func(err error) { stateSync.markTableDown(config.Table, err) }
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -109,8 +109,8 @@
 // fromStore is the source of a configuration that was read from the store; others are names of peers.
 const fromStore = "store"
 
-// updateConfig decodes a configuration and uses it if it is newer than the current one.
-func (s *stateSync) updateConfig(source []byte, from string) {
+// updateConfig decodes a configuration and uses it if it is newer than the current one. version is that of the store which included it, or 0.
+func (s *stateSync) updateConfig(source []byte, from string, version int64) {
 	snapshot, err := platform.DecodeConfig(source)
 	if err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "config_invalid", "from": from}).Error("ignoring invalid configuration")
@@ -120,15 +120,15 @@
 		if from == fromStore {
 			s.onNews()
 		}
-		s.log.WithFields(logrus.Fields{"event": "config_adopted", "epoch": snapshot.Epoch, "from": from}).
+		s.log.WithFields(logrus.Fields{"event": "config_adopted", "epoch": snapshot.Epoch, "from": from, "version": version}).
 			Info("configuration is in force")
 	}
 }
 
-func (s *stateSync) applyConfigRows(rows []platform.Row) {
+func (s *stateSync) applyConfigRows(rows []platform.Row, version int64) {
 	for _, row := range rows {
 		if row.IsConfig() {
-			s.updateConfig(row.Value, fromStore)
+			s.updateConfig(row.Value, fromStore, version)
 		}
 	}
 }
@@ -154,7 +154,7 @@
 	changed := 0
 	s.registry.ApplyVersion(version, func() { changed = s.registry.Replace(entries, version) })
 	s.onNews()
-	s.log.WithFields(logrus.Fields{"event": "endpoints_read", "listed": len(entries), "changed": changed}).
+	s.log.WithFields(logrus.Fields{"event": "endpoints_read", "listed": len(entries), "changed": changed, "version": version}).
 		Info("endpoints read from the store")
 }
 
--- a/internal/gatewayd/statesync_test.go
+++ b/internal/gatewayd/statesync_test.go
@@ -36,10 +36,10 @@
 func TestOlderOrInvalidConfigurationIsIgnored(t *testing.T) {
 	s := newTestStateSync()
 	for _, text := range []string{`{"Version":5}`, `{"Version":4}`, `{"Version":9,"Routes":1}`, `{}`} {
-		s.updateConfig([]byte(text), "store")
+		s.updateConfig([]byte(text), "store", 0)
 		require.Equal(t, int64(5), s.config.Snapshot().Epoch)
 	}
-	s.updateConfig([]byte(`{"Version":6}`), "peer")
+	s.updateConfig([]byte(`{"Version":6}`), "peer", 0)
 	require.Equal(t, int64(6), s.config.Snapshot().Epoch)
 }
 
