--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -117,7 +117,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := &daemon{log: log, stateSync: newStateSync(log),
-		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}}),
+		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}, Log: log}),
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
 	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
 		Sharing: func() int { return d.exchange.CircleSize() }})
