registry: endpoints after a restore of the store

After the store has come back from a copy, an endpoint that had left was used again because the copy listed it; one that had registered since the copy was dropped at once by gateways that noticed no outage; and gateways that follow others kept removed endpoints for up to 3 s, since they ignored the lists of peers meanwhile.

A list of a later era starts the grace period of an outage. An entry that may be from before a removal known here stays out of use until it is written again, or the store still lists it after 10 s.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,6 +24,9 @@
 	maxAvoidance = 3 * time.Second
 	// tombstoneTTL is the time for which a removed endpoint is remembered, so that a late entry does not add it again.
 	tombstoneTTL = time.Minute
+	// restoredGracePeriod is the time after which an entry that was removed before the store came back from a copy counts as live if the store
+	// still lists it. What the copy lacks is written again within that time, removals included.
+	restoredGracePeriod = 10 * time.Second
 	// failureRateWeight is the weight of the latest outcome in the failure rate, an exponential moving average.
 	failureRateWeight = 0.15
 	// slowdownWeight is the weight of the latest observation in the slowdown, an exponential moving average. minSlowdownSample and
@@ -42,7 +45,7 @@
 	Slots    int
 	Draining bool
 	Born     int64 // start time in Unix milliseconds; 0: not given. A restarted endpoint may keep its ID.
-	Version  int64 // of the store, at the latest change of the entry; 0: not given
+	Version  int64 // position of the latest change of the entry; 0: not given
 }
 
 // Endpoint is an endpoint that is in use. Its Entry does not change. A restart of the endpoint creates a new Endpoint.
@@ -77,10 +80,12 @@
 
 type record struct {
 	endpoint        *Endpoint
-	version         int64     // of the store, at the latest known change of the entry
+	version         int64     // position of the latest known change of the entry
+	listedAt        int64     // position of the latest entry, as opposed to its removal
 	draining        bool      // according to the store or to a response of the endpoint
 	removedAt       time.Time // when the entry was removed from the store; zero: it is listed
 	expiredInOutage bool      // removed around a store outage; stays in use until outageGracePeriod has passed
+	restoredAt      time.Time // when a copy from before the removal listed it again; zero: none did
 }
 
 // Registry is the set of known endpoints. It is safe for concurrent use.
@@ -90,10 +95,10 @@
 	storeDown      bool
 	downSince      time.Time // when the store was first found down, while storeDown
 	outageEndedAt  time.Time // of the latest store outage
-	startedVersion int64     // latest version of the store whose changes are applied or being applied
-	appliedVersion int64     // latest version of the store whose changes are completely applied
-	changedVersion int64     // version of the store at the latest known change of an entry
-	// forgottenVersion is the version of the store up to which entries may have been removed that are not recorded here.
+	startedVersion int64     // latest position whose changes are applied or being applied
+	appliedVersion int64     // latest position whose changes are completely applied
+	changedVersion int64     // position of the latest known change of an entry
+	// forgottenVersion is the position up to which entries may have been removed that are not recorded here.
 	forgottenVersion int64
 	now              func() time.Time
 }
@@ -110,27 +115,46 @@
 func (r *Registry) Upsert(e Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.upsert(e)
+	return r.upsert(e, r.appliedVersion)
 }
 
-func (r *Registry) upsert(e Entry) bool {
+// upsert is Upsert for an entry of a list that continues one at a position.
+func (r *Registry) upsert(e Entry, since int64) bool {
 	old := r.records[e.ID]
 	if old != nil && (old.endpoint.Born > e.Born || e.Version != 0 && e.Version < old.version) {
 		return false // the entry is from before a restart or a later change
 	}
 	r.changedVersion = max(r.changedVersion, e.Version)
 	if old == nil || old.endpoint.Born != e.Born || old.endpoint.Addr != e.Addr || old.endpoint.Service != e.Service {
-		r.records[e.ID] = &record{endpoint: &Endpoint{Entry: e}, version: e.Version, draining: e.Draining}
+		r.records[e.ID] = &record{endpoint: &Endpoint{Entry: e}, version: e.Version, listedAt: e.Version, draining: e.Draining}
 		return true
 	}
 	old.version = max(old.version, e.Version)
-	changed := !old.removedAt.IsZero() || e.Draining && !old.draining
-	old.removedAt, old.expiredInOutage = time.Time{}, false
+	startsDraining := e.Draining && !old.draining
 	old.draining = old.draining || e.Draining // an endpoint that shuts down does not become ready again without a restart
+	if r.precedesRemoval(e, old, since) {
+		if old.restoredAt.IsZero() {
+			old.restoredAt = r.now()
+			return true
+		}
+		return startsDraining
+	}
+	changed := !old.removedAt.IsZero() || startsDraining
+	old.removedAt, old.restoredAt, old.expiredInOutage, old.listedAt = time.Time{}, time.Time{}, false, e.Version
 	return changed
 }
 
-// Remove marks entries as removed from the store at a version of it.
+// precedesRemoval reports whether an entry may be one from before the removal of a record, which the store lists again only because it came
+// back from a copy. An entry that was written after an earlier position of the same era is not from the copy.
+func (r *Registry) precedesRemoval(e Entry, rec *record, since int64) bool {
+	if rec.removedAt.IsZero() || rec.restoredAt.IsZero() && r.usable(rec, r.now()) {
+		return false
+	}
+	writtenSince := EraOf(since) == EraOf(e.Version) && e.Version > since
+	return !writtenSince && EraOf(e.Version) > EraOf(rec.listedAt) && VersionOf(e.Version) <= VersionOf(rec.listedAt)
+}
+
+// Remove marks entries as removed from the store at a position.
 func (r *Registry) Remove(version int64, ids ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,7 +166,7 @@
 	return r.storeDown || r.now().Sub(r.outageEndedAt) < outageWindow
 }
 
-// remove marks entries as removed at a version of the store and returns the number of those that were listed. Entries that
+// remove marks entries as removed at a position and returns the number of those that were listed. Entries that
 // changed later stay. nearOutage means that they may have expired because of a store outage.
 func (r *Registry) remove(ids []string, version int64, nearOutage bool) (removed int) {
 	now := r.now()
@@ -151,7 +175,7 @@
 		if rec == nil || version < rec.version {
 			continue
 		}
-		rec.version, r.changedVersion = version, max(r.changedVersion, version)
+		rec.version, r.changedVersion, rec.restoredAt = version, max(r.changedVersion, version), time.Time{}
 		if rec.removedAt.IsZero() {
 			rec.removedAt, rec.expiredInOutage = now, nearOutage
 			removed++
@@ -161,8 +185,8 @@
 	return removed
 }
 
-// ApplyVersion runs changes, which must apply the changes up to a version of the store. From the start of changes on, lists of
-// peers with an older version are ignored. Version increases when changes has returned.
+// ApplyVersion runs changes, which must apply the changes up to a position. From the start of changes on, lists of
+// peers with an older one are ignored. Version increases when changes has returned.
 func (r *Registry) ApplyVersion(version int64, changes func()) {
 	r.mu.Lock()
 	r.startedVersion = max(r.startedVersion, version)
@@ -173,38 +197,47 @@
 	r.mu.Unlock()
 }
 
-// Version returns the latest version of the store whose changes are completely applied.
+// Version returns the latest position whose changes are completely applied.
 func (r *Registry) Version() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.appliedVersion
 }
 
-// ChangedVersion returns the version of the store at the latest known change of an entry.
+// ChangedVersion returns the position of the latest known change of an entry.
 func (r *Registry) ChangedVersion() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.changedVersion
 }
 
-// Replace applies a full list of the store's entries at a version of it: endpoints that are not in it are removed. It returns
+// Replace applies a full list of the store's entries at a position: endpoints that are not in it are removed. It returns
 // the number of changed entries.
 func (r *Registry) Replace(entries []Entry, version int64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.replace(entries, version, r.nearOutage())
+	if r.isRestored(version) && !r.storeDown {
+		r.outageEndedAt = r.now() // entries that the copy lacks are written again, as after an outage
+	}
+	return r.replace(entries, version, r.appliedVersion, r.nearOutage())
 }
 
-func (r *Registry) replace(entries []Entry, version int64, nearOutage bool) (changed int) {
+// isRestored reports whether a position is of a later era than the list, so that the store has come back from a copy since.
+func (r *Registry) isRestored(version int64) bool {
+	return r.appliedVersion != 0 && EraOf(version) > EraOf(r.appliedVersion)
+}
+
+// replace is Replace after a list at the position since. nearOutage means that missing entries may have expired because of a store outage.
+func (r *Registry) replace(entries []Entry, version, since int64, nearOutage bool) (changed int) {
 	r.forgottenVersion = max(r.forgottenVersion, version) // entries that came and went before it are not known here
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 	}
-	changed = r.upsertAll(entries)
+	changed = r.upsertAll(entries, since)
 	var missing []string
 	for id, rec := range r.records {
-		if !listed[id] && (rec.removedAt.IsZero() || rec.expiredInOutage) {
+		if !listed[id] && (rec.removedAt.IsZero() || rec.expiredInOutage || !rec.restoredAt.IsZero()) {
 			missing = append(missing, id)
 		}
 	}
@@ -269,10 +302,12 @@
 	if rec.draining {
 		return false
 	}
-	if rec.removedAt.IsZero() {
+	switch {
+	case rec.removedAt.IsZero():
 		return true
-	}
-	if !rec.expiredInOutage {
+	case !rec.restoredAt.IsZero():
+		return now.Sub(rec.restoredAt) >= restoredGracePeriod
+	case !rec.expiredInOutage:
 		return false
 	}
 	return r.storeDown || now.Sub(r.outageEndedAt) < outageGracePeriod
