gatewayd: the address of a gateway is listed again after a restore of the store

A gateway wrote its row of the list of gateways once. If the store came back from a copy from before that, the row was gone for good, and gateways that started later did not find it by the list. The row is written again when the gateway, or a peer, sees a new era; at random times within 1.5 s.

--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -116,7 +116,7 @@
 func (n *testNode) start() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := &daemon{log: log, stateSync: newStateSync(log),
+	d := &daemon{log: log, stateSync: newStateSync(log), settings: &platform.Settings{Name: n.name, InternalAddr: n.addr},
 		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}, Log: log}),
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
 	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
@@ -136,7 +136,7 @@
 	n.fleet.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	tasks := []func(context.Context){d.exchange.Run, d.follower.run, d.storage.run}
+	tasks := []func(context.Context){d.exchange.Run, d.follower.run, d.storage.run, d.maintainPeerList}
 	for _, w := range d.watchers() {
 		tasks = append(tasks, w.Run)
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	stdlog "log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -48,6 +49,8 @@
 	// peerListRetryDelay is the delay after a failed call. Calls are billed, and in an outage all gateways make them.
 	peerListRetryDelay = 1500 * time.Millisecond
 	peerListJitter     = 0.5
+	// eraCheckInterval is the interval at which the gateway looks whether its row may have been lost.
+	eraCheckInterval = 500 * time.Millisecond
 	// drainNoticeTime is the time from the first failing readiness check until the platform sends no new requests: two checks at
 	// an interval of one second and a margin.
 	drainNoticeTime = 2800 * time.Millisecond
@@ -256,32 +259,58 @@
 	}
 }
 
-// maintainPeerList adds the address of this gateway to the list in the store and reads the addresses of the others from it.
+// maintainPeerList adds the address of this gateway to the list in the store, again after each restore of the store, and reads the addresses
+// of the others from it.
 func (d *daemon) maintainPeerList(ctx context.Context) {
 	row, err := json.Marshal(peerRow{Addr: d.settings.InternalAddr})
 	if err != nil {
 		d.log.WithError(err).Error("cannot encode the gateway address")
 		return
 	}
-	listed := false
+	listedEra := int64(noEra)
 	for ctx.Err() == nil {
-		if !listed {
-			listed = d.logFailure(d.store.PutPeer(ctx, d.settings.Name, row), "peer_list_write")
+		if d.era() > listedEra && !d.draining.Load() {
+			if era, err := d.store.PutPeer(ctx, d.settings.Name, row); d.logFailure(err, "peer_list_write") {
+				listedEra = era
+			}
 		}
 		pause := peerListRetryDelay
-		if listed { // gateways that write before they read cannot miss each other
+		if listedEra > noEra { // gateways that write before they read cannot miss each other
 			rows, err := d.store.Peers(ctx)
 			if d.logFailure(err, "peer_list_read") {
 				d.addPeers(rows)
 				pause = peerListInterval * time.Duration(max(len(rows), 1))
 			}
 		}
-		if timing.Sleep(ctx, timing.Jitter(pause, peerListJitter)) != nil {
+		if d.sleepUntilRestore(ctx, timing.Jitter(pause, peerListJitter), listedEra) != nil {
 			return
 		}
 	}
 }
 
+// noEra is lower than any era of the store.
+const noEra = -1
+
+// era returns the latest era of the store that this gateway or a peer has seen.
+func (d *daemon) era() int64 {
+	era, _ := d.store.Era()
+	return max(era, registry.EraOf(d.stateSync.registry.Version()))
+}
+
+// sleepUntilRestore waits for a time, or until the store is found to have come back from a copy since an era. It then waits for a random
+// share of peerListRetryDelay, as all gateways find that at about the same time.
+func (d *daemon) sleepUntilRestore(ctx context.Context, wait time.Duration, era int64) error {
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if era > noEra && d.era() > era {
+			return timing.Sleep(ctx, rand.N(peerListRetryDelay))
+		}
+		if err := timing.Sleep(ctx, min(eraCheckInterval, time.Until(end))); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
 // peerRow is the value of a row in the list of gateways.
 type peerRow struct {
 	Addr string `json:"addr"` // host:port for the exchange
--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
@@ -179,3 +181,16 @@
 		f.requireThroughout(5*time.Second, f.all, "removed endpoint", uses("i0", false))
 	})
 }
+
+// The address of a gateway that started since the copy must be in the list of gateways again, so that later ones find it.
+func TestAddressThatTheCopyLacksIsListedAgain(t *testing.T) {
+	withRestore(t, func(f *testFleet, away time.Duration) {
+		f.store.RemoveKey(platformtest.TablePeers, f.all[0].name)
+		f.store.RemoveKey(platformtest.TablePeers, f.all[3].name)
+		copied := f.store.Copy()
+		f.restore(copied, away)
+		f.store.SetEndpoint("i0", testEndpoint(0))
+		time.Sleep(longPollTimeout + 2*peerListRetryDelay)
+		require.Len(f.t, f.store.Keys(platformtest.TablePeers), len(f.all))
+	})
+}
