quarantine: what is blocked is stored again after a restore of the store

Records of what crashes endpoints are written to the store once. If the store came back from a copy from before that, they were gone, and a restart of all gateways would have let the part crash endpoints again. After a new era each gateway with records reads the rows again, at a random time within 1.5 s, and writes what is missing; rows of subjects that have turned out to be harmless since are removed again. Statements of peers that a record is stored do not count for that: they may be from before the restore.

TestBlockedPartThatTheCopyLacksIsStoredAgain failed before in all four cases.

--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -121,7 +121,7 @@
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
 	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
 		Sharing: func() int { return d.exchange.CircleSize() }})
-	d.storage = newQuarantineStorage(d.store, d.quarantine, log)
+	d.storage = newQuarantineStorage(d.store, d.quarantine, d.era, log)
 	d.exchange = exchange.New(exchange.Options{Name: n.name, Addr: n.addr, FailureDomain: n.domain, Conn: memConn{n},
 		Scheduler: d.scheduler, Quarantine: d.quarantine, Throttle: d.throttle, Versions: d.stateSync.versions, Log: log})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -119,7 +119,7 @@
 	d.quarantine = quarantine.New(quarantine.Options{Gateways: countGateways, Log: d.log, Registerer: d.metricsRegistry})
 	d.throttle = throttle.New(throttle.Options{Gateways: countGateways,
 		Sharing: func() int { return d.exchange.CircleSize() }, Log: d.log, Registerer: d.metricsRegistry})
-	d.storage = newQuarantineStorage(d.store, d.quarantine, d.log)
+	d.storage = newQuarantineStorage(d.store, d.quarantine, d.era, d.log)
 	conn, err := net.ListenPacket("udp", s.InternalAddr)
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange")
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	minReadTime = 150 * time.Millisecond
 	// maxQuarantineWait is longer than the interval at which peers send what they know.
 	maxQuarantineWait = time.Second
+	// maxRereadDelay spreads the reads of the gateways after a restore of the store.
+	maxRereadDelay = 1500 * time.Millisecond
 	// maxQuarantineRows bounds the rows of one transaction of the store.
 	maxQuarantineRows = 100
 )
@@ -29,14 +32,18 @@
 type quarantineStorage struct {
 	store   *platform.Store
 	tracker *quarantine.Tracker
+	era     func() int64 // latest era of the store that is known
 	log     *logrus.Logger
 
 	loaded   atomic.Bool
 	answered chan struct{} // signals that the store has answered another call
+
+	readEra  int64     // in which the records were last read; used by run only
+	rereadAt time.Time // when they are read again after a restore; zero: there was none. Used by run only.
 }
 
-func newQuarantineStorage(store *platform.Store, tracker *quarantine.Tracker, log *logrus.Logger) *quarantineStorage {
-	return &quarantineStorage{store: store, tracker: tracker, log: log, answered: make(chan struct{}, 1)}
+func newQuarantineStorage(store *platform.Store, tracker *quarantine.Tracker, era func() int64, log *logrus.Logger) *quarantineStorage {
+	return &quarantineStorage{store: store, tracker: tracker, era: era, log: log, answered: make(chan struct{}, 1)}
 }
 
 // noteAnswer tells that the store has answered another call, so that a read that hangs since an outage is repeated at once.
@@ -71,7 +78,35 @@
 			return
 		}
 	}
-	timing.Every(ctx, quarantineWriteInterval, func() { q.save(ctx) })
+	timing.Every(ctx, quarantineWriteInterval, func() {
+		q.reconcile(ctx)
+		q.save(ctx)
+	})
+}
+
+// reconcile reads the stored records again after the store has come back from a copy. Gateways do so at different times, so that most
+// find what they would write.
+func (q *quarantineStorage) reconcile(ctx context.Context) {
+	now := time.Now()
+	switch {
+	case q.era() <= q.readEra:
+		return
+	case q.tracker.Empty():
+		q.readEra = q.era()
+		return
+	case q.rereadAt.IsZero():
+		q.rereadAt = now.Add(rand.N(maxRereadDelay))
+	}
+	if now.Before(q.rereadAt) {
+		return
+	}
+	records, _, err := q.read(ctx)
+	if err != nil {
+		q.rereadAt = now.Add(timing.Jitter(quarantineRetryDelay, peerListJitter))
+		return
+	}
+	q.tracker.Reconcile(records)
+	q.rereadAt = time.Time{}
 }
 
 // tryLoad reads the stored records. It gives up a call that has not been answered after minReadTime when the store answers another one.
@@ -97,14 +132,27 @@
 }
 
 func (q *quarantineStorage) load(ctx context.Context) bool {
-	rows, err := q.store.QuarantineRows(ctx)
+	records, expired, err := q.read(ctx)
 	if err != nil {
-		q.log.WithError(err).WithField("event", "quarantine_read").Warn("call to the store failed")
 		return false
 	}
+	q.tracker.Merge(records)
+	if len(records) > 0 {
+		q.log.WithFields(logrus.Fields{"event": "quarantine_read", "records": len(records)}).Info("blocked subjects read from the store")
+	}
+	q.update(ctx, nil, expired[:min(len(expired), maxQuarantineRows)])
+	return true
+}
+
+// read returns the stored records, and the keys of those that have expired.
+func (q *quarantineStorage) read(ctx context.Context) (records []quarantine.Record, expired []string, err error) {
+	rows, era, err := q.store.QuarantineRows(ctx)
+	if err != nil {
+		q.log.WithError(err).WithField("event", "quarantine_read").Warn("call to the store failed")
+		return nil, nil, err
+	}
+	q.readEra = era
 	now := time.Now()
-	var records []quarantine.Record
-	var expired []string
 	for _, row := range rows {
 		r, err := quarantine.DecodeRow(row.Value, now)
 		switch {
@@ -116,12 +164,7 @@
 			records = append(records, r)
 		}
 	}
-	q.tracker.Merge(records)
-	if len(records) > 0 {
-		q.log.WithFields(logrus.Fields{"event": "quarantine_read", "records": len(records)}).Info("blocked subjects read from the store")
-	}
-	q.update(ctx, nil, expired[:min(len(expired), maxQuarantineRows)])
-	return true
+	return records, expired, nil
 }
 
 func (q *quarantineStorage) save(ctx context.Context) {
--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrylink/bilberrylink/platform/platformtest"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 )
 
 // requireThroughout checks the condition at all given gateways for some time.
@@ -194,3 +195,42 @@
 		require.Len(f.t, f.store.Keys(platformtest.TablePeers), len(f.all))
 	})
 }
+
+// What is blocked must be in the store again after the copy has lost it, so that it outlasts a restart of all gateways, and what is
+// harmless must not stay there.
+func TestBlockedPartThatTheCopyLacksIsStoredAgain(t *testing.T) {
+	withRestore(t, func(f *testFleet, away time.Duration) {
+		empty := f.store.Copy()
+		for i := range 5 {
+			crashAt(f.all[i%4], i)
+		}
+		f.requireEverywhere(time.Second, f.all, "part", blocks("bad"))
+		time.Sleep(longPollTimeout)
+		require.NotEmpty(f.t, f.store.Keys(platformtest.TableBlocked))
+		blocked := f.store.Copy()
+		f.restore(empty, away)
+		f.store.SetEndpoint("i0", testEndpoint(0))
+		time.Sleep(longPollTimeout + maxRereadDelay + time.Second)
+		require.NotEmpty(f.t, f.store.Keys(platformtest.TableBlocked))
+		f.restartAll()
+		f.requireEverywhere(contactBound, f.all, "part after a restart of all gateways", blocks("bad"))
+
+		f.all[0].daemon.quarantine.RecordProgress([]quarantine.Subject{quarantine.PartSubject("bad")})
+		time.Sleep(time.Second)
+		require.Empty(f.t, f.store.Keys(platformtest.TableBlocked))
+		f.restore(blocked, away)
+		f.store.SetEndpoint("i0", testEndpoint(0))
+		time.Sleep(longPollTimeout + maxRereadDelay + time.Second)
+		require.Empty(f.t, f.store.Keys(platformtest.TableBlocked), "the part has made progress since")
+		require.False(f.t, blocks("bad")(f.all[1].daemon))
+	})
+}
+
+func (f *testFleet) restartAll() {
+	for _, n := range f.all {
+		n.kill()
+	}
+	for _, n := range f.all {
+		n.start()
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -67,6 +67,7 @@
 	sawCrash    bool      // this gateway has seen one of the crashes
 	storeAt     time.Time // when this gateway stores the record if no other has
 	removeRow   bool      // the row in the store is outdated
+	rowLost     bool      // the store has lost the row, whatever peers say of it
 }
 
 // New returns a Tracker without records.
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -70,7 +70,7 @@
 	now := t.opts.Now()
 	for s, e := range t.records {
 		switch {
-		case e.verdict != Admitted && !e.isStored(e.verdict) && !now.Before(e.storeAt):
+		case e.verdict != Admitted && (e.rowLost || !e.isStored(e.verdict)) && !now.Before(e.storeAt):
 			put = append(put, e.clone())
 		case e.verdict == Admitted && e.removeRow:
 			remove = append(remove, s)
@@ -91,7 +91,7 @@
 		case e.Generation != r.Generation:
 			e.removeRow = true // cleared while it was being stored
 		default:
-			e.StoredEndpoints, e.removeRow = max(e.StoredEndpoints, len(r.crashedEndpoints())), false
+			e.StoredEndpoints, e.removeRow, e.rowLost = max(e.StoredEndpoints, len(r.crashedEndpoints())), false, false
 			t.noteChange(e, true)
 		}
 	}
@@ -107,3 +107,28 @@
 		}
 	}
 }
+
+// Reconcile tells what the store holds after it has lost its latest writes. The records that it lacks are stored again, and the rows of
+// subjects that have turned out to be harmless are removed again.
+func (t *Tracker) Reconcile(held []Record) {
+	bySubject := make(map[Subject]*Record, len(held))
+	for i := range held {
+		bySubject[held[i].Subject] = &held[i]
+	}
+	t.mu.Lock()
+	for s, e := range t.records {
+		r := bySubject[s]
+		sameGeneration := r != nil && r.Generation == e.Generation
+		e.rowLost = e.verdict != Admitted && !(sameGeneration && r.isStored(e.verdict))
+		e.removeRow = e.removeRow || r != nil && r.Generation < e.Generation && e.verdict == Admitted
+	}
+	t.mu.Unlock()
+	t.Merge(held)
+}
+
+// Empty reports whether nothing is recorded.
+func (t *Tracker) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records) == 0
+}
