gateway: endpoints that state in an answer that they shut down get no more requests

An endpoint that leaves says so in all its answers (Server-Leaving). The gateway ignored that and kept sending to it until the store's list said so; with the store away, for as long as the endpoint lived. Its record is now draining from that answer on, which no later entry of the same start undoes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -529,6 +529,9 @@
 ) (failure, bool) {
 	primary := plan.endpoints[0]
 	s.reportFault(plan, resp)
+	if resp.Leaving && s.gw.opts.Registry.MarkDraining(primary) {
+		s.logEntry("endpoint_left").WithField("at", primary.ID).Info("endpoint states that it shuts down")
+	}
 	s.gw.opts.Throttle.Observe(primary.ID, resp.Limit)
 	if resp.NotExecuted || resp.WrongEndpoint {
 		primary.RecordActivity(s.gw.opts.Now())
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -51,6 +51,7 @@
 	SignatureValid   bool // the endpoint's signature is present and valid
 	WrongEndpoint    bool // another endpoint uses the address
 	ClosesConnection bool // the endpoint closes the connection, which suggests that it is shutting down
+	Leaving          bool // the endpoint states that it shuts down
 	Limit            throttle.Statement
 	FaultyEndpoint   string // ID or address of the endpoint that caused the error; empty: the one that responded
 	ContentLength    int64  // -1: not given
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -360,9 +360,7 @@
 	case Succeeded:
 		h.connectionFailures, h.avoidUntil, failed = 0, time.Time{}, 0
 	case ShuttingDown:
-		if rec := r.records[e.ID]; rec != nil && rec.endpoint == e {
-			rec.draining = true
-		}
+		r.markDraining(e)
 		return true
 	case Unreachable:
 		if now.Before(h.avoidUntil) {
@@ -375,6 +373,22 @@
 	return now.Before(h.avoidUntil)
 }
 
+// MarkDraining records that an endpoint has stated that it shuts down, and reports whether that is new. It gets no new requests.
+func (r *Registry) MarkDraining(e *Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.markDraining(e)
+}
+
+func (r *Registry) markDraining(e *Endpoint) bool {
+	rec := r.records[e.ID]
+	if rec == nil || rec.endpoint != e || rec.draining {
+		return false
+	}
+	rec.draining = true
+	return true
+}
+
 // ObserveSlowdown records the ratio of observed to predicted time of a request.
 func (r *Registry) ObserveSlowdown(e *Endpoint, ratio float64) {
 	r.mu.Lock()
