gateway: endpoints that refuse with a time to return get nothing until then

A 503 of an endpoint may name the time for which it wants nothing from this machine. The gateway ignored it and sent further requests, each of which was refused and used up a retry. If all are paused, a request waits for the first one if that is within the share of its time that requests wait for limits, or is refused at once with the time to return.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -347,7 +347,7 @@
 func (s *requestState) choosePlan() (*resolvedPlan, placement.Decision, failure) {
 	usable := s.gw.opts.Registry.Usable(s.service.Name)
 	if len(usable) == 0 {
-		return nil, placement.InsufficientMemory, failure{kind: errkind.NoEndpoint, notExecuted: true, reason: "no endpoint"}
+		return s.waitForResumption()
 	}
 	byID := make(map[string]*registry.Endpoint, len(usable))
 	candidates := s.candidates(usable, byID)
@@ -532,6 +532,10 @@
 	if resp.Leaving && s.gw.opts.Registry.MarkDraining(primary) {
 		s.logEntry("endpoint_left").WithField("at", primary.ID).Info("endpoint states that it shuts down")
 	}
+	if resp.RetryAfter > 0 && s.gw.opts.Registry.Pause(primary, s.gw.opts.Now().Add(resp.RetryAfter)) {
+		s.logEntry("endpoint_paused").WithFields(logrus.Fields{"at": primary.ID, "for_ms": resp.RetryAfter.Milliseconds()}).
+			Info("endpoint wants no requests for a while")
+	}
 	s.gw.opts.Throttle.Observe(primary.ID, resp.Limit)
 	if resp.NotExecuted || resp.WrongEndpoint {
 		primary.RecordActivity(s.gw.opts.Now())
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -39,16 +39,36 @@
 	for i, e := range usable {
 		ids[i] = e.ID
 	}
+	waited, longest := s.waitBounds()
+	ok, retryAfter := s.gw.opts.Throttle.MayWait(ids, waited, longest)
+	return waitOrReject(ok, retryAfter, "endpoints are at their limits")
+}
+
+// waitForResumption decides on a request for which no endpoint is usable: those that are paused may be again in time.
+func (s *requestState) waitForResumption() (*resolvedPlan, placement.Decision, failure) {
+	resumesAt, paused := s.gw.opts.Registry.ResumesAt(s.service.Name)
+	if !paused {
+		return nil, placement.InsufficientMemory, failure{kind: errkind.NoEndpoint, notExecuted: true, reason: "no endpoint"}
+	}
+	waited, longest := s.waitBounds()
+	left := resumesAt.Sub(s.gw.opts.Now())
+	return waitOrReject(waited+left <= longest, left, "endpoints want no requests")
+}
+
+// waitBounds returns how long a request has waited, and how long it may wait in all for an endpoint that accepts it.
+func (s *requestState) waitBounds() (waited, longest time.Duration) {
 	now := s.gw.opts.Now()
-	waited := now.Sub(s.waitingSince())
-	longest := time.Duration(limitWaitShare * float64(waited+s.callerTimeLeft(now)))
+	waited = now.Sub(s.waitingSince())
+	longest = time.Duration(limitWaitShare * float64(waited+s.callerTimeLeft(now)))
 	if s.req.Route.Kind != catalog.Stream && s.req.Route.LatencyTarget > 0 {
 		longest = min(longest, s.req.Route.LatencyTarget)
 	}
-	ok, retryAfter := s.gw.opts.Throttle.MayWait(ids, waited, longest)
-	if ok {
+	return waited, longest
+}
+
+func waitOrReject(wait bool, retryAfter time.Duration, reason string) (*resolvedPlan, placement.Decision, failure) {
+	if wait {
 		return &resolvedPlan{}, placement.Wait, failure{}
 	}
-	return nil, placement.TooCostly, failure{kind: errkind.Overloaded, notExecuted: true, final: true, retryAfter: retryAfter,
-		reason: "endpoints are at their limits"}
+	return nil, placement.TooCostly, failure{kind: errkind.Overloaded, notExecuted: true, final: true, retryAfter: retryAfter, reason: reason}
 }
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -47,11 +47,12 @@
 // Response is a response of an endpoint. Its body may still be arriving.
 type Response struct {
 	Status           int
-	NotExecuted      bool // the endpoint states that it did not execute the request
-	SignatureValid   bool // the endpoint's signature is present and valid
-	WrongEndpoint    bool // another endpoint uses the address
-	ClosesConnection bool // the endpoint closes the connection, which suggests that it is shutting down
-	Leaving          bool // the endpoint states that it shuts down
+	NotExecuted      bool          // the endpoint states that it did not execute the request
+	SignatureValid   bool          // the endpoint's signature is present and valid
+	WrongEndpoint    bool          // another endpoint uses the address
+	ClosesConnection bool          // the endpoint closes the connection, which suggests that it is shutting down
+	Leaving          bool          // the endpoint states that it shuts down
+	RetryAfter       time.Duration // for which the endpoint, which refuses the request, wants no others of this gateway; 0: not given
 	Limit            throttle.Statement
 	FaultyEndpoint   string // ID or address of the endpoint that caused the error; empty: the one that responded
 	ContentLength    int64  // -1: not given
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -63,7 +63,8 @@
 
 type health struct {
 	connectionFailures int       // consecutive ones
-	avoidUntil         time.Time // no new requests before this time
+	avoidUntil         time.Time // no new requests before this time if others are usable
+	pausedUntil        time.Time // no new requests before this time, as the endpoint has stated
 	failureRate        float64   // 0 to 1, moving average
 	slowdown           float64   // ratio of observed to predicted time, moving average; 0: unknown
 }
@@ -313,8 +314,8 @@
 	return r.storeDown || now.Sub(r.outageEndedAt) < outageGracePeriod
 }
 
-// Usable returns the endpoints of a service that new requests may be sent to, sorted by ID. It leaves out endpoints with a
-// recent connection failure as long as there are others.
+// Usable returns the endpoints of a service that new requests may be sent to, sorted by ID. It leaves out those that are paused, and
+// endpoints with a recent connection failure as long as there are others.
 func (r *Registry) Usable(service string) []*Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -326,7 +327,7 @@
 			r.forgottenVersion = max(r.forgottenVersion, rec.version)
 			continue
 		}
-		if rec.endpoint.Service != service || !r.usable(rec, now) {
+		if rec.endpoint.Service != service || !r.usable(rec, now) || now.Before(rec.endpoint.health.pausedUntil) {
 			continue
 		}
 		if now.Before(rec.endpoint.health.avoidUntil) {
@@ -347,7 +348,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[e.ID]
-	return rec != nil && rec.endpoint == e && r.usable(rec, r.now())
+	now := r.now()
+	return rec != nil && rec.endpoint == e && r.usable(rec, now) && !now.Before(e.health.pausedUntil)
+}
+
+// Pause records that an endpoint wants no new requests until a time, and reports whether it was not paused before.
+func (r *Registry) Pause(e *Endpoint, until time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wasPaused := r.now().Before(e.health.pausedUntil)
+	if until.After(e.health.pausedUntil) {
+		e.health.pausedUntil = until
+	}
+	return !wasPaused
+}
+
+// ResumesAt returns when the first paused endpoint of a service may get requests again; ok is false if none is paused.
+func (r *Registry) ResumesAt(service string) (at time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for _, rec := range r.records {
+		until := rec.endpoint.health.pausedUntil
+		if rec.endpoint.Service == service && r.usable(rec, now) && now.Before(until) && (!ok || until.Before(at)) {
+			at, ok = until, true
+		}
+	}
+	return at, ok
 }
 
 // ReportOutcome records the outcome of a request to an endpoint and reports whether the endpoint is avoided now.
