gateway: attempts after a broken stream are paid for when an endpoint answers with an error

When a stream had begun and broken off, and the next endpoint answered with a server error, the further attempt was marked as paid without being taken from the retry budget: up to MaxAttempts endpoints got the request, whatever the budget said.

TestErrorAfterABrokenStreamReachesNoCaller failed before in one case, with five requests where the budget allowed two.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -567,7 +567,10 @@
 	if resp.Status >= 500 {
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
 		f := failure{kind: errkind.EndpointFailed, reason: "endpoint failed " + strconv.Itoa(resp.Status)}
-		if !s.headerWritten.Load() && !s.tryRetry(f, s.gw.opts.Now()) {
+		if s.headerWritten.Load() {
+			return f, false // a stream cannot continue with the error
+		}
+		if !s.tryRetry(f, s.gw.opts.Now()) {
 			return s.writeWhole(resp, body)
 		}
 		f.retryPaid = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -530,3 +530,45 @@
 		require.NotEmpty(t, seen)
 	})
 }
+
+// A stream that broke off must not be continued with the error of the next endpoint, nor look complete because of it, and its attempts
+// must be paid for.
+func TestErrorAfterABrokenStreamReachesNoCaller(t *testing.T) {
+	for name, second := range map[string]func() (*Response, error){
+		"error":       func() (*Response, error) { return newResponse(500, "id: 3\ndata: broken\n\n"), nil },
+		"bad request": func() (*Response, error) { return newResponse(400, "id: 3\ndata: broken\n\n"), nil },
+		"not found":   func() (*Response, error) { return newResponse(404, ""), nil },
+		"refusal": func() (*Response, error) {
+			resp := newResponse(503, "full")
+			resp.NotExecuted = true
+			return resp, nil
+		},
+		"other address": func() (*Response, error) {
+			resp := newResponse(421, "")
+			resp.NotExecuted, resp.WrongEndpoint = true, true
+			return resp, nil
+		},
+		"unsigned": func() (*Response, error) {
+			resp := newResponse(200, eventText(3, 4))
+			resp.SignatureValid = false
+			return resp, nil
+		},
+		"broken":      func() (*Response, error) { r := newResponse(200, ""); r.Body = brokenBody("id: 3\nda"); return r, nil },
+		"broken head": func() (*Response, error) { return nil, errReset },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newTestGateway(func(_ context.Context, n int, _ *EndpointRequest) (*Response, error) {
+				if n == 1 {
+					return &Response{Status: 200, SignatureValid: true, ContentLength: -1, Body: brokenBody(eventText(1, 2))}, nil
+				}
+				return second()
+			})
+			tg.gateway.opts.RetryBudget = NewRetryBudget(0, 2, 10*time.Second, func() int { return 1 }, time.Now)
+			caller := tg.serve(t.Context(), catalog.Stream, func(r *Request) { r.Route.MaxAttempts = 5 })
+			require.Equal(t, eventText(1, 2), caller.body.String())
+			require.Equal(t, 1, caller.responses)
+			require.True(t, caller.aborted)
+			require.Len(t, tg.requests, 2, "the budget allows one further attempt")
+		})
+	}
+}
