agent: a refusal to resume a stream is no refusal of the stream

An engine that had begun a stream, broke it before the first token and then refused to resume it (no memory, version not loaded) made the agent report the attempt as not run; the entry then ran it at another endpoint while the first engine might still be at it. Only the answer to the start of a stream can refuse it now.

TestRefusalToResumeIsNoRefusalOfTheStream failed before: overloaded, not run.

--- a/internal/agent/failure_test.go
+++ b/internal/agent/failure_test.go
@@ -451,3 +451,14 @@
 		})
 	}
 }
+
+// Guards against reporting a stream as not run that the engine has begun: a refusal to resume it says nothing of its start.
+func TestRefusalToResumeIsNoRefusalOfTheStream(t *testing.T) {
+	runWithAgent(t, fleet.KindModel, nil, func(t *testing.T, f *fixture) {
+		f.engine.update(func(e *fakeEngine) {
+			e.recvError, e.recvErrorAt, e.resumeError = endpoint.ErrDown, 0, endpoint.ErrNoMemory
+		})
+		requireFailure(t, f.submit(t.Context(), modelRequest("a")), errkind.EndpointFailed, errkind.Ran)
+		require.Equal(t, []string{"a"}, f.engine.recorded().generated)
+	})
+}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -136,13 +137,16 @@
 	generated     []string      // IDs of the streams that were started
 	cancelled     []string      // IDs of cancelled streams and segments
 	orders        []endpoint.Order
-	recvError     error // returned once by Recv after two tokens
+	recvError     error // returned once by Recv after recvErrorAt tokens
+	recvErrorAt   int
+	generateError error // returned once by Generate, which starts nothing
+	resumeError   error // returned by Resume
 }
 
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{report: endpoint.LoadReport{KVCapacityTokens: 100000, PrefillTokensPerSecond: 10000,
 		Loaded: []endpoint.Version{v1}, Incarnation: "i1"}, tokenInterval: 10 * time.Millisecond, answerTokens: 5,
-		crashed: make(chan struct{})}
+		recvErrorAt: 2, crashed: make(chan struct{})}
 }
 
 func (e *fakeEngine) update(change func(*fakeEngine)) {
@@ -177,6 +181,11 @@
 
 func (e *fakeEngine) Generate(ctx context.Context, req endpoint.GenerateRequest) (endpoint.TokenStream, error) {
 	e.mu.Lock()
+	if err := e.generateError; err != nil {
+		e.generateError = nil
+		e.mu.Unlock()
+		return nil, err
+	}
 	e.generated = append(e.generated, req.StreamID)
 	hangs := e.hangs
 	e.report.RunningIDs = append(e.report.RunningIDs, req.StreamID)
@@ -191,6 +200,9 @@
 func (e *fakeEngine) Resume(ctx context.Context, id string, from int) (endpoint.TokenStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.resumeError != nil {
+		return nil, e.resumeError
+	}
 	if !slices.Contains(e.report.RunningIDs, id) {
 		return nil, endpoint.ErrUnknownStream
 	}
@@ -244,7 +256,7 @@
 	s.engine.mu.Lock()
 	interval, answerTokens := s.engine.tokenInterval, s.engine.answerTokens
 	recvErr := s.engine.recvError
-	if s.nextIndex == 2 && recvErr != nil {
+	if s.nextIndex == s.engine.recvErrorAt && recvErr != nil {
 		s.engine.recvError = nil
 		s.engine.mu.Unlock()
 		return endpoint.Token{}, recvErr
@@ -273,14 +285,18 @@
 	calls []string
 	delay time.Duration
 	err   error
+	pause string // value of Retry-After in refusals; empty: it does not refuse
 }
 
 func (s *fakeService) Do(_ context.Context, c endpoint.Call) (endpoint.Response, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, c.Path)
-	delay, err := s.delay, s.err
+	delay, err, pause := s.delay, s.err, s.pause
 	s.mu.Unlock()
 	time.Sleep(delay)
+	if pause != "" {
+		return endpoint.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {pause}}}, nil
+	}
 	return endpoint.Response{Status: 201, Body: []byte("booked")}, err
 }
 
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -135,7 +135,7 @@
 				return a.completeAnswer(att, e.usage)
 			default:
 				resumes++
-				if err := a.streamError(att, e.err, resumes); err != nil {
+				if err := a.streamError(att, e.err, resumes > 1, resumes <= maxEngineResumes); err != nil {
 					return err
 				}
 				events = a.resumeOnEngine(att, nextIndex)
@@ -234,20 +234,22 @@
 	return nil
 }
 
-// streamError converts an error of the engine's stream. It returns nil if the stream may be resumed on the engine.
-func (a *Agent) streamError(att *attempt, err error, resumes int) error {
+// streamError converts an error of the engine's stream. It returns nil if the stream is to be resumed on the engine. resumed means that it
+// has been resumed before: a refusal to resume it says nothing of its start.
+func (a *Agent) streamError(att *attempt, err error, resumed, mayResume bool) error {
 	if att.ctx.Err() != nil {
 		return asRan(context.Cause(att.ctx))
 	}
+	refusable := !resumed && !att.answerStarted.Load()
 	switch {
-	case errors.Is(err, endpoint.ErrNoMemory) && !att.answerStarted.Load():
+	case errors.Is(err, endpoint.ErrNoMemory) && refusable:
 		att.executed.Store(false) // the engine refused the stream
 		return asNotRun(errkind.Wrap(err, errkind.Overloaded, "engine has no memory"))
-	case errors.Is(err, endpoint.ErrNotLoaded) && !att.answerStarted.Load():
+	case errors.Is(err, endpoint.ErrNotLoaded) && refusable:
 		att.executed.Store(false) // the engine refused the stream
 		a.requestOrder()
 		return asNotRun(errkind.Wrap(err, errkind.NotLoaded, "engine has not loaded the version"))
-	case !errors.Is(err, endpoint.ErrDown) || resumes > maxEngineResumes:
+	case !errors.Is(err, endpoint.ErrDown) || !mayResume:
 		return asRan(errkind.Wrap(err, errkind.EndpointFailed, "engine broke the stream"))
 	}
 	if a.detectEngineCrash(att) {
@@ -305,9 +307,8 @@
 }
 
 func (a *Agent) segmentError(att *attempt, err error) error {
-	const noResume = maxEngineResumes + 1
 	if errors.Is(err, endpoint.ErrDown) && a.detectEngineCrash(att) {
 		return newCrashError()
 	}
-	return a.streamError(att, err, noResume)
+	return a.streamError(att, err, false, false)
 }
