agent: an endpoint that refuses with a time to return gets no work until then

The agent now refuses work as overloaded, not run, until that time has passed, both when it arrives and when it would start, so that entries choose another endpoint.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -82,6 +82,9 @@
 	if a.isDraining() && !a.holdsMemory(att) {
 		return errkind.New(errkind.Draining, "endpoint is leaving")
 	}
+	if err := a.checkPaused(); err != nil {
+		return err
+	}
 	if err := a.catchUp(ctx, att.request.GetEpoch()); err != nil {
 		return err
 	}
@@ -94,6 +97,33 @@
 	return a.checkDeadlineMeetable(att)
 }
 
+// pause records that the endpoint wants no requests for some time.
+func (a *Agent) pause(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if until := time.Now().Add(d); d > 0 && until.After(a.pausedUntil) {
+		a.pausedUntil = until
+		a.log.WithField("for", d).Info("endpoint wants no requests for a while")
+	}
+}
+
+// pauseAfter pauses the endpoint if an error of it says so.
+func (a *Agent) pauseAfter(err error) {
+	var refused *endpoint.RefusedError
+	if errors.As(err, &refused) {
+		a.pause(refused.After)
+	}
+}
+
+func (a *Agent) checkPaused() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if time.Now().Before(a.pausedUntil) {
+		return errkind.New(errkind.Overloaded, "endpoint wants no requests for a while")
+	}
+	return nil
+}
+
 // holdsMemory reports whether an attempt continues a long prompt that holds a reservation here. Such an attempt is work in
 // progress, which a draining agent still admits.
 func (a *Agent) holdsMemory(att *attempt) bool {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,7 @@
 	downAt              time.Time // when down was last set
 	fault               string    // why the endpoint cannot serve; empty: it can
 	drainingSince       time.Time // zero: not draining
+	pausedUntil         time.Time // the endpoint wants no requests before this time
 
 	ctx      context.Context
 	cancel   context.CancelFunc
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -184,6 +184,9 @@
 	if err := att.ctx.Err(); err != nil {
 		return asNotRun(context.Cause(att.ctx))
 	}
+	if err := a.checkPaused(); err != nil {
+		return asNotRun(err)
+	}
 	a.mu.Lock()
 	refused := a.refusedIDs.has(att.id)
 	arrivedDraining := !a.drainingSince.IsZero() && att.arrivedAt.After(a.drainingSince) && !att.preReserved()
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -68,6 +68,9 @@
 		if err == nil {
 			a.estimates.observeCall(time.Since(startedAt))
 		}
+		if err == nil && response.Status == http.StatusServiceUnavailable {
+			a.pause(endpoint.RetryAfter(response.Header))
+		}
 		results <- callResult{response, err}
 	}()
 	return results
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -97,6 +97,7 @@
 	go func() {
 		tokens, err := open(att.ctx)
 		if err != nil {
+			a.pauseAfter(err)
 			send(tokenEvent{err: err})
 			return
 		}
@@ -285,6 +286,7 @@
 	go func() {
 		h, err := a.opts.Engine.Prefill(att.ctx, endpoint.PrefillRequest{ID: att.reservation, Version: att.version(),
 			Prompt: prefill.GetPrompt(), Imported: decodeHandles(prefill.GetImported()), Priority: att.priority()})
+		a.pauseAfter(err)
 		results <- result{h, err}
 	}()
 	select {
