endpointhttp: work gets a connection of its own

An endpoint that wrote an answer once more on a kept connection had it taken for the answer to the next call: callers of the first door got another order's answer, and a repeated refusal of an engine made the agent report a stream as not run that the engine ran. Answers on this interface carry no ID, so each piece of work now has its own connection, on the loopback of the VM; reports, health checks and cancellations share connections as before. A refusal that names a time to return is passed on as one.

TestRepeatedAnswersOfAnEndpointBelongToNoCall failed before (answer 1 to the second call). A head that breaks off anywhere was an error before, too: TestAnswerThatBreaksOffInItsHeadIsNoAnswer.

--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -16,20 +16,44 @@
 	"github.com/bilberrylink/bilberrylink/endpoint"
 )
 
+// client sends requests to an endpoint. Answers carry no ID, so that one that the endpoint writes once more on a connection in use again
+// would be taken for the answer to the next request. Work therefore gets a connection of its own, which costs little, as the endpoint
+// is on the same VM. Reports, health checks and cancellations share connections.
 type client struct {
-	baseURL    string
-	httpClient *http.Client
+	baseURL string
+	shared  *http.Client
+	work    *http.Client
 }
 
 func newClient(baseURL string, httpClient *http.Client) client {
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
-	return client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: httpClient}
+	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: withoutKeepAlive(httpClient)}
 }
 
-// do sends a request and returns the response if its status is 200, else the typed error.
+// withoutKeepAlive returns a client like c that uses each connection for one request.
+func withoutKeepAlive(c *http.Client) *http.Client {
+	roundTripper := c.Transport
+	if roundTripper == nil {
+		roundTripper = http.DefaultTransport
+	}
+	single := *c
+	if transport, ok := roundTripper.(*http.Transport); ok {
+		transport = transport.Clone()
+		transport.DisableKeepAlives = true
+		single.Transport = transport
+	}
+	return &single
+}
+
+// do sends a request for work and returns the response if its status is 200, else the typed error.
 func (c client) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	return c.send(ctx, c.work, method, path, body)
+}
+
+// send sends a request with one of the HTTP clients and returns the response if its status is 200, else the typed error.
+func (c client) send(ctx context.Context, httpClient *http.Client, method, path string, body any) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "endpoint request")
@@ -38,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "endpoint request")
 	}
-	resp, err := c.httpClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return nil, transportError(ctx, err)
 	}
@@ -46,7 +70,11 @@
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return nil, responseError(resp)
+	err = responseError(resp)
+	if after := endpoint.RetryAfter(resp.Header); after > 0 {
+		err = &endpoint.RefusedError{Err: err, After: after}
+	}
+	return nil, err
 }
 
 func responseError(resp *http.Response) error {
@@ -65,9 +93,9 @@
 	return errors.Wrap(endpoint.ErrDown, err.Error())
 }
 
-// doJSON sends a request and decodes the response into result, or discards it if result is nil.
-func (c client) doJSON(ctx context.Context, method, path string, body, result any) error {
-	resp, err := c.do(ctx, method, path, body)
+// doJSON sends a request with one of the HTTP clients and decodes the response into result, or discards it if result is nil.
+func (c client) doJSON(ctx context.Context, httpClient *http.Client, method, path string, body, result any) error {
+	resp, err := c.send(ctx, httpClient, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -109,25 +137,25 @@
 
 // Cancel implements endpoint.Engine.
 func (e engine) Cancel(ctx context.Context, id string) error {
-	return e.doJSON(ctx, http.MethodPost, PathCancel+"?"+url.Values{"id": {id}}.Encode(), nil, nil)
+	return e.doJSON(ctx, e.shared, http.MethodPost, PathCancel+"?"+url.Values{"id": {id}}.Encode(), nil, nil)
 }
 
 // Prefill implements endpoint.Engine.
 func (e engine) Prefill(ctx context.Context, s endpoint.PrefillRequest) (endpoint.KVHandle, error) {
 	var h endpoint.KVHandle
-	err := e.doJSON(ctx, http.MethodPost, PathPrefill, s, &h)
+	err := e.doJSON(ctx, e.work, http.MethodPost, PathPrefill, s, &h)
 	return h, err
 }
 
 // ApplyOrder implements endpoint.Engine.
 func (e engine) ApplyOrder(ctx context.Context, o endpoint.Order) error {
-	return e.doJSON(ctx, http.MethodPost, PathOrder, o, nil)
+	return e.doJSON(ctx, e.work, http.MethodPost, PathOrder, o, nil)
 }
 
 // Report implements endpoint.Engine.
 func (e engine) Report(ctx context.Context) (endpoint.LoadReport, error) {
 	var r endpoint.LoadReport
-	err := e.doJSON(ctx, http.MethodGet, PathReport, nil, &r)
+	err := e.doJSON(ctx, e.shared, http.MethodGet, PathReport, nil, &r)
 	return r, err
 }
 
@@ -135,7 +163,7 @@
 func (e engine) CacheEvents(ctx context.Context, seq int64) ([]endpoint.CacheEvent, error) {
 	var events []endpoint.CacheEvent
 	path := PathCacheEvents + "?after=" + strconv.FormatInt(seq, 10)
-	err := e.doJSON(ctx, http.MethodGet, path, nil, &events)
+	err := e.doJSON(ctx, e.shared, http.MethodGet, path, nil, &events)
 	return events, err
 }
 
@@ -254,7 +282,7 @@
 	}
 	req.Header = c.Header.Clone()
 	req.ContentLength = int64(len(c.Body))
-	resp, err := s.httpClient.Do(req)
+	resp, err := s.work.Do(req)
 	if err != nil {
 		return endpoint.Response{}, transportError(ctx, err)
 	}
@@ -274,5 +302,5 @@
 
 // CheckHealth implements endpoint.Service.
 func (s service) CheckHealth(ctx context.Context) error {
-	return s.doJSON(ctx, http.MethodGet, PathHealth, nil, nil)
+	return s.doJSON(ctx, s.shared, http.MethodGet, PathHealth, nil, nil)
 }
--- a/endpoint/endpointhttp/client_test.go
+++ b/endpoint/endpointhttp/client_test.go
@@ -1,11 +1,16 @@
 package endpointhttp_test
 
 import (
+	"bufio"
+	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,3 +65,106 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// rawEndpoint answers each request with what respond returns, and writes the answer to the first request of a connection once more before
+// the answers to later ones.
+func rawEndpoint(t *testing.T, respond func(n int) string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	requests := atomic.Int64{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader, first := bufio.NewReader(c), ""
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					response := respond(int(requests.Add(1)))
+					_, _ = io.WriteString(c, first+response)
+					if first == "" {
+						first = response
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+func rawResponse(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// An answer that an endpoint writes once more, on a connection that is in use again, must not be taken for the answer to a later call.
+func TestRepeatedAnswersOfAnEndpointBelongToNoCall(t *testing.T) {
+	url := rawEndpoint(t, func(n int) string { return rawResponse(200, fmt.Sprintf(`"answer %d"`, n)) })
+	service := endpointhttp.NewService(url, nil)
+	for n := 1; n <= 4; n++ {
+		response, err := service.Do(t.Context(), endpoint.Call{Method: http.MethodPost, Path: "/orders"})
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf(`"answer %d"`, n), string(response.Body))
+	}
+
+	status, body := endpointhttp.EncodeError(endpoint.ErrNoMemory)
+	refusal, err := json.Marshal(body)
+	require.NoError(t, err)
+	tokens := "event: token\ndata: {\"index\":0,\"text\":\"t\"}\n\nevent: end\ndata: {}\n\n"
+	engine := endpointhttp.NewEngine(rawEndpoint(t, func(n int) string {
+		if n == 1 {
+			return rawResponse(status, string(refusal))
+		}
+		return rawResponse(200, tokens)
+	}), nil)
+	_, err = engine.Generate(t.Context(), endpoint.GenerateRequest{StreamID: "a"})
+	require.ErrorIs(t, err, endpoint.ErrNoMemory)
+	stream, err := engine.Generate(t.Context(), endpoint.GenerateRequest{StreamID: "b"})
+	require.NoError(t, err, "the engine runs it")
+	token, err := stream.Recv()
+	require.NoError(t, err)
+	require.Equal(t, "t", token.Text)
+	require.NoError(t, stream.Close())
+}
+
+// An answer whose head breaks off anywhere must not be taken for an empty one.
+func TestAnswerThatBreaksOffInItsHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 x\r\nX-Any: 1\r\nContent-Length: 15\r\n\r\n", "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 x\r\nX-Any: 1\r\n\r\n"} {
+		for cut := 1; cut < len(head); cut++ {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(c, head[:cut])
+					_ = c.Close()
+				}
+			}))
+			_, err := endpointhttp.NewService(server.URL, nil).Do(t.Context(), endpoint.Call{Method: http.MethodPost, Path: "/orders"})
+			require.Error(t, err, "%q", head[:cut])
+			_, err = endpointhttp.NewEngine(server.URL, nil).Generate(t.Context(), endpoint.GenerateRequest{})
+			require.Error(t, err, "%q", head[:cut])
+			server.Close()
+		}
+	}
+}
+
+// A refusal that names a time to return must tell it.
+func TestTimeToReturnOfARefusal(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "2.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	_, err := endpointhttp.NewEngine(server.URL, nil).Generate(t.Context(), endpoint.GenerateRequest{})
+	var refused *endpoint.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, 2500*time.Millisecond, refused.After)
+	require.ErrorIs(t, err, endpoint.ErrDown)
+}
