gateway: an endpoint that accepts no connections for its renewals counts as lost

Nine renewals at the primary had no connection. Ruled out: a lost release, a late renewal.

Two renewals in a row without a connection, and no byte from the endpoint since the first, now end the attempt as a silent one. The caller's request goes on at another endpoint instead of waiting for its deadline.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -444,6 +444,7 @@
 	defer cancel()
 	watch := s.startWatchdog(primary, cancel)
 	defer watch.stop()
+	defer reservations.onLost(func() { watch.expire() })()
 	sentAt := s.gw.opts.Now()
 	response, err := s.gw.opts.Backend.Send(ctx, &EndpointRequest{
 		Request: s.req, Endpoint: primary, TimeLeft: deadlineOf(s.req).Sub(sentAt), Helpers: helpers(plan, reservations),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,8 +31,11 @@
 	reserved      map[string]int
 	script        func(ctx context.Context, n int, s *EndpointRequest) (*Response, error)
 	reserveResult func() error
+	unreachable   map[string]bool // IDs of endpoints that accept no connections
 }
 
+var errNoConnection = &SendError{Err: errors.New("connect: timeout")}
+
 func (b *fakeBackend) Send(ctx context.Context, s *EndpointRequest) (*Response, error) {
 	b.mu.Lock()
 	b.requests = append(b.requests, *s)
@@ -44,6 +47,9 @@
 func (b *fakeBackend) Reserve(_ context.Context, e *registry.Endpoint, id string, tokens int, _ time.Duration) (bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.unreachable[e.ID] {
+		return false, errNoConnection
+	}
 	b.reserved[id] = tokens
 	if b.reserveResult != nil {
 		return true, b.reserveResult()
@@ -51,9 +57,12 @@
 	return true, nil
 }
 
-func (b *fakeBackend) Release(_ context.Context, _ *registry.Endpoint, id string) error {
+func (b *fakeBackend) Release(_ context.Context, e *registry.Endpoint, id string) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.unreachable[e.ID] {
+		return errNoConnection
+	}
 	delete(b.reserved, id)
 	return nil
 }
@@ -437,6 +446,51 @@
 	})
 }
 
+// When the primary endpoint of a split prompt goes dark, its helpers must not hold their memory until the deadline, and the prompt must be
+// read elsewhere. One that serves other requests is only slow to accept.
+func TestMemoryOfHelpersIsFreeSoonAfterThePrimaryGoesDark(t *testing.T) {
+	const freeBound = 4 * time.Second // of the platform, from the end of the last request that used the memory
+	for name, dark := range map[string]bool{"dark": true, "busy": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tg := newTestGateway(nil)
+				var darkSince time.Time
+				heldLate := false
+				tg.script = func(ctx context.Context, n int, r *EndpointRequest) (*Response, error) {
+					if n > 1 {
+						return newResponse(200, eventText(1, 2)), nil
+					}
+					time.Sleep(reservationTTL / 3)
+					tg.mu.Lock()
+					tg.unreachable, darkSince = map[string]bool{r.Endpoint.ID: true}, time.Now()
+					held := len(tg.reserved)
+					tg.mu.Unlock()
+					require.Greater(t, held, 1)
+					for ctx.Err() == nil && time.Since(darkSince) < 2*freeBound {
+						time.Sleep(100 * time.Millisecond)
+						if !dark {
+							r.Endpoint.RecordActivity(time.Now())
+						}
+					}
+					heldLate = time.Since(darkSince) > freeBound
+					if ctx.Err() == nil {
+						return newResponse(200, eventText(1, 2)), nil
+					}
+					return nil, &SendError{MaybeReceived: true, Err: ctx.Err()}
+				}
+				caller := tg.serve(t.Context(), catalog.Stream, func(r *Request) {
+					r.PromptTokens, r.Route.LatencyTarget, r.Route.GapTarget, r.Route.Timeout =
+						400_000, 30*time.Second, 5*time.Second, 100*time.Second
+				})
+				require.Equal(t, eventText(1, 2), caller.body.String())
+				require.Equal(t, dark, len(tg.requests) == 2)
+				require.Equal(t, !dark, heldLate)
+				time.Sleep(maxExecutionDelay + 2*releaseInterval) // releases at the dark endpoint are repeated
+			})
+		})
+	}
+}
+
 // A helper that has failed must be avoided, and the endpoint that reported it must not be.
 func TestFailedHelperIsAvoided(t *testing.T) {
 	tg := newTestGateway(nil)
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
@@ -22,6 +24,9 @@
 	maxExecutionDelay = 13 * time.Second
 	// releaseInterval is the interval at which a release is repeated after a call that got no response.
 	releaseInterval = 1500 * time.Millisecond
+	// maxUnreachedRenewals is the number of renewals in a row that get no connection after which the primary endpoint counts as lost. Its
+	// helpers hold their memory for nothing then, which the platform allows for four seconds.
+	maxUnreachedRenewals = 2
 )
 
 // reservation is a reservation of memory for one attempt at one endpoint.
@@ -31,6 +36,8 @@
 	id           string
 	tokens       int
 	unansweredAt time.Time // of the latest call that got no response; zero: none
+	unreached    int       // latest calls in a row that got no connection
+	unreachedAt  time.Time // of the first of them
 }
 
 // reservationSet holds all reservations of an attempt. They are renewed until they are released.
@@ -38,6 +45,8 @@
 	list         []*reservation // by the endpoints of the plan; nil where nothing is reserved
 	stopRenewals context.CancelFunc
 	wg           sync.WaitGroup
+	lost         context.Context // ends when the primary endpoint counts as lost
+	markLost     context.CancelFunc
 }
 
 // ids returns the IDs of the reservations by endpoint; empty where there is none.
@@ -59,6 +68,7 @@
 func (s *requestState) reserve(ctx context.Context, plan *resolvedPlan) (set *reservationSet, ok bool) {
 	renewals, stop := context.WithCancel(context.Background())
 	set = &reservationSet{list: make([]*reservation, len(plan.endpoints)), stopRenewals: stop}
+	set.lost, set.markLost = context.WithCancel(context.Background())
 	results, pending := make(chan bool, len(plan.endpoints)), 0
 	for i, tokens := range plan.ReserveTokens {
 		if tokens == 0 {
@@ -86,6 +96,14 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	ok, err := r.state.gw.opts.Backend.Reserve(ctx, r.endpoint, r.id, r.tokens, reservationTTL)
+	var sendErr *SendError
+	if errors.As(err, &sendErr) && !sendErr.MaybeReceived {
+		if r.unreached++; r.unreached == 1 {
+			r.unreachedAt = r.state.gw.opts.Now()
+		}
+	} else {
+		r.unreached = 0
+	}
 	if err != nil {
 		r.unansweredAt = r.state.gw.opts.Now()
 		r.state.logEntry("reserve_failed").WithError(err).WithField("at", r.endpoint.ID).Warn("no response to a reservation")
@@ -103,15 +121,32 @@
 				r.reserveOrRenew(context.Background())
 			}
 		}
+		if primary := rs.list[0]; primary != nil && primary.isLost() {
+			rs.markLost()
+		}
 	})
 }
 
+// isLost reports whether the endpoint of a reservation accepts no connections and has been silent since it began to.
+func (r *reservation) isLost() bool {
+	return r.unreached >= maxUnreachedRenewals && !r.endpoint.ActiveSince(r.unreachedAt)
+}
+
+// onLost calls do, in a goroutine of its own, when the primary endpoint counts as lost. The returned function ends that.
+func (rs *reservationSet) onLost(do func()) (stop func() bool) {
+	if rs == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(rs.lost, do)
+}
+
 // release ends the reservations in the background, so that the response to the caller does not wait for it.
 func (rs *reservationSet) release() {
 	if rs == nil {
 		return
 	}
 	rs.stopRenewals()
+	rs.markLost()
 	go func() {
 		rs.wg.Wait()
 		for _, r := range rs.list {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -122,34 +122,43 @@
 
 // watchdog cancels an attempt that makes no progress if another one is allowed.
 type watchdog struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	fired   bool
+	state   *requestState
+	cancel  context.CancelFunc // of the attempt
 	timeout time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	fired bool
 }
 
 // startWatchdog starts the watchdog of an attempt. It does not cancel the attempt while the endpoint sends events of other
 // requests, if a retry is not safe or has too little time, or if the retry budget is used up: an endpoint is also silent
 // during the prefill of a long prompt, and an attempt elsewhere starts from the beginning.
 func (s *requestState) startWatchdog(e *registry.Endpoint, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{timeout: s.stallTimeout()}
+	w := &watchdog{state: s, cancel: cancel, timeout: s.stallTimeout()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.timeout, func() {
 		now := s.gw.opts.Now()
-		if e.ActiveSince(now.Add(-activityWindow-s.expectedSilence(e, now))) || !s.retryAllowed(now) ||
-			!s.gw.opts.RetryBudget.TryWithdraw(s.service.Name) {
+		if e.ActiveSince(now.Add(-activityWindow-s.expectedSilence(e, now))) || !w.expire() {
 			w.reset()
-			return
 		}
-		w.mu.Lock()
-		w.fired = true
-		w.mu.Unlock()
-		cancel()
 	})
 	return w
 }
 
+// expire cancels the attempt if another one is allowed, and reports whether it has been canceled.
+func (w *watchdog) expire() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.state
+	if !w.fired && s.retryAllowed(s.gw.opts.Now()) && s.gw.opts.RetryBudget.TryWithdraw(s.service.Name) {
+		w.fired = true
+		w.cancel()
+	}
+	return w.fired
+}
+
 // expectedSilence returns the time for which the endpoint may be silent because of prefill: one and a half times the
 // prediction.
 func (s *requestState) expectedSilence(e *registry.Endpoint, now time.Time) time.Duration {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -78,9 +78,9 @@
 	// error is a *SendError.
 	Send(ctx context.Context, r *EndpointRequest) (*Response, error)
 	// Reserve reserves memory at an endpoint for the time ttl, or renews a reservation. ok is false if the endpoint has too
-	// little memory.
+	// little memory. The error is a *SendError.
 	Reserve(ctx context.Context, e *registry.Endpoint, id string, tokens int, ttl time.Duration) (ok bool, err error)
-	// Release ends a reservation.
+	// Release ends a reservation. The error is a *SendError, unless the endpoint has answered.
 	Release(ctx context.Context, e *registry.Endpoint, id string) error
 }
 
