soak: restored stores, changes of the configuration, endpoints that leave or refuse with a time to return

The store comes back from copies, with and without an outage, and what the operator and the endpoints wrote is written again. Gateways that have been undisturbed are asked for the latest route and key, and for those that were withdrawn. Endpoints state that they shut down, or refuse with a time to return; arrivals at them are checked by gateway.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -16,6 +16,10 @@
 	limitWindow      = 4 * time.Second
 	limitFactor      = 1.5
 	limitSlack       = 5
+	configTime       = 2 * time.Second        // from a change of the configuration until it must be in force
+	drainTime        = 2 * time.Second        // from an answer of an endpoint that leaves until its gateway must send it no requests
+	refusalLag       = 500 * time.Millisecond // from a refusal with a time to return, for requests under way
+	maxSendsToPaused = 2
 )
 
 // result is what a caller got for one attempt.
@@ -43,6 +47,8 @@
 type checker struct {
 	mu           sync.Mutex
 	runs         []run
+	refusals     []run
+	probes       int // of the configuration
 	results      []result
 	crashes      []time.Time            // of endpoints, by the crashing part
 	faults       []time.Time            // of gateways and the store: starts, kills, pauses, ends of outages
@@ -77,6 +83,12 @@
 	}
 }
 
+func (c *checker) recordRefusal(r run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusals = append(c.refusals, r)
+}
+
 func (c *checker) recordCrash(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -117,6 +129,7 @@
 	}
 	c.checkCrashingPart()
 	c.checkLimits()
+	c.checkSends()
 	return c.violations
 }
 
@@ -189,11 +202,69 @@
 	}
 }
 
+// sender is a gateway and the endpoint that it sends requests to.
+type sender struct{ gateway, endpoint string }
+
+// checkSends checks that gateways leave endpoints alone that have told them that they shut down, or that they want no requests for a while.
+func (c *checker) checkSends() {
+	byAttempt := make(map[string]*result, len(c.results))
+	for i := range c.results {
+		byAttempt[c.results[i].attempt] = &c.results[i]
+	}
+	arrivals := make(map[sender][]run)
+	for _, r := range slices.Concat(c.runs, c.refusals) {
+		if from := byAttempt[r.attempt]; from != nil {
+			key := sender{from.gateway, r.endpoint}
+			arrivals[key] = append(arrivals[key], r)
+		}
+	}
+	for key, runs := range arrivals {
+		slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
+		var toldAt time.Time // when the gateway passed the first answer on
+		for _, r := range runs {
+			from := byAttempt[r.attempt]
+			if !toldAt.IsZero() && from.sentAt.After(toldAt.Add(drainTime)) && !c.wasHit(key.gateway, toldAt, r.at) {
+				c.add("%s got a request from %s %s after an answer that it leaves", key.endpoint, key.gateway, from.sentAt.Sub(toldAt))
+				break
+			}
+			if r.leaving && from.status == 200 && from.complete && (toldAt.IsZero() || from.endedAt.Before(toldAt)) {
+				toldAt = from.endedAt
+			}
+		}
+		c.checkPause(key, runs)
+	}
+}
+
+func (c *checker) checkPause(key sender, runs []run) {
+	for i, r := range runs {
+		if !r.refused || c.wasHit(key.gateway, r.at, r.at.Add(refusalTime)) {
+			continue
+		}
+		late := 0
+		for _, next := range runs[i+1:] {
+			if after := next.at.Sub(r.at); after > refusalLag && after < refusalTime {
+				late++
+			}
+		}
+		if late > maxSendsToPaused {
+			c.add("%s refused a request of %s and got %d more before its time to return", key.endpoint, key.gateway, late)
+			return
+		}
+	}
+}
+
+// wasHit reports whether a gateway was killed or paused between two times.
+func (c *checker) wasHit(gateway string, from, to time.Time) bool {
+	return slices.ContainsFunc(slices.Concat(c.hardFaults[gateway], c.stops[gateway]), func(at time.Time) bool {
+		return at.After(from.Add(-contactTime)) && at.Before(to.Add(contactTime))
+	})
+}
+
 // outcomes counts the results by kind and status.
 func (c *checker) outcomes() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	counts := make(map[string]int)
+	counts := map[string]int{"probes of the configuration": c.probes, "refusals of endpoints": len(c.refusals)}
 	for i := range c.results {
 		r := &c.results[i]
 		label := fmt.Sprintf("%s %d", r.kind, r.status)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	eventsPerAnswer = 8
 	eventPause      = 40 * time.Millisecond
 	restartTime     = 1500 * time.Millisecond
+	refusalTime     = 2 * time.Second // for which an endpoint that refuses wants no requests
 	crashingPart    = "badbad"
 )
 
@@ -27,6 +29,8 @@
 	endpoint string
 	at       time.Time
 	parts    string
+	leaving  bool // the endpoint stated in its answer that it shuts down
+	refused  bool // the endpoint did not execute it, and wanted no others for refusalTime
 }
 
 // endpoint is a stand-in of a worker at an address of its own. It lives through several incarnations.
@@ -39,8 +43,12 @@
 	id       string // of the current incarnation
 	limit    float64
 	garbles  bool // breaks off or adds to some answers
+	leaving  bool // states in its answers that it shuts down
+	refuses  bool // refuses requests with a time to return
 	listener net.Listener
 	conns    map[net.Conn]struct{}
+
+	startedAt time.Time
 }
 
 // start begins a new incarnation, which registers in the store.
@@ -53,11 +61,26 @@
 	defer e.mu.Unlock()
 	e.addr, e.listener, e.conns = listener.Addr().String(), listener, make(map[net.Conn]struct{})
 	e.id = fmt.Sprintf("i-%s-%d", e.service, e.world.nextID())
-	e.world.store.SetEndpoint(e.id, platformtest.Endpoint{Service: e.service, Addr: e.addr, Zone: zone, StartedAt: time.Now()})
+	e.startedAt, e.leaving, e.refuses = time.Now(), false, false
+	e.register()
 	go e.accept(listener, e.conns)
 	return nil
 }
 
+// register writes the endpoint's row. e.mu must be held.
+func (e *endpoint) register() {
+	e.world.store.SetEndpoint(e.id, platformtest.Endpoint{Service: e.service, Addr: e.addr, Zone: zone, StartedAt: e.startedAt})
+}
+
+// registerAgain writes the row again if the endpoint lives and the store has lost it.
+func (e *endpoint) registerAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listener != nil && !slices.Contains(e.world.store.Endpoints(), e.id) {
+		e.register()
+	}
+}
+
 func (e *endpoint) accept(listener net.Listener, conns map[net.Conn]struct{}) {
 	for {
 		c, err := listener.Accept()
@@ -102,10 +125,10 @@
 	})
 }
 
-func (e *endpoint) state() (id string, limit float64, garbles bool) {
+func (e *endpoint) state() (id string, limit float64, garbles, leaving, refuses bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.id, e.limit, e.garbles
+	return e.id, e.limit, e.garbles, e.leaving, e.refuses
 }
 
 // set changes how the endpoint behaves.
@@ -127,7 +150,7 @@
 
 // answer responds to a request and reports whether the connection stays open.
 func (e *endpoint) answer(c net.Conn, req *platformtest.EndpointRequest) bool {
-	id, limit, garbles := e.state()
+	id, limit, garbles, leaving, refuses := e.state()
 	if req.EndpointID != "" && req.EndpointID != id {
 		_, err := io.WriteString(c, platformtest.WrongEndpoint(req.AttemptID))
 		return err == nil
@@ -136,8 +159,17 @@
 		_, err := io.WriteString(c, platformtest.OrderDone)
 		return err == nil
 	}
-	e.world.checker.recordRun(run{attempt: req.AttemptID, path: req.Path, endpoint: id, at: time.Now(), parts: req.Parts}, limit)
+	r := run{attempt: req.AttemptID, path: req.Path, endpoint: id, at: time.Now(), parts: req.Parts, leaving: leaving, refused: refuses}
+	if refuses {
+		e.world.checker.recordRefusal(r)
+		_, err := io.WriteString(c, platformtest.Refusal(req.AttemptID, refusalTime))
+		return err == nil
+	}
+	e.world.checker.recordRun(r, limit)
 	head := platformtest.SuccessHead(req.AttemptID, limit)
+	if leaving {
+		head += platformtest.LeavingHeader
+	}
 	faulty := garbles && rand.IntN(10) == 0
 	time.Sleep(eventPause)
 	if strings.Contains(req.Parts, crashingPart+":") {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,6 +26,12 @@
 		{"endpoint crash", func(float64) { w.randomEndpoint().crash() }},
 		{"limits", w.limitEndpoints},
 		{"garbled answers", w.garbleAnswers},
+		{"store restored", w.restoreStore},
+		{"store restored", w.restoreStore},
+		{"configuration", func(float64) { w.changeConfiguration() }},
+		{"configuration", func(float64) { w.changeConfiguration() }},
+		{"endpoint leaves", w.emptyEndpoint},
+		{"refusals", w.refuseRequests},
 	}
 	for time.Since(w.startedAt) < w.opts.Duration {
 		time.Sleep(time.Duration(w.rng.Int64N(int64(faultPause))))
@@ -103,13 +109,71 @@
 
 func (w *world) disturbStore(mode platformtest.StoreMode, seconds float64) {
 	w.checker.recordFault("", false)
+	w.setStoreMode(mode)
+	w.after(time.Duration(seconds*float64(time.Second)), func() {
+		w.setStoreMode(platformtest.Serves)
+		w.checker.recordFault("", false)
+	})
+}
+
+func (w *world) setStoreMode(mode platformtest.StoreMode) {
 	w.store.SetMode(mode)
+	w.storeDisturbed(mode != platformtest.Serves)
+}
+
+// restoreStore lets the store come back from a copy of some seconds, in half of the cases without an outage. What the operator and the
+// endpoints have written since is written again.
+func (w *world) restoreStore(seconds float64) {
+	const maxRewriteDelay = 1500 * time.Millisecond // within the two seconds that the platform allows
+	copied := w.store.Copy()
+	away := time.Duration(max(0, 4*w.rng.Float64()-2) * float64(time.Second))
+	delays := make([]time.Duration, len(w.endpoints))
+	for i := range delays {
+		delays[i] = time.Duration(w.rng.Int64N(int64(maxRewriteDelay)))
+	}
 	w.after(time.Duration(seconds*float64(time.Second)), func() {
-		w.store.SetMode(platformtest.Serves)
 		w.checker.recordFault("", false)
+		if away > 0 {
+			w.setStoreMode(platformtest.Refuses)
+			time.Sleep(away)
+		}
+		w.store.Restore(copied)
+		w.writeConfiguration()
+		w.setStoreMode(platformtest.Serves)
+		w.checker.recordFault("", false)
+		live := make(map[string]bool)
+		for i, e := range w.endpoints {
+			id, _, _, _, _ := e.state()
+			live[id] = true
+			w.after(delays[i], e.registerAgain)
+		}
+		for _, id := range w.store.Endpoints() {
+			if !live[id] {
+				w.store.RemoveEndpoint(id)
+			}
+		}
+	})
+}
+
+// emptyEndpoint lets an endpoint state that it shuts down, which the store does not tell, and crash later.
+func (w *world) emptyEndpoint(float64) {
+	const leavingTime = 5 * time.Second
+	e := w.randomEndpoint()
+	id, _, _, _, _ := e.state()
+	e.set(func(e *endpoint) { e.leaving = true })
+	w.after(leavingTime, func() {
+		if current, _, _, _, _ := e.state(); current == id {
+			e.crash()
+		}
 	})
 }
 
+func (w *world) refuseRequests(seconds float64) {
+	e := w.randomEndpoint()
+	e.set(func(e *endpoint) { e.refuses = true })
+	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.refuses = false }) })
+}
+
 func (w *world) limitEndpoints(seconds float64) {
 	const share, stretch = 0.6, 5.0
 	for _, e := range w.endpoints {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,6 +72,12 @@
 	faults    map[string]int
 	busy      sync.Map // gateways that a fault is using
 	pending   sync.WaitGroup
+
+	mu               sync.Mutex
+	epoch            int64     // of the configuration; each adds a route and withdraws the key that the one before added
+	changedAt        time.Time // of the latest change of the configuration
+	storeAway        bool
+	storeDisturbedAt time.Time
 }
 
 // Names of the configuration.
@@ -108,7 +114,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := &world{opts: opts, ctx: ctx, rng: rand.New(rand.NewPCG(opts.Seed, 0)), binary: opts.Binary, dir: opts.Dir, store: platformtest.NewStore(),
-		checker: newChecker(), faults: make(map[string]int)}
+		checker: newChecker(), faults: make(map[string]int), epoch: 1}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
@@ -129,6 +135,7 @@
 		c := &caller{world: w, rng: rand.New(rand.NewPCG(opts.Seed, uint64(1+i)))}
 		callers.Go(func() { c.run(callersCtx) })
 	}
+	callers.Go(func() { w.probe(callersCtx) })
 	w.disturb()
 	w.pending.Wait()
 	stopCallers()
@@ -140,19 +147,40 @@
 	return &Report{Violations: w.checker.check(), Outcomes: w.checker.outcomes(), Faults: w.faults}, nil
 }
 
+// changeConfiguration writes a configuration with another route and another key.
+func (w *world) changeConfiguration() {
+	w.mu.Lock()
+	w.epoch++
+	w.changedAt = time.Now()
+	w.mu.Unlock()
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration of the current epoch, again if the store has lost it.
 func (w *world) writeConfiguration() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	route := func(prefix, kind, service string) platformtest.Route {
 		return platformtest.Route{Host: host, Prefix: prefix, Kind: kind, Service: service, Attempts: 2, Timeout: callerTimeout,
 			LatencyTarget: latencyTarget}
 	}
 	w.store.SetConfig(platformtest.Config{
-		Epoch: 1,
+		Epoch: w.epoch,
 		Routes: []platformtest.Route{route(chatPrefix, "streaming", modelService), route("/orders/", "non_idempotent", shopService),
-			route("/stock/", "idempotent", shopService)},
-		Models: []string{modelService}, Services: []string{shopService}, APIKeys: []string{apiKey},
+			route("/stock/", "idempotent", shopService), route(addedPrefix(w.epoch), "idempotent", shopService)},
+		Models: []string{modelService}, Services: []string{shopService}, APIKeys: []string{apiKey, addedKey(w.epoch)},
 	}.Encode())
 }
 
+func addedPrefix(epoch int64) string { return fmt.Sprintf("/added-%d/", epoch) }
+func addedKey(epoch int64) string    { return fmt.Sprintf("%s-%d", apiKey, epoch) }
+
+func (w *world) storeDisturbed(away bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeAway, w.storeDisturbedAt = away, time.Now()
+}
+
 func (w *world) startAll() error {
 	const shopEndpoints = 3
 	for i := range w.opts.Endpoints + shopEndpoints {
