--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,16 +122,24 @@
 }
 
 // restoreStore lets the store come back from a copy of some seconds, in half of the cases without an outage. What the operator and the
-// endpoints have written since is written again.
+// endpoints have written since is written again. The configuration may change right before and right after, so that a new one gets a version
+// that the store has given out before.
 func (w *world) restoreStore(seconds float64) {
-	const maxRewriteDelay = 1500 * time.Millisecond // within the two seconds that the platform allows
+	const (
+		maxRewriteDelay = 1500 * time.Millisecond // within the two seconds that the platform allows
+		maxChanges      = 2
+	)
 	copied := w.store.Copy()
+	changes := w.rng.IntN(maxChanges + 1)
 	away := time.Duration(max(0, 4*w.rng.Float64()-2) * float64(time.Second))
 	delays := make([]time.Duration, len(w.endpoints))
 	for i := range delays {
 		delays[i] = time.Duration(w.rng.Int64N(int64(maxRewriteDelay)))
 	}
 	w.after(time.Duration(seconds*float64(time.Second)), func() {
+		for range changes {
+			w.changeConfiguration()
+		}
 		w.checker.recordFault("", false)
 		if away > 0 {
 			w.setStoreMode(platformtest.Refuses)
@@ -139,6 +147,9 @@
 		}
 		w.store.Restore(copied)
 		w.writeConfiguration()
+		for range changes - 1 {
+			w.changeConfiguration()
+		}
 		w.setStoreMode(platformtest.Serves)
 		w.checker.recordFault("", false)
 		live := make(map[string]bool)
