--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/membership"
 )
@@ -124,6 +126,7 @@
 		default:
 			s.metrics.requests.WithLabelValues(string(errkind.From(err).Kind)).Inc()
 			writeError(w, err)
+			transport.DiscardBody(w, r)
 		}
 	}
 }
@@ -131,9 +134,11 @@
 // writeError writes an error response; a failed write means that the caller has disconnected.
 func writeError(w http.ResponseWriter, err error) {
 	status, body := errkind.Response(err)
+	data, _ := json.Marshal(body) // strings and numbers always marshal
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(data)
 }
 
 // identity is an authenticated workspace and the configuration that it was authenticated with.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
 // Headers of a submission.
@@ -137,7 +138,7 @@
 			}
 		}
 		if !found || !match {
-			h.writeError(w, errkind.New(errkind.Unauthorized, "missing or wrong operator token"))
+			h.refuse(w, r, errkind.New(errkind.Unauthorized, "missing or wrong operator token"))
 			return
 		}
 		next(w, r.WithContext(context.WithValue(r.Context(), operatorNameKey{}, name)))
@@ -187,18 +188,18 @@
 func (h *Handler) putText(w http.ResponseWriter, r *http.Request) {
 	baseEpoch, err := parseIfMatch(r.Header.Get("If-Match"))
 	if err != nil {
-		h.writeError(w, err)
+		h.refuse(w, r, err)
 		return
 	}
 	submissionID := r.Header.Get(SubmissionHeader)
 	if len(submissionID) > maxSubmissionIDLength ||
 		strings.ContainsFunc(submissionID, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' }) {
-		h.writeError(w, errkind.New(errkind.InvalidRequest, SubmissionHeader+" must be at most 64 printable characters without '/'"))
+		h.refuse(w, r, errkind.New(errkind.InvalidRequest, SubmissionHeader+" must be at most 64 printable characters without '/'"))
 		return
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, fleet.MaxTextBytes))
 	if err != nil {
-		h.writeError(w, bodyReadError(err))
+		h.refuse(w, r, bodyReadError(err))
 		return
 	}
 	result, err := h.opts.Acceptor.Submit(r.Context(), epoch.Submission{ID: submissionID, Operator: operatorName(r),
@@ -257,6 +258,12 @@
 	h.writeJSON(w, http.StatusOK, records)
 }
 
+// refuse answers a request whose body has not been read to its end.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	h.writeError(w, err)
+	transport.DiscardBody(w, r)
+}
+
 func (h *Handler) writeError(w http.ResponseWriter, err error) {
 	status, body := errkind.Response(err)
 	var rejection *epoch.RejectionError
