entry: a prompt that is blamed while it waits is not sent

It waited at an entry because its two endpoints were down; meanwhile the entry learned that the prompt is blamed, and that both endpoints leave by plan, so that two others may run it. The wait did not look at the verdict again, and the third endpoint got the prompt.

A trial that printed each choice showed "verdict blamed, chosen model-3".

TestPromptBlamedWhileItWaitsIsNotSent failed before.

--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -499,3 +499,44 @@
 	assert.Contains(t, newTestEntryWith(t, f, epochs, Disabled{RecallCheck: true}, "").chat(t, streamingChatBody).body,
 		`"content":"b"`)
 }
+
+// Guards against a prompt that reaches a third endpoint although it was blamed while it waited for one of its two.
+func TestPromptBlamedWhileItWaitsIsNotSent(t *testing.T) {
+	f := newFleet(t, answerTokens)
+	e := newTestEntry(t, f, Disabled{})
+	d := e.server.dispatch
+	d.refreshView()
+	snap := e.epochs.Snapshot()
+	target, err := snap.Resolve("clerk")
+	require.NoError(t, err)
+	r := &request{snap: snap, target: target, requestedName: "clerk", fingerprint: "f", deadline: time.Now().Add(time.Minute)}
+	selector := &endpointSelector{d: d, r: r}
+	for range 2 {
+		choice, err := selector.choose(t.Context())
+		require.NoError(t, err)
+		selector.tried = append(selector.tried, choice.Endpoint)
+	}
+	confined := selector.tried
+	for _, ep := range confined {
+		f.members.update(ep.Name, func(n *membership.Node) { n.Live = false })
+	}
+	d.refreshView()
+	chosen := make(chan error)
+	go func() {
+		_, err := (&endpointSelector{d: d, r: r}).choose(t.Context())
+		chosen <- err
+	}()
+	select {
+	case err := <-chosen:
+		require.Fail(t, "did not wait for its two endpoints", "%v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	e.blames.MergeRecords([]*wire.BlameRecord{{Fingerprint: "f", Crashes: 2, TtlMs: time.Minute.Milliseconds()}})
+	for _, ep := range confined {
+		f.members.update(ep.Name, func(n *membership.Node) { n.Leaving = true })
+	}
+	d.refreshView()
+	err = <-chosen
+	require.Error(t, err)
+	require.Equal(t, errkind.PromptBlamed, errkind.From(err).Kind)
+}
--- a/internal/entry/selection.go
+++ b/internal/entry/selection.go
@@ -28,12 +28,16 @@
 	s.lastFailure = f
 }
 
-// choose returns the endpoint of the next attempt. Once all candidates have been tried, it backs off and starts over.
+// choose returns the endpoint of the next attempt. Once all candidates have been tried, it backs off and starts over. A prompt that is blamed
+// meanwhile is refused.
 func (s *endpointSelector) choose(ctx context.Context) (route.Choice, error) {
 	for {
 		if ctx.Err() != nil {
 			return route.Choice{}, s.d.contextError(ctx, s.lastFailure)
 		}
+		if err := s.d.checkBlame(s.r); err != nil {
+			return route.Choice{}, err
+		}
 		pool := s.d.pool(s.r.snap, &s.r.target)
 		if c, ok := s.pick(pool); ok {
 			return s.admitChoice(c)
