route: an entry that has just started selects the two endpoints that others select

An entry that had started 1.7 s before had heard of one endpoint or two of four, selected the prompt's two endpoints among these, and another entry selected others.

Price: where the text lists endpoints that do not exist, prompts whose two are both among them wait until then at an entry that has just started. Other prompts have a choice of one.

TestEntryThatStartedSelectsThePairOfOthers fails without it.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -106,7 +106,7 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
-	d := &daemon{opts: opts, routingView: route.NewView(route.Options{})}
+	d := &daemon{opts: opts, routingView: route.NewView(route.Options{SettleTime: maxSettleTime})}
 	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, startedAt: time.Now(),
 		rateLimiter: limit.NewRateLimiter(limit.RateLimiterOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Platform.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
--- a/route/pool.go
+++ b/route/pool.go
@@ -110,7 +110,7 @@
 }
 
 // allowedPair returns the two endpoints to which a confined request may be sent: those that rendezvous hashing selects for
-// its prefix and its fingerprint among the endpoints that are available or went down recently. Entries learn at different
+// its prefix and its fingerprint among the endpoints that are available, went down recently or are still expected. Entries learn at different
 // times that an endpoint leaves or returns, so endpoints that left recently count as well. They do not if both selected
 // endpoints have left, since the request would otherwise wait for endpoints that were removed on purpose.
 func (p *Pool) allowedPair(r *Request) (allowed endpointPair, confined bool) {
@@ -124,10 +124,10 @@
 	return allowed, true
 }
 
-// anyPresent reports whether at least one endpoint of the pair is available or has failed recently.
+// anyPresent reports whether at least one endpoint of the pair is available or may soon be.
 func (p *endpointPair) anyPresent(now time.Time) bool {
 	for _, e := range p.endpoints[:p.count] {
-		if e.Available() || e.failedRecently(now) {
+		if e.mayReturn(now) {
 			return true
 		}
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -255,3 +255,33 @@
 		}
 	}
 }
+
+// Guards against a third endpoint for a prompt at an entry that has just started and has not heard of all endpoints yet.
+func TestEntryThatStartedSelectsThePairOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const settleTime, prompts = 10 * time.Second, 50
+		names := []string{"a", "b", "c", "d"}
+		informed, started := NewView(Options{}), NewView(Options{SettleTime: settleTime})
+		for _, name := range names {
+			informed.Endpoint(name).SetAvailable(true, false)
+		}
+		started.Endpoint("a").SetAvailable(true, false)
+		chosen := 0
+		for fingerprint := range uint64(prompts) {
+			r := &Request{Fingerprint: fingerprint, Confined: true}
+			pair, _ := informed.Pool(names).allowedPair(r)
+			_, ok := leastTTFT{}.Choose(started.Pool(names), r)
+			assert.Equal(t, pair.contains(informed.Endpoint("a")), ok, "fingerprint %d", fingerprint)
+			if ok {
+				chosen++
+			}
+		}
+		assert.Positive(t, chosen)
+		assert.Less(t, chosen, prompts)
+		time.Sleep(settleTime)
+		for fingerprint := range uint64(prompts) {
+			_, ok := leastTTFT{}.Choose(started.Pool(names), &Request{Fingerprint: fingerprint, Confined: true})
+			assert.True(t, ok, "fingerprint %d after the settle time", fingerprint)
+		}
+	})
+}
--- a/route/view.go
+++ b/route/view.go
@@ -43,8 +43,9 @@
 	available    atomic.Bool
 	failedAtNano atomic.Int64 // time of the failure in Unix nanoseconds; 0 while available, leaving or never seen
 	// leftAtNano is the time of a planned leave in Unix nanoseconds; 0 while available or failed, neverSeen initially.
-	leftAtNano atomic.Int64
-	inFlight   atomic.Int64 // requests that this entry has open at the endpoint
+	leftAtNano    atomic.Int64
+	inFlight      atomic.Int64 // requests that this entry has open at the endpoint
+	expectedUntil time.Time    // until then it counts as present although it has not been heard of
 
 	mu               sync.Mutex
 	report           LoadReport
@@ -55,11 +56,15 @@
 type Options struct {
 	PrefillRate int64           // tokens per second assumed before the first report; 0: DefaultPrefillRate
 	IntN        func(n int) int // returns a random number in [0,n), safe for concurrent use; nil: rand.IntN of math/rand/v2
+	// SettleTime is the time from the start for which endpoints that have not been heard of count when the two endpoints of a prompt are
+	// selected, as they do at entries that know them.
+	SettleTime time.Duration
 }
 
 // View is the load view of one entry.
 type View struct {
-	opts Options
+	opts      Options
+	settledAt time.Time
 
 	mu        sync.RWMutex
 	endpoints map[string]*Endpoint
@@ -73,7 +78,7 @@
 	if opts.IntN == nil {
 		opts.IntN = rand.IntN
 	}
-	return &View{opts: opts, endpoints: make(map[string]*Endpoint)}
+	return &View{opts: opts, settledAt: time.Now().Add(opts.SettleTime), endpoints: make(map[string]*Endpoint)}
 }
 
 // Endpoint returns the record of the named endpoint. A new record is created as unavailable.
@@ -87,7 +92,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if e = v.endpoints[name]; e == nil {
-		e = &Endpoint{Name: name, nameHash: xxhash.Sum64String(name)}
+		e = &Endpoint{Name: name, nameHash: xxhash.Sum64String(name), expectedUntil: v.settledAt}
 		e.report.PrefillTokensPerSecond = v.opts.PrefillRate
 		e.leftAtNano.Store(neverSeen)
 		v.endpoints[name] = e
@@ -190,10 +195,15 @@
 	return withinGracePeriod(e.leftAtNano.Load(), now)
 }
 
+// mayReturn reports whether the endpoint is available, or unavailable for a reason that may end soon.
+func (e *Endpoint) mayReturn(now time.Time) bool {
+	return e.Available() || e.failedRecently(now) || e.leftAtNano.Load() == neverSeen && now.Before(e.expectedUntil)
+}
+
 // countsAsPresent reports whether the endpoint takes part when the endpoints of a fingerprint are selected; includeLeft
 // says whether endpoints that left recently do.
 func (e *Endpoint) countsAsPresent(now time.Time, includeLeft bool) bool {
-	return e.Available() || e.failedRecently(now) || includeLeft && e.leftRecently(now)
+	return e.mayReturn(now) || includeLeft && e.leftRecently(now)
 }
 
 // withinGracePeriod reports whether since, in Unix nanoseconds, is set and less than DownGracePeriod ago.
