gatewayd: logs show positions as era and version

`version` in config_adopted, endpoints_read, endpoint_changed and endpoints_from_peer was the number that combines both since positions came, which nobody can compare with the store. It is `position` now, such as 2.33.

--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -109,8 +109,8 @@
 // fromStore is the source of a configuration that was read from the store; others are names of peers.
 const fromStore = "store"
 
-// updateConfig decodes a configuration and uses it if it is newer than the current one. version is that of the store which included it, or 0.
-func (s *stateSync) updateConfig(source []byte, from string, version int64) {
+// updateConfig decodes a configuration and uses it if it is newer than the current one. position is that of the store which included it, or 0.
+func (s *stateSync) updateConfig(source []byte, from string, position int64) {
 	snapshot, err := platform.DecodeConfig(source)
 	if err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "config_invalid", "from": from}).Error("ignoring invalid configuration")
@@ -120,7 +120,8 @@
 		if from == fromStore {
 			s.onNews()
 		}
-		s.log.WithFields(logrus.Fields{"event": "config_adopted", "epoch": snapshot.Epoch, "from": from, "version": version}).
+		s.log.WithFields(logrus.Fields{"event": "config_adopted", "epoch": snapshot.Epoch, "from": from,
+			"position": registry.FormatPosition(position)}).
 			Info("configuration is in force")
 	}
 }
@@ -137,7 +138,8 @@
 func (s *stateSync) decodeEndpoint(row platform.Row) (registry.Entry, bool) {
 	e, ok := platform.DecodeEndpoint(row)
 	if !ok {
-		s.log.WithFields(logrus.Fields{"event": "endpoint_malformed", "endpoint": row.Key, "version": row.Version}).
+		s.log.WithFields(logrus.Fields{"event": "endpoint_malformed", "endpoint": row.Key,
+			"position": registry.FormatPosition(row.Version)}).
 			Warn("invalid row in the endpoint table")
 	}
 	return e, ok
@@ -154,7 +156,8 @@
 	changed := 0
 	s.registry.ApplyVersion(version, func() { changed = s.registry.Replace(entries, version) })
 	s.onNews()
-	s.log.WithFields(logrus.Fields{"event": "endpoints_read", "listed": len(entries), "changed": changed, "version": version}).
+	s.log.WithFields(logrus.Fields{"event": "endpoints_read", "listed": len(entries), "changed": changed,
+		"position": registry.FormatPosition(version)}).
 		Info("endpoints read from the store")
 }
 
@@ -179,7 +182,7 @@
 		}
 		if e, ok := s.decodeEndpoint(row); ok && s.registry.Upsert(e) {
 			s.log.WithFields(logrus.Fields{"event": "endpoint_changed", "endpoint": e.ID, "service": e.Service,
-				"draining": e.Draining, "version": row.Version}).Info("endpoint added or changed")
+				"draining": e.Draining, "position": registry.FormatPosition(row.Version)}).Info("endpoint added or changed")
 		}
 	}
 	if len(removed) > 0 {
@@ -192,8 +195,9 @@
 	ownVersion := s.registry.Version()
 	changed, applied := s.registry.ApplyDelta(d)
 	if changed > 0 || !applied {
-		s.log.WithFields(logrus.Fields{"event": "endpoints_from_peer", "peer": peer, "version": d.Version, "since": d.Since,
-			"own_version": ownVersion, "changed": changed, "removed": len(d.Removed), "taken": applied}).
+		s.log.WithFields(logrus.Fields{"event": "endpoints_from_peer", "peer": peer, "position": registry.FormatPosition(d.Version),
+			"since": registry.FormatPosition(d.Since), "own_position": registry.FormatPosition(ownVersion),
+			"changed": changed, "removed": len(d.Removed), "taken": applied}).
 			Info("endpoints received from a peer")
 	}
 }
--- a/registry/position.go
+++ b/registry/position.go
@@ -1,5 +1,7 @@
 package registry
 
+import "fmt"
+
 // A position is a place in the history of the store. A store that comes back from a copy gives its versions out again, in a new era.
 // Positions combine both, so that a later one is always larger. A store without eras has positions that equal its versions.
 
@@ -19,3 +21,8 @@
 
 // VersionOf returns the version of the store at a position.
 func VersionOf(position int64) int64 { return position & MaxVersion }
+
+// FormatPosition returns a position as text, for logs: the era and the version.
+func FormatPosition(position int64) string {
+	return fmt.Sprintf("%d.%d", EraOf(position), VersionOf(position))
+}
--- a/registry/position_test.go
+++ b/registry/position_test.go
@@ -14,6 +14,7 @@
 	require.Positive(t, Position(MaxEra, MaxVersion))
 	require.Equal(t, []int64{3, 17}, []int64{EraOf(Position(3, 17)), VersionOf(Position(3, 17))})
 	require.EqualValues(t, 17, Position(0, 17), "a store without eras")
+	require.Equal(t, "3.17", FormatPosition(Position(3, 17)))
 }
 
 // restoredRegistry has seen an endpoint leave that a copy of the store lists again.
