peer: entries that were last heard of long ago get a patch of a change

The pusher's records of the receivers were from before the first epoch, as compact updates carry no epoch, so it had no base for a patch.

The base is the epoch before the current one then, which entries that follow the changes hold. One that does not gets the text from the epoch in its reply, as before.

TestEntryThatWasLastHeardOfLongAgoGetsAPatch failed before (2,513 bytes, bound 600).

--- a/epoch/store.go
+++ b/epoch/store.go
@@ -147,6 +147,20 @@
 	return nil
 }
 
+// RetainedEpoch returns epoch if its snapshot is the held one or retained, else the epoch that was held before the current one; 0 if there is
+// none.
+func (s *Store) RetainedEpoch(epoch int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.snapshotAtLocked(epoch) != nil:
+		return epoch
+	case len(s.retained) > 0:
+		return s.retained[0].Epoch
+	}
+	return 0
+}
+
 // ChangeFrom returns the change that updates a node from the given epoch to the held one: a patch if the base is retained
 // and the patch is smaller than the text, else the full text. It returns nil if the node is not behind.
 func (s *Store) ChangeFrom(from int64) *wire.Change {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -144,6 +144,26 @@
 	})
 }
 
+// An entry whose record here is older than the retained texts must get a patch all the same, as it follows the changes.
+func TestEntryThatWasLastHeardOfLongAgoGetsAPatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		a := newPeer(t, n, "entry-1", cloud.RoleEntry, nil)
+		b := newPeer(t, n, "entry-2", cloud.RoleEntry, nil)
+		a.Members().Observe(&wire.NodeRecord{Name: "entry-2", Addr: "entry-2", Role: "entry", Incarnation: "i", Sequence: 1}, true)
+		for epoch := int64(1); epoch <= 3; epoch++ {
+			adoptText(t, a, epoch)
+		}
+		adoptText(t, b, 2)
+		sent, _ := a.MessageBytes()
+		reply, err := a.pushTo(t.Context(), a.Members().Entries()[1])
+		require.NoError(t, err)
+		require.Equal(t, int64(3), reply.Epoch)
+		after, _ := a.MessageBytes()
+		require.Less(t, after-sent, 600.0)
+	})
+}
+
 // Messages must respect their size limits, and blame records must be transferred in both directions.
 func TestMessagesAreBounded(t *testing.T) {
 	n := newNetwork()
--- a/peer/push.go
+++ b/peer/push.go
@@ -45,11 +45,13 @@
 	return nodes[:min(len(nodes), pushFanout)]
 }
 
-// pushTo sends the current text to an entry, as a patch from the epoch that the entry is believed to hold. If the entry
-// cannot apply it, pushTo sends the change from the epoch in its reply.
+// pushTo sends the current text to an entry, as a patch from the epoch that the entry is believed to hold. An entry that was last heard of at an
+// epoch that is not retained has most likely followed the changes since. If the entry cannot apply the patch, pushTo sends the change from
+// the epoch in its reply.
 func (p *Peer) pushTo(ctx context.Context, n membership.Node) (*wire.ExchangeReply, error) {
 	heldEpoch := p.store.Epoch()
-	reply, err := p.exchange(ctx, n.Addr, &wire.ExchangeRequest{Change: p.store.ChangeFrom(n.Epoch), Records: []*wire.NodeRecord{}})
+	base := p.store.RetainedEpoch(n.Epoch)
+	reply, err := p.exchange(ctx, n.Addr, &wire.ExchangeRequest{Change: p.store.ChangeFrom(base), Records: []*wire.NodeRecord{}})
 	if err != nil || reply.Epoch >= heldEpoch {
 		return reply, err
 	}
