route: a prompt whose two endpoints have left gets one other, not two

Both endpoints of the prompt had left by plan, so two others were allowed and both crashed, at two entries; then one of the first two was back, and an entry that had heard of one crash sent the prompt there.

TestPromptGetsOneEndpointInsteadOfTwoThatLeft fails without it.

--- a/route/pool.go
+++ b/route/pool.go
@@ -112,7 +112,8 @@
 // allowedPair returns the two endpoints to which a confined request may be sent: those that rendezvous hashing selects for
 // its prefix and its fingerprint among the endpoints that are available, went down recently or are still expected. Entries learn at different
 // times that an endpoint leaves or returns, so endpoints that left recently count as well. They do not if both selected
-// endpoints have left, since the request would otherwise wait for endpoints that were removed on purpose.
+// endpoints have left, since the request would otherwise wait for endpoints that were removed on purpose. It then gets only one other, as one of
+// the two may be back before all entries know that the prompt crashes endpoints.
 func (p *Pool) allowedPair(r *Request) (allowed endpointPair, confined bool) {
 	if !r.Confined {
 		return endpointPair{prefixIndex: -1}, false
@@ -120,6 +121,7 @@
 	now := time.Now()
 	if allowed = p.selectPair(r, now, true); !allowed.anyPresent(now) {
 		allowed = p.selectPair(r, now, false)
+		allowed.count = min(allowed.count, 1)
 	}
 	return allowed, true
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -285,3 +285,23 @@
 		}
 	})
 }
+
+// Guards against a third endpoint for a prompt whose two endpoints have left by plan, and one of which is back before all entries know that
+// the prompt crashes endpoints.
+func TestPromptGetsOneEndpointInsteadOfTwoThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, pool := testPool(6, 1)
+		r := &Request{Fingerprint: 7, Confined: true}
+		first, _ := pool.allowedPair(r)
+		assert.Equal(t, 2, first.count)
+		for _, e := range first.endpoints {
+			e.SetAvailable(false, true)
+		}
+		replacement, _ := pool.allowedPair(r)
+		assert.Equal(t, 1, replacement.count)
+		assert.False(t, first.contains(replacement.endpoints[0]))
+		first.endpoints[1].SetAvailable(true, false)
+		returned, _ := pool.allowedPair(r)
+		assert.Equal(t, first, returned)
+	})
+}
