--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -25,7 +25,7 @@
 	// releaseInterval is the interval at which a release is repeated after a call that got no response.
 	releaseInterval = 1500 * time.Millisecond
 	// maxUnreachedRenewals is the number of renewals in a row that get no connection after which the primary endpoint counts as lost. Its
-	// helpers hold their memory for nothing then, which the platform allows for four seconds.
+	// helpers hold their memory for nothing then.
 	maxUnreachedRenewals = 2
 )
 
