epoch: an entry that is ahead gets no change

The base of a push fell back to the epoch before the held one for every epoch that is not retained, so also for one that is later: the entry got a patch that it ignores. Only epochs that are behind fall back now, and a push to an entry that is ahead carries no change, as before. The test failed before (2 instead of 4).

--- a/epoch/store.go
+++ b/epoch/store.go
@@ -147,13 +147,13 @@
 	return nil
 }
 
-// RetainedEpoch returns epoch if its snapshot is the held one or retained, else the epoch that was held before the current one; 0 if there is
-// none.
+// RetainedEpoch returns epoch if its snapshot is retained or if it is not behind the held one, else the epoch that was held before the current
+// one; 0 if there is none.
 func (s *Store) RetainedEpoch(epoch int64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.snapshotAtLocked(epoch) != nil:
+	case s.snapshotAtLocked(epoch) != nil, s.snapshot != nil && epoch >= s.snapshot.Epoch:
 		return epoch
 	case len(s.retained) > 0:
 		return s.retained[0].Epoch
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -161,6 +161,7 @@
 		require.Equal(t, int64(3), reply.Epoch)
 		after, _ := a.MessageBytes()
 		require.Less(t, after-sent, 600.0)
+		require.Equal(t, int64(4), a.EpochStore().RetainedEpoch(4), "an entry that is ahead gets no change")
 	})
 }
 
