--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -125,6 +125,13 @@
 	})
 }
 
+// currentID returns the ID of the current incarnation.
+func (e *endpoint) currentID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id
+}
+
 func (e *endpoint) state() (id string, limit float64, garbles, leaving, refuses bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -154,8 +154,7 @@
 		w.checker.recordFault("", false)
 		live := make(map[string]bool)
 		for i, e := range w.endpoints {
-			id, _, _, _, _ := e.state()
-			live[id] = true
+			live[e.currentID()] = true
 			w.after(delays[i], e.registerAgain)
 		}
 		for _, id := range w.store.Endpoints() {
@@ -170,10 +169,10 @@
 func (w *world) emptyEndpoint(float64) {
 	const leavingTime = 5 * time.Second
 	e := w.randomEndpoint()
-	id, _, _, _, _ := e.state()
+	id := e.currentID()
 	e.set(func(e *endpoint) { e.leaving = true })
 	w.after(leavingTime, func() {
-		if current, _, _, _, _ := e.state(); current == id {
+		if e.currentID() == id {
 			e.crash()
 		}
 	})
