--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -33,6 +35,16 @@
 	if w != nil {
 		defer w.close()
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.note("the case was ended from outside")
+		if w != nil {
+			w.close()
+		}
+		os.Exit(2)
+	}()
 	trouble, broken := os.Getenv("TROUBLE") != "0", false
 	if err == nil {
 		r.note("disruption: %t", trouble)
--- a/review/cases/silent.go
+++ b/review/cases/silent.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,9 +17,11 @@
 const (
 	settleTime  = 8 * time.Second         // from the start of the gateways to the disruption; longer than contactTime
 	longWait    = 2300 * time.Millisecond // of the long poll during which the connections fall silent
+	maxPollWait = time.Minute             // until a poll of that length begins
 	changeDelay = 100 * time.Millisecond
 	watchTime   = 6 * time.Second // after the change
 	sendPause   = 20 * time.Millisecond
+	withdrawn   = "key-withdrawn"
 )
 
 // keyResult is what a requester got for a request with a withdrawn key.
@@ -31,7 +34,7 @@
 // silentStoreConnections makes the open connections to the store fall silent while new ones work, and withdraws a key. It checks rule CONFIG:
 // a request that is sent later than ConfigApplyMs after the confirmation, to a machine in touch, does not run with the withdrawn key.
 func silentStoreConnections(w *world, trouble bool) (bool, error) {
-	w.setKeys(3, "key-kept", "key-1")
+	w.setKeys(3, "key-kept", withdrawn)
 	worker, err := w.startWorker("i-1", "order-desk", 15*time.Millisecond)
 	if err != nil {
 		return false, err
@@ -40,17 +43,25 @@
 		return false, err
 	}
 	time.Sleep(settleTime)
-	if os.Getenv("UNLOCKED") == "" {
-		w.awaitConfigPoll(longWait)
+	if os.Getenv("UNLOCKED") == "" { // set: at any moment
+		if err := w.awaitConfigPoll(longWait); err != nil {
+			return false, err
+		}
 	}
-	return w.withdrawKey(1, worker, trouble) > 0, nil
+	return w.withdrawKey(worker, trouble) > 0, nil
 }
 
 // awaitConfigPoll waits until a gateway begins to wait for a change of the configuration for a time at least.
-func (w *world) awaitConfigPoll(wait time.Duration) {
-	for poll := range w.configPolls {
-		if poll >= wait {
-			return
+func (w *world) awaitConfigPoll(wait time.Duration) error {
+	deadline := time.After(maxPollWait)
+	for {
+		select {
+		case poll := <-w.configPolls:
+			if poll >= wait {
+				return nil
+			}
+		case <-deadline:
+			return errors.New("no gateway has begun a long poll of that length")
 		}
 	}
 }
@@ -62,29 +73,28 @@
 		Timeout: 800 * time.Millisecond, LatencyTarget: 100 * time.Millisecond}}}.Encode())
 }
 
-// withdrawKey plays one round and returns the number of requests that were sent after the bound and ran with the withdrawn key.
-func (w *world) withdrawKey(round int, worker *worker, trouble bool) (late int) {
-	withdrawn, next := fmt.Sprintf("key-%d", round), fmt.Sprintf("key-%d", round+1)
+// withdrawKey disrupts the connections, withdraws the key and returns the number of requests that were sent after the bound and ran with the withdrawn key.
+func (w *world) withdrawKey(worker *worker, trouble bool) (late int) {
 	disruptedAt := time.Now()
 	if trouble {
-		w.record.note("round %d: %d open connections to the store fall silent; new ones work", round, w.proxy.silence())
+		w.record.note("%d open connections to the store fall silent; new ones work", w.proxy.silence())
 	}
 	time.Sleep(changeDelay)
-	w.setKeys(int64(3+5*round), "key-kept", next)
+	w.setKeys(8, "key-kept")
 	confirmedAt := time.Now()
-	w.record.note("round %d: the store confirms a version without the key %s", round, withdrawn)
+	w.record.note("the store confirms a version without %s", withdrawn)
 	boundAt := confirmedAt.Add(configApplyTime)
 	if inTouchAt := disruptedAt.Add(contactTime); trouble && inTouchAt.After(boundAt) {
 		boundAt = inTouchAt
 	}
-	w.record.noteAt(boundAt, "round %d: no request that is sent from here on may run with that key", round)
+	w.record.noteAt(boundAt, "no request that is sent from here on may run with that key")
 	var mu sync.Mutex
 	var results []keyResult
 	var requests sync.WaitGroup
 	for i := 0; time.Since(confirmedAt) < watchTime; i++ {
 		g := w.gateways[i%len(w.gateways)]
 		requests.Go(func() {
-			r := keyResult{attempt: fmt.Sprintf("r%d-%04d", round, i), gateway: g.name, sentAt: time.Now()}
+			r := keyResult{attempt: fmt.Sprintf("a%04d", i), gateway: g.name, sentAt: time.Now()}
 			r.status = sendWithKey(g, r.attempt, withdrawn)
 			mu.Lock()
 			defer mu.Unlock()
@@ -102,11 +112,11 @@
 		w.record.noteAt(r.sentAt, "%s sent to %s with %s: status %d, run by the worker: %t, after the bound: %t", r.attempt, r.gateway, withdrawn,
 			r.status, ran, isLate)
 	}
-	w.record.note("round %d: %d requests were sent after the bound and run with the withdrawn key", round, late)
+	w.record.note("%d requests were sent after the bound and run with the withdrawn key", late)
 	return late
 }
 
-// gatewayCount returns the number of gateways in the case.
+// gatewayCount returns the number of gateways in the case: one, or what the variable GATEWAYS says.
 func gatewayCount() int {
 	if n, err := strconv.Atoi(os.Getenv("GATEWAYS")); err == nil {
 		return n
--- a/review/cases/world.go
+++ b/review/cases/world.go
@@ -46,9 +46,7 @@
 		return nil, err
 	}
 	w := &world{dir: dir, store: platformtest.NewStore(), record: r, configPolls: make(chan time.Duration)}
-	if os.Getenv("KEEP") == "" {
-		w.closers = append(w.closers, func() { _ = os.RemoveAll(dir) })
-	}
+	w.closers = append(w.closers, func() { _ = os.RemoveAll(dir) })
 	if w.base, err = freePorts(); err != nil {
 		return w, err
 	}
