--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
 // client sends requests to an endpoint. Answers carry no ID, so that one that the endpoint writes once more on a connection in use again
@@ -29,22 +30,7 @@
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
-	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: withoutKeepAlive(httpClient)}
-}
-
-// withoutKeepAlive returns a client like c that uses each connection for one request.
-func withoutKeepAlive(c *http.Client) *http.Client {
-	roundTripper := c.Transport
-	if roundTripper == nil {
-		roundTripper = http.DefaultTransport
-	}
-	single := *c
-	if transport, ok := roundTripper.(*http.Transport); ok {
-		transport = transport.Clone()
-		transport.DisableKeepAlives = true
-		single.Transport = transport
-	}
-	return &single
+	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: transport.WithoutKeepAlives(httpClient)}
 }
 
 // do sends a request for work and returns the response if its status is 200, else the typed error.
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -53,6 +53,11 @@
 	nodes map[string]*testNode // by address; those that run
 	cut   func(a, b *testNode) bool
 	all   []*testNode
+
+	// network carries the calls to the store and between gateways; nil: they need no connections.
+	network  *silenceableNetwork
+	storeEnd *pipeListener
+	closers  []func()
 }
 
 // setCut cuts the connections between pairs of gateways, in both directions.
@@ -78,6 +83,7 @@
 	name   string
 	domain string
 	addr   string
+	state  *pipeListener // serves the state to peers on the fleet's network
 	daemon *daemon
 	inbox  chan []byte
 	closed chan struct{}
@@ -88,6 +94,21 @@
 
 func newTestFleet(t *testing.T, gateways, domains int) *testFleet {
 	f := &testFleet{t: t, store: platformtest.NewStore(), nodes: make(map[string]*testNode)}
+	f.startAll(gateways, domains)
+	return f
+}
+
+// newConnectedFleet returns a fleet whose calls use connections.
+func newConnectedFleet(t *testing.T, gateways, domains int) *testFleet {
+	f := &testFleet{t: t, store: platformtest.NewStore(), nodes: make(map[string]*testNode), network: new(silenceableNetwork)}
+	var closeStore func()
+	f.storeEnd, closeStore = servePipe(f.store)
+	f.closers = append(f.closers, closeStore)
+	f.startAll(gateways, domains)
+	return f
+}
+
+func (f *testFleet) startAll(gateways, domains int) {
 	f.store.SetEpoch(1)
 	for i := range 5 {
 		f.store.SetEndpoint(fmt.Sprintf("i%d", i), testEndpoint(i))
@@ -99,7 +120,6 @@
 	for _, n := range f.all {
 		n.start()
 	}
-	return f
 }
 
 func testEndpoint(i int) platformtest.Endpoint {
@@ -117,7 +137,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := &daemon{log: log, stateSync: newStateSync(log), settings: &platform.Settings{Name: n.name, InternalAddr: n.addr},
-		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: storeTransport{n.fleet.store, n.name}, Log: log}),
+		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: n.toStore(), Log: log}),
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
 	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
 		Sharing: func() int { return d.exchange.CircleSize() }})
@@ -126,8 +146,8 @@
 		Scheduler: d.scheduler, Quarantine: d.quarantine, Throttle: d.throttle, Versions: d.stateSync.versions, Log: log})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
-	d.follower.client = &http.Client{Transport: peerTransport{n}}
 	n.daemon, n.inbox, n.closed = d, make(chan []byte, 4096), make(chan struct{})
+	d.follower.client = &http.Client{Transport: n.toPeers()}
 	for _, other := range n.fleet.all {
 		require.NoError(n.fleet.t, d.exchange.AddTarget(other.addr))
 	}
@@ -145,6 +165,31 @@
 	}
 }
 
+// toStore returns the transport of calls to the store.
+func (n *testNode) toStore() http.RoundTripper {
+	if n.fleet.network == nil {
+		return storeTransport{n.fleet.store, n.name}
+	}
+	return &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DialContext: n.fleet.network.dialTo(func(string) *pipeListener { return n.fleet.storeEnd })}
+}
+
+// toPeers returns the transport of calls to other gateways, and starts the server for theirs.
+func (n *testNode) toPeers() http.RoundTripper {
+	if n.fleet.network == nil {
+		return peerTransport{n}
+	}
+	var closeState func()
+	n.state, closeState = servePipe(exchange.StateHandler(n.daemon.stateSync.stateFor))
+	n.fleet.closers = append(n.fleet.closers, closeState)
+	return &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: n.fleet.network.dialTo(func(addr string) *pipeListener {
+		if peer := n.fleet.reachable(n, addr); peer != nil {
+			return peer.state
+		}
+		return nil
+	})}
+}
+
 func (n *testNode) kill() {
 	n.fleet.mu.Lock()
 	delete(n.fleet.nodes, n.addr)
@@ -157,6 +202,12 @@
 	for _, n := range f.all {
 		n.kill()
 	}
+	for _, closeServer := range f.closers {
+		closeServer()
+	}
+	if f.network != nil {
+		f.network.close()
+	}
 }
 
 func (f *testFleet) node(addr string) *testNode {
--- a/internal/gatewayd/follower.go
+++ b/internal/gatewayd/follower.go
@@ -22,7 +22,7 @@
 	maxFetchDelay = 100 * time.Millisecond
 	// refetchDelay is the delay after a fetch that failed or brought nothing.
 	refetchDelay = 400 * time.Millisecond
-	// minPollShare is the shortest long poll, as a share of longPollTimeout. Different durations keep the watchers' polls from ending
+	// minPollShare is the shortest long poll, as a share of the longest. Different durations keep the watchers' polls from ending
 	// at the same time, so that one of them confirms every few hundred milliseconds.
 	minPollShare = 0.5
 )
@@ -139,8 +139,8 @@
 }
 
 // awaitTurn returns a function that blocks until this gateway has to ask the store for the changes of a table, and returns for how
-// long the store may hold the call open.
-func (f *follower) awaitTurn() func(context.Context) (time.Duration, error) {
+// long the store may hold the call open, at most longestPoll.
+func (f *follower) awaitTurn(longestPoll time.Duration) func(context.Context) (time.Duration, error) {
 	askedAt := time.Now()
 	return func(ctx context.Context) (time.Duration, error) {
 		for {
@@ -150,7 +150,7 @@
 			if f.policy.ShouldAsk(view) {
 				askedAt = time.Now()
 				if role == storewatch.Watcher {
-					return longPollTimeout - rand.N(time.Duration(float64(longPollTimeout)*(1-minPollShare))), nil
+					return longestPoll - rand.N(time.Duration(float64(longestPoll)*(1-minPollShare))), nil
 				}
 				return 0, nil
 			}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -36,9 +36,11 @@
 
 const (
 	watchedTables = 2 // those of configuration and endpoints
-	// longPollTimeout is the longest duration of a long poll of the store. It bounds the time until an outage without errors is
-	// noticed. It is not longer because a watcher that is cut off without an error must be noticed before a change has to be in force.
-	longPollTimeout = 2500 * time.Millisecond
+	// configPollTimeout is the longest duration of a long poll of the configuration. Only its end shows that the connection has gone silent, if
+	// no other call has found that, and a change must then still be in force within the three seconds after which platforms count on it.
+	configPollTimeout = 2500 * time.Millisecond
+	// endpointPollTimeout is the same for the endpoints. It is shorter, so that it finds most silences for both.
+	endpointPollTimeout = 1600 * time.Millisecond
 	// endpointCoalesceDelay is the pause between long polls after a change of the endpoint table. Changes often come in series,
 	// and without the pause each one would end a billed call of every gateway. It is short compared with the bounds for
 	// draining.
@@ -200,9 +202,9 @@
 // watchers returns the watchers of the tables of configuration and endpoints.
 func (d *daemon) watchers() []*platform.Watcher {
 	stateSync := d.stateSync
-	config, endpoints := platform.NewConfigWatcher(d.store, longPollTimeout), platform.NewEndpointWatcher(d.store, longPollTimeout)
+	config, endpoints := platform.NewConfigWatcher(d.store, configPollTimeout), platform.NewEndpointWatcher(d.store, endpointPollTimeout)
 	endpoints.CoalesceDelay = endpointCoalesceDelay
-	config.Await, endpoints.Await = d.follower.awaitTurn(), d.follower.awaitTurn()
+	config.Await, endpoints.Await = d.follower.awaitTurn(configPollTimeout), d.follower.awaitTurn(endpointPollTimeout)
 	endpoints.KnownVersion = stateSync.registry.Version
 	config.OnFullRead = func(rows []platform.Row, version int64) { stateSync.applyConfigRows(rows, version) }
 	config.OnChange = config.OnFullRead
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -14,7 +14,7 @@
 
 // configFreshness is the time after a confirmation for which a configuration counts as the newest. It covers one long poll
 // of the store and a margin.
-const configFreshness = longPollTimeout + 1200*time.Millisecond
+const configFreshness = configPollTimeout + 1200*time.Millisecond
 
 // stateSync applies data from the store and from peers to the configuration and the endpoint registry.
 type stateSync struct {
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -49,6 +49,21 @@
 	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
+// WithoutKeepAlives returns a client like c that opens a connection for each request.
+func WithoutKeepAlives(c *http.Client) *http.Client {
+	roundTripper := c.Transport
+	if roundTripper == nil {
+		roundTripper = http.DefaultTransport
+	}
+	single := *c
+	if t, ok := roundTripper.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		single.Transport = t
+	}
+	return &single
+}
+
 // returnRedirect makes the client return a redirect response instead of following it, since no process of the system
 // sends redirects.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
