exchange: a peer that is late is asked again on a new connection

Cause: the pool of connections between gateways was silent, too, and each fetch from a peer cost its time limit of 1 s, one per peer, after the watchers' own time. In the log edge-zon-tengah-7 heard of configuration 10 at 9.88 s and spent 9.95 to 10.95 and 11.5 to 12.53 s on two such connections. Ruled out: lost datagrams; the gateway had asked for the right epoch.

Change: StateClient asks once more on a new connection after 0.3 s and drops the idle ones if that brings the response.

--- a/exchange/state.go
+++ b/exchange/state.go
@@ -14,12 +14,16 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/bilberrylink/bilberrylink/hedge"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
 const (
-	stateTimeout  = time.Second
-	maxStateBytes = 16 << 20
+	stateTimeout = time.Second
+	// stateLateAfter is the time after which a peer's response is late. The connection may be silent then.
+	stateLateAfter = 300 * time.Millisecond
+	maxStateBytes  = 16 << 20
 )
 
 // State is what a gateway fetches from a peer that holds a newer configuration or list of endpoints.
@@ -53,10 +57,38 @@
 	return router
 }
 
-// FetchState requests from the peer at addr what is newer there than query tells.
-func FetchState(ctx context.Context, client *http.Client, addr string, query StateQuery) (State, error) {
+// StateClient fetches the state of peers.
+type StateClient struct {
+	pooled *http.Client
+	single *http.Client // opens a connection for each call
+}
+
+// NewStateClient returns a StateClient. roundTripper carries the calls; nil: connections of its own.
+func NewStateClient(roundTripper http.RoundTripper) *StateClient {
+	if roundTripper == nil {
+		roundTripper = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	}
+	pooled := &http.Client{Transport: roundTripper}
+	return &StateClient{pooled: pooled, single: transport.WithoutKeepAlives(pooled)}
+}
+
+// Fetch requests from the peer at addr what is newer there than query tells. by tells which connection brought the response.
+func (c *StateClient) Fetch(ctx context.Context, addr string, query StateQuery) (s State, by hedge.Connection, err error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
+	s, by, err = hedge.Do(ctx, stateLateAfter, nil, func(ctx context.Context, conn hedge.Connection) (State, error) {
+		if conn == hedge.New {
+			return fetchState(ctx, c.single, addr, query)
+		}
+		return fetchState(ctx, c.pooled, addr, query)
+	})
+	if err == nil && by == hedge.New {
+		c.pooled.CloseIdleConnections()
+	}
+	return s, by, err
+}
+
+func fetchState(ctx context.Context, client *http.Client, addr string, query StateQuery) (State, error) {
 	var s State
 	values := url.Values{"epoch": {strconv.FormatInt(query.Epoch, 10)}, "endpoints": {strconv.FormatInt(query.EndpointsVersion, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/state?"+values.Encode(), nil)
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -147,7 +147,7 @@
 	d.stateSync.onNews = d.exchange.AnnounceVersions
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
 	n.daemon, n.inbox, n.closed = d, make(chan []byte, 4096), make(chan struct{})
-	d.follower.client = &http.Client{Transport: n.toPeers()}
+	d.follower.client = exchange.NewStateClient(n.toPeers())
 	for _, other := range n.fleet.all {
 		require.NoError(n.fleet.t, d.exchange.AddTarget(other.addr))
 	}
--- a/internal/gatewayd/follower.go
+++ b/internal/gatewayd/follower.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/exchange"
+	"github.com/bilberrylink/bilberrylink/hedge"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/storewatch"
 )
@@ -35,7 +35,7 @@
 	self      storewatch.Gateway
 	policy    storewatch.Policy
 	log       *logrus.Logger
-	client    *http.Client
+	client    *exchange.StateClient
 
 	fetchAt time.Time // no fetch before this time; used by run only
 
@@ -44,8 +44,7 @@
 }
 
 func newFollower(e *exchange.Exchange, s *stateSync, self storewatch.Gateway, log *logrus.Logger) *follower {
-	return &follower{exchange: e, stateSync: s, self: self, log: log,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}}
+	return &follower{exchange: e, stateSync: s, self: self, log: log, client: exchange.NewStateClient(nil)}
 }
 
 // run follows peers until ctx ends.
@@ -100,7 +99,10 @@
 // fetch fetches from a peer what this gateway lacks and reports whether that brought anything.
 func (f *follower) fetch(ctx context.Context, p exchange.Peer) bool {
 	own := f.stateSync.versions()
-	state, err := exchange.FetchState(ctx, f.client, p.Addr, exchange.StateQuery{Epoch: own.Epoch, EndpointsVersion: own.Endpoints})
+	state, by, err := f.client.Fetch(ctx, p.Addr, exchange.StateQuery{Epoch: own.Epoch, EndpointsVersion: own.Endpoints})
+	if err == nil && by == hedge.New {
+		f.log.WithFields(logrus.Fields{"event": "peer_connection_silent", "peer": p.Name}).Warn("peer answers on a new connection only")
+	}
 	if err == nil && len(state.Config) > 0 {
 		var config []byte
 		if config, err = exchange.Decompress(state.Config); err == nil {
--- a/internal/gatewayd/silent_test.go
+++ b/internal/gatewayd/silent_test.go
@@ -21,18 +21,21 @@
 	open  []*connState
 	ends  []net.Conn // of all connections
 	dials int
+	ended bool
 }
 
 // connState is the state that both ends of a connection share.
 type connState struct{ silent, closed atomic.Bool }
 
-// close closes all connections.
+// close closes all connections and waits for those that are being opened.
 func (n *silenceableNetwork) close() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.ended = true
 	for _, c := range n.ends {
 		_ = c.Close()
 	}
+	n.mu.Unlock()
+	time.Sleep(2 * linkDelay)
 }
 
 // silence silences all open connections. New ones work.
@@ -70,7 +73,11 @@
 		n.open = append(n.open, state)
 		n.ends = append(n.ends, client, remote)
 		n.dials++
+		ended := n.ended
 		n.mu.Unlock()
+		if ended {
+			return nil, net.ErrClosed
+		}
 		select {
 		case listener.accepted <- remote:
 			return client, nil
@@ -158,7 +165,7 @@
 // After all open connections, to the store and between gateways, have gone silent, a change must be in force at every gateway as soon as the
 // gateways count as sound again, at whatever moment of their calls that happens.
 func TestChangeAfterOpenConnectionsWentSilent(t *testing.T) {
-	for _, gateways := range []int{1, 4} {
+	for _, gateways := range []int{1, 4, 30} {
 		withConnections(t, gateways, 3, func(f *testFleet) {
 			for i := range 25 {
 				time.Sleep(5*time.Second + time.Duration(i)*120*time.Millisecond)
@@ -187,7 +194,7 @@
 // Silent connections must not be taken for an outage of the store, in which entries expire: an endpoint that leaves just then must get no
 // requests once the gateways count as sound.
 func TestEndpointLeavesWhileConnectionsAreSilent(t *testing.T) {
-	for _, gateways := range []int{1, 4} {
+	for _, gateways := range []int{1, 4, 30} {
 		withConnections(t, gateways, 3, func(f *testFleet) {
 			for i := range 25 {
 				time.Sleep(5*time.Second + time.Duration(i)*120*time.Millisecond)
