platform: silent connections to an endpoint cost one stall, not one each

Cause: the next attempt, the next request and the next renewal each took another open connection of the pool, which had gone silent with the first, and waited for its whole time limit. Requests that may run once have a new connection anyway.

Change: an attempt after the first opens a connection. An endpoint that is silent for too long, which the gateway now states as the cause of the cancellation, loses its idle connections. A caller that leaves drops none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -440,15 +440,15 @@
 		return f, false
 	}
 	s.triedEndpoints = append(s.triedEndpoints, primary.ID)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	watch := s.startWatchdog(primary, cancel)
 	defer watch.stop()
 	defer reservations.onLost(func() { watch.expire() })()
 	sentAt := s.gw.opts.Now()
 	response, err := s.gw.opts.Backend.Send(ctx, &EndpointRequest{
 		Request: s.req, Endpoint: primary, TimeLeft: deadlineOf(s.req).Sub(sentAt), Helpers: helpers(plan, reservations),
-		LastEventID: s.lastEventID,
+		LastEventID: s.lastEventID, NewConnection: len(s.triedEndpoints) > 1,
 	})
 	if err != nil {
 		return s.sendFailure(ctx, primary, err, watch), false
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -93,7 +93,7 @@
 
 // reserveOrRenew reserves the memory or renews the reservation.
 func (r *reservation) reserveOrRenew(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, reserveTimeout, ErrEndpointSilent)
 	defer cancel()
 	ok, err := r.state.gw.opts.Backend.Reserve(ctx, r.endpoint, r.id, r.tokens, reservationTTL)
 	var sendErr *SendError
@@ -161,7 +161,7 @@
 // executed and reserve the memory again.
 func (r *reservation) release() {
 	for {
-		ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+		ctx, cancel := context.WithTimeoutCause(context.Background(), reserveTimeout, ErrEndpointSilent)
 		err := r.state.gw.opts.Backend.Release(ctx, r.endpoint, r.id)
 		cancel()
 		now := r.state.gw.opts.Now()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,7 +123,7 @@
 // watchdog cancels an attempt that makes no progress if another one is allowed.
 type watchdog struct {
 	state   *requestState
-	cancel  context.CancelFunc // of the attempt
+	cancel  context.CancelCauseFunc // of the attempt
 	timeout time.Duration
 
 	mu    sync.Mutex
@@ -134,7 +134,7 @@
 // startWatchdog starts the watchdog of an attempt. It does not cancel the attempt while the endpoint sends events of other
 // requests, if a retry is not safe or has too little time, or if the retry budget is used up: an endpoint is also silent
 // during the prefill of a long prompt, and an attempt elsewhere starts from the beginning.
-func (s *requestState) startWatchdog(e *registry.Endpoint, cancel context.CancelFunc) *watchdog {
+func (s *requestState) startWatchdog(e *registry.Endpoint, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{state: s, cancel: cancel, timeout: s.stallTimeout()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -154,7 +154,7 @@
 	s := w.state
 	if !w.fired && s.retryAllowed(s.gw.opts.Now()) && s.gw.opts.RetryBudget.TryWithdraw(s.service.Name) {
 		w.fired = true
-		w.cancel()
+		w.cancel(ErrEndpointSilent)
 	}
 	return w.fired
 }
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/registry"
@@ -36,6 +38,8 @@
 	TimeLeft    time.Duration // time that the endpoint may take
 	Helpers     []Helper
 	LastEventID int64 // last event that the caller has received; -1: none
+	// NewConnection means that the request must not use an open connection, which may be as silent as that of an earlier attempt.
+	NewConnection bool
 }
 
 // Helper is an endpoint that processes a part of the prompt or holds a part of its context.
@@ -72,6 +76,9 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// ErrEndpointSilent is the cause with which the context of an attempt ends whose endpoint has been silent for too long.
+var ErrEndpointSilent = errors.New("endpoint silent")
+
 // Backend sends requests to endpoints.
 type Backend interface {
 	// Send sends a request and returns when the header of the response has arrived. Cancelling ctx also ends the body. The
