transport: calls to the table and to peers survive pools of silent connections

When these go silent, each call costs its time limit (2 s at the table) and the next one takes the next silent connection.

Change: RepeatLate makes calls that may be repeated once more on a new connection after 0.3 s: exchanges between nodes, which merge states, and reads of the table. Commits are made once; one that ends at its time limit drops the idle connections. Calls to agents had this already (closeIdleConnections, resumes on new connections); calls of an agent to its endpoint do not leave the VM.

--- a/cloud/cloudhttp/client.go
+++ b/cloud/cloudhttp/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/cloud"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
 type client struct {
@@ -26,7 +27,7 @@
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
-	cl := &client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: httpClient}
+	cl := &client{baseURL: strings.TrimRight(baseURL, "/"), httpClient: transport.RepeatLate(httpClient, transport.Safe)}
 	return cloud.Services{Table: table{cl}, Objects: objects{cl}, Weights: weights{cl}, VMs: vms{cl}}
 }
 
