--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -161,11 +161,7 @@
 
 // start opens the listeners and starts the background goroutines.
 func (d *daemon) start(ctx context.Context) error {
-	listen := d.opts.Listen
-	if listen == nil {
-		listen = new(net.ListenConfig).Listen
-	}
-	listener, err := listen(ctx, "tcp", d.opts.CallerListenAddr)
+	listener, err := d.listen(ctx, d.opts.CallerListenAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -193,11 +189,7 @@
 	if err != nil {
 		return errors.Wrap(err, "TLS of the internal listener")
 	}
-	listen := d.opts.Listen
-	if listen == nil {
-		listen = func(ctx context.Context, _, addr string) (net.Listener, error) { return transport.Listen(ctx, addr) }
-	}
-	l, err := listen(ctx, "tcp", d.opts.Node.Listen)
+	l, err := d.listen(ctx, d.opts.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "internal listener")
 	}
@@ -206,6 +198,13 @@
 	return nil
 }
 
+func (d *daemon) listen(ctx context.Context, addr string) (net.Listener, error) {
+	if d.opts.Listen != nil {
+		return d.opts.Listen(ctx, "tcp", addr)
+	}
+	return transport.Listen(ctx, addr)
+}
+
 func (d *daemon) serve(s *http.Server, l net.Listener, name string) {
 	if err := transport.Serve(s, l); err != nil {
 		d.opts.Log.WithError(err).WithField("listener", name).Error("listener failed")
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -26,6 +26,7 @@
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/gateway"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/quarantine"
@@ -170,7 +171,7 @@
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
 	}
-	if err := d.startServers(); err != nil {
+	if err := d.startServers(ctx); err != nil {
 		cancel()
 		return err
 	}
@@ -224,7 +225,7 @@
 }
 
 // startServers starts the HTTP servers for callers, readiness checks, other gateways and metrics.
-func (d *daemon) startServers() error {
+func (d *daemon) startServers(ctx context.Context) error {
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", promhttp.HandlerFor(d.metricsRegistry, promhttp.HandlerOpts{}))
 	d.callerServer = d.newServer(d.handler)
@@ -238,7 +239,7 @@
 		{d.settings.MetricsAddr, d.newServer(metrics)},
 	}
 	for _, l := range listeners {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := transport.Listen(ctx, l.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
