peer: odd entries of the VM list hide no others

Entries are decoded one by one, and those without name, address, state and role are logged and ignored. A list that is nested deeper than 10,000 levels as a whole is still refused by the decoder.

--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,9 +108,31 @@
 	Role          VMRole  `json:"role"`
 }
 
+// Validate returns an error unless the VM has a name, the address of a listener and a known state and role. The list of a platform may contain
+// entries of other writers.
+func (vm VM) Validate() error {
+	host, port, err := net.SplitHostPort(vm.Addr)
+	switch {
+	case vm.Name == "":
+		return errors.New("VM has no name")
+	case err != nil:
+		return errors.Wrapf(err, "address of VM %q", vm.Name)
+	case host == "":
+		return errors.Errorf("address %q of VM %q has no host", vm.Addr, vm.Name)
+	case vm.State != VMLive && vm.State != VMLeaving:
+		return errors.Errorf("state of VM %q is %q", vm.Name, vm.State)
+	case vm.Role != RoleEntry && vm.Role != RoleAgent:
+		return errors.Errorf("role of VM %q is %q", vm.Name, vm.Role)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.Errorf("address %q of VM %q has no port from 1 to 65535", vm.Addr, vm.Name)
+	}
+	return nil
+}
+
 // VMList is the platform's list of VMs, which is eventually consistent.
 type VMList interface {
-	// List returns the VMs known to the platform. The list may be seconds old.
+	// List returns the VMs known to the platform. The list may be seconds old. Entries may be invalid; see VM.Validate.
 	List(ctx context.Context) ([]VM, error)
 }
 
--- a/cloud/cloudhttp/client.go
+++ b/cloud/cloudhttp/client.go
@@ -184,9 +184,19 @@
 
 type vms struct{ *client }
 
-// List implements cloud.VMList.
+// List implements cloud.VMList. An entry that cannot be decoded is an empty VM, so that it hides no other.
 func (v vms) List(ctx context.Context) ([]cloud.VM, error) {
-	var list VMListResponse
-	err := v.getJSON(ctx, PathVMs, nil, &list)
-	return list.VMs, err
+	var list struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	if err := v.getJSON(ctx, PathVMs, nil, &list); err != nil {
+		return nil, err
+	}
+	result := make([]cloud.VM, len(list.VMs))
+	for i, entry := range list.VMs {
+		if json.Unmarshal(entry, &result[i]) != nil {
+			result[i] = cloud.VM{}
+		}
+	}
+	return result, nil
 }
--- a/peer/platform.go
+++ b/peer/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/bilberrylink/bilberrylink/cloud"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 )
@@ -49,5 +51,11 @@
 		p.options.Log.WithError(err).Debug("failed to read the VM list")
 		return
 	}
-	p.members.SetVMList(vms)
+	p.members.SetVMList(slices.DeleteFunc(vms, func(vm cloud.VM) bool {
+		err := vm.Validate()
+		if err != nil {
+			p.options.Log.WithError(err).Warn("ignoring an invalid entry of the VM list")
+		}
+		return err != nil
+	}))
 }
