gateway: requests that must not be repeated are not begun where the process may end first

Here: an order of 4.6 s that came 2.7 s after SIGTERM reached its endpoint and ended with 502 after 7.2 s, so that its caller could not tell whether it had run. Ruled out: requests that come later than 2.8 s. Kept connections and new ones that have carried none are closed by then without having been read; orders at 11 moments of the stop show it.

Change: from SIGTERM on, a request that must not be repeated is refused as not run, with a time to return, if its time limit is beyond the end of the process. Others go on, as they may be repeated.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	answeredInTime   atomic.Uint64
 	ending           context.Context
 	end              context.CancelFunc
+	endsAt           atomic.Pointer[time.Time] // when EndRequests will be called; nil: not known
 }
 
 // errProcessEnds is the reason why the context of a request ends when the process has no more time for it.
@@ -73,6 +74,9 @@
 // requests.
 func (g *Gateway) EndRequests() { g.end() }
 
+// AnnounceEnd tells when EndRequests will be called. Later requests are refused that must not be repeated and may still be running then.
+func (g *Gateway) AnnounceEnd(at time.Time) { g.endsAt.Store(&at) }
+
 // ActiveRequests returns the number of requests in progress.
 func (g *Gateway) ActiveRequests() int64 { return g.active.Load() }
 
@@ -231,6 +235,9 @@
 	if ctx.Err() != nil {
 		return s.contextFailure(ctx, s.sendCount > 0), false
 	}
+	if endsAt := s.gw.endsAt.Load(); endsAt != nil && mayOutlive(s.req, *endsAt) {
+		return failure{kind: errkind.Draining, notExecuted: s.notExecuted, final: true, reason: "process ends too soon"}, false
+	}
 	plan, reservations, f, ok := s.planAndReserve(ctx)
 	if !ok {
 		return f, false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -539,6 +539,31 @@
 	}
 }
 
+// During a planned stop, a request that must not be repeated must not be sent if its time limit is beyond the end of the process, where it would be
+// cut. Others are served, and so is one that is already running.
+func TestRequestsThatMayOutliveTheProcessAreNotSent(t *testing.T) {
+	for kind, isServed := range map[catalog.Kind]bool{catalog.NonIdempotent: false, catalog.Idempotent: true} {
+		synctest.Test(t, func(t *testing.T) {
+			sent := 0
+			tg := newTestGateway(func(context.Context, int, *EndpointRequest) (*Response, error) {
+				sent++
+				return &Response{Status: 200, SignatureValid: true, Body: io.NopCloser(strings.NewReader("body"))}, nil
+			})
+			tg.gateway.AnnounceEnd(time.Now().Add(time.Hour))
+			require.Equal(t, "body", tg.serve(t.Context(), kind, nil).body.String())
+			tg.gateway.AnnounceEnd(time.Now().Add(time.Second))
+			caller := tg.serve(t.Context(), kind, nil)
+			if isServed {
+				require.Equal(t, "body", caller.body.String())
+				return
+			}
+			require.Equal(t, 1, sent)
+			require.Equal(t, errkind.NotRun, errkind.RuleOf(caller.refusedKind).RunState)
+			require.Positive(t, caller.retryAfter)
+		})
+	}
+}
+
 // A request to a service without endpoints must be rejected at once.
 func TestServiceWithoutEndpointsIsRejectedAtOnce(t *testing.T) {
 	tg := newTestGateway(nil)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -47,6 +47,12 @@
 // defaultTimeout applies to requests without a deadline on routes without a timeout.
 const defaultTimeout = 60 * time.Second
 
+// mayOutlive reports whether a request that must not be repeated may still be running when the process ends. Its caller could not tell then
+// whether it has run.
+func mayOutlive(r *Request, processEndsAt time.Time) bool {
+	return !r.Route.Retryable() && deadlineOf(r).After(processEndsAt)
+}
+
 // failure describes a failed attempt.
 type failure struct {
 	kind        errkind.Kind
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -342,15 +342,16 @@
 	d.log.WithFields(logrus.Fields{"event": "stopping", "active": d.gateway.ActiveRequests()}).Info("gateway is shutting down")
 	stopStartedAt := time.Now()
 	d.draining.Store(true)
+	endsAt := stopStartedAt.Add(d.settings.GracePeriod - shutdownMargin)
+	d.gateway.AnnounceEnd(endsAt.Add(-answerMargin))
 	d.handler.StartDraining()
 	if err := d.store.RemovePeer(context.Background(), d.settings.Name); err != nil {
 		d.log.WithError(err).Info("cannot remove the gateway from the list of gateways")
 	}
 	time.Sleep(drainNoticeTime - time.Since(stopStartedAt))
-	timeLeft := d.settings.GracePeriod - shutdownMargin - time.Since(stopStartedAt)
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), timeLeft)
+	shutdownCtx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
-	defer time.AfterFunc(timeLeft-answerMargin, d.gateway.EndRequests).Stop()
+	defer time.AfterFunc(time.Until(endsAt.Add(-answerMargin)), d.gateway.EndRequests).Stop()
 	if err := d.callerServer.Shutdown(shutdownCtx); err != nil {
 		d.log.WithError(err).WithField("active", d.gateway.ActiveRequests()).Warn("grace period ended with requests in progress")
 	}
