--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -189,17 +189,24 @@
 }
 
 // contextFailure returns the failure of an attempt whose context ended: by the deadline, because another attempt of a hedged
-// call answered first, or because the caller disconnected.
+// call answered first, because the caller disconnected, or because the entry stops.
 func (a *attempt) contextFailure(ctx context.Context) *failure {
-	kind, message := errkind.Canceled, "caller went away"
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		kind, message = errkind.DeadlineExceeded, "not finished by the deadline"
-	}
 	run := errkind.RunUnknown
 	if a.started != nil {
 		run = errkind.Ran
 	}
-	return &failure{err: errkind.New(kind, message).WithRunState(run), maybeRunning: true}
+	return &failure{err: endError(ctx).WithRunState(run), maybeRunning: true}
+}
+
+// endError returns the error for the end of a request's context.
+func endError(ctx context.Context) *errkind.Error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return errkind.New(errkind.DeadlineExceeded, "not finished by the deadline")
+	case errors.Is(cause, errEntryStops):
+		return errkind.New(errkind.Draining, "entry stopped before the request was finished")
+	}
+	return errkind.New(errkind.Canceled, "caller went away")
 }
 
 // receiveOnConnection reads the frames of one connection. It returns nil after the End frame, a *failure if the attempt
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -415,10 +415,7 @@
 	if lastFailure != nil {
 		run = lastFailure.err.RunState
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return errkind.New(errkind.DeadlineExceeded, "not finished by the deadline").WithRunState(run)
-	}
-	return errkind.New(errkind.Canceled, "caller went away").WithRunState(run)
+	return endError(ctx).WithRunState(run)
 }
 
 // checkAnswer checks, immediately before the first byte of an answer, that the answering version is the requested one and
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -70,6 +70,12 @@
 // stopTimeoutMargin is the time that is left for closing the listeners after the drain.
 const stopTimeoutMargin = 5 * time.Second
 
+// answerMargin is the time before the end of the drain that is left for answering the requests that are still open.
+const answerMargin = time.Second
+
+// errEntryStops is the reason why the context of a request ends when the entry has no more time for it.
+var errEntryStops = errors.New("entry stops")
+
 // viewRefreshInterval is the interval at which the routing view takes over liveness and load from the membership.
 const viewRefreshInterval = 250 * time.Millisecond
 
@@ -90,6 +96,8 @@
 	internalServer *http.Server
 	callerListener net.Listener
 	cancel         context.CancelFunc
+	requests       context.Context // of all requests of callers
+	endRequests    context.CancelCauseFunc
 	endedJobs      chan struct{} // receives one value for each background job that ends
 	jobCount       int           // background jobs that were started
 }
@@ -107,6 +115,7 @@
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
 	d := &daemon{opts: opts, routingView: route.NewView(route.Options{SettleTime: maxSettleTime})}
+	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, startedAt: time.Now(),
 		rateLimiter: limit.NewRateLimiter(limit.RateLimiterOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Platform.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
@@ -174,6 +183,7 @@
 		Handler:           d.server.router(d.components.OperatorRoutes...),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		BaseContext:       func(net.Listener) context.Context { return d.requests },
 	}
 	go d.serve(d.callerServer, listener, "callers")
 	d.startBackgroundJobs()
@@ -248,6 +258,7 @@
 	_ = timing.Sleep(ctx, d.opts.BalancerLag) // once ctx has ended, the shutdown continues without waiting
 	drainCtx, cancel := context.WithTimeout(ctx, d.opts.DrainTimeout)
 	defer cancel()
+	defer time.AfterFunc(d.opts.DrainTimeout-min(answerMargin, d.opts.DrainTimeout/2), func() { d.endRequests(errEntryStops) }).Stop()
 	err := d.callerServer.Shutdown(drainCtx)
 	if err != nil {
 		_ = d.callerServer.Close() // the error of Shutdown is reported
--- a/internal/entry/module_test.go
+++ b/internal/entry/module_test.go
@@ -122,3 +122,23 @@
 	opts.Policy = "guess"
 	assert.ErrorContains(t, fx.New(Module(opts), fx.NopLogger).Err(), "guess")
 }
+
+// A request that is still open at the end of the drain must get an answer that tells whether it may have run, not a closed connection.
+func TestRequestsThatOutliveTheDrainAreAnswered(t *testing.T) {
+	f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frameWriter) { <-out.ctx.Done() })
+	epochs := new(fakeEpochs)
+	epochs.set(t, 1, "")
+	opts := moduleOptions(f, epochs, time.Millisecond)
+	opts.DrainTimeout = 600 * time.Millisecond
+	d, err := newDaemon(opts, Timing{}, Disabled{})
+	require.NoError(t, err)
+	require.NoError(t, d.start(t.Context()))
+	e := &testEntry{url: "http://" + d.callerListener.Addr().String()}
+	answer := make(chan reply, 1)
+	go func() { answer <- e.chat(t, chatBody) }()
+	require.Eventually(t, func() bool { runs, _ := f.totalCounts(); return runs == 1 }, time.Second, time.Millisecond)
+	assert.NoError(t, d.stop(t.Context()))
+	got := <-answer
+	assert.Contains(t, got.body, `"kind":"draining"`)
+	assert.Contains(t, got.body, `"run":"unknown"`)
+}
