agent: the limit that an endpoint states is kept

It is the only sender of its endpoint, so that a bucket of its own bounds them, right before each call and as not run beyond it. A limit holds until an answer without one.

--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -24,13 +25,29 @@
 	baseURL string
 	shared  *http.Client
 	work    *http.Client
+	limit   *atomic.Pointer[endpoint.Limit] // of the latest answer; nil: none yet
+}
+
+// Limit implements endpoint.Limited.
+func (c client) Limit() endpoint.Limit {
+	if limit := c.limit.Load(); limit != nil {
+		return *limit
+	}
+	return endpoint.Limit{}
+}
+
+// observe takes over what an answer says of the endpoint.
+func (c client) observe(resp *http.Response) {
+	limit := endpoint.LimitOf(resp.Header)
+	c.limit.Store(&limit)
 }
 
 func newClient(baseURL string, httpClient *http.Client) client {
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
-	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: transport.WithoutKeepAlives(httpClient)}
+	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: transport.WithoutKeepAlives(httpClient),
+		limit: new(atomic.Pointer[endpoint.Limit])}
 }
 
 // do sends a request for work and returns the response if its status is 200, else the typed error.
@@ -52,6 +69,7 @@
 	if err != nil {
 		return nil, transportError(ctx, err)
 	}
+	c.observe(resp)
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
@@ -272,6 +290,7 @@
 	if err != nil {
 		return endpoint.Response{}, transportError(ctx, err)
 	}
+	s.observe(resp)
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Header.Get(HeaderFailure) != "" {
 		return endpoint.Response{}, responseError(resp)
--- a/endpoint/endpointhttp/client_test.go
+++ b/endpoint/endpointhttp/client_test.go
@@ -168,3 +168,81 @@
 	require.Equal(t, 2500*time.Millisecond, refused.After)
 	require.ErrorIs(t, err, endpoint.ErrDown)
 }
+
+// A limit that cannot be read must be none, and one holds until an answer without it.
+func TestLimitOfTheLatestAnswerIsRead(t *testing.T) {
+	header := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if header != "" {
+			w.Header().Set("Server-Limit", header)
+		}
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer server.Close()
+	service := endpointhttp.NewService(server.URL, nil)
+	for value, want := range map[string]endpoint.Limit{
+		"2.5": {Stated: true, PerSecond: 2.5}, "0": {Stated: true}, "": {}, "-1": {}, "many": {}, "NaN": {}, "1e400": {},
+	} {
+		header = value
+		_, err := service.Do(t.Context(), endpoint.Call{Method: "GET", Path: "/"})
+		require.NoError(t, err)
+		require.Equal(t, want, service.(endpoint.Limited).Limit(), value)
+	}
+}
+
+// rawServer answers each connection with bytes and then closes it, or resets it.
+func rawServer(t *testing.T, answer string, reset bool) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // a close with unread data resets the connection
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		if reset {
+			time.Sleep(20 * time.Millisecond) // so that the answer is read before the reset
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		_ = c.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+const unframedHead = "HTTP/1.1 200 x\r\nX-Any: 1\r\n\r\n"
+
+// An answer with neither a length nor chunks is complete if its connection ends, and is not if that is reset.
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		server := rawServer(t, unframedHead+"paid", reset)
+		resp, err := endpointhttp.NewService(server.URL, nil).Do(t.Context(), endpoint.Call{Method: http.MethodPost, Path: "/orders"})
+		if reset {
+			require.ErrorIs(t, err, endpoint.ErrDown)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "paid", string(resp.Body))
+	}
+}
+
+// A stream that ends inside an event, wherever that is, has been broken off and must not look complete.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	const events = "event: token\ndata: {\"index\":0,\"text\":\"a\"}\n\nevent: end\ndata: {\"completion_tokens\":1}\n\n"
+	for cut := range len(events) {
+		server := rawServer(t, unframedHead+events[:cut], false)
+		stream, err := endpointhttp.NewEngine(server.URL, nil).Generate(t.Context(), endpoint.GenerateRequest{})
+		require.NoError(t, err)
+		for err == nil {
+			_, err = stream.Recv()
+		}
+		require.ErrorIs(t, err, endpoint.ErrDown, "%q", events[:cut])
+		server.Close()
+	}
+	server := rawServer(t, unframedHead+events, false)
+	stream, err := endpointhttp.NewEngine(server.URL, nil).Generate(t.Context(), endpoint.GenerateRequest{})
+	require.NoError(t, err)
+	_, err = stream.Recv()
+	require.NoError(t, err)
+	_, err = stream.Recv()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -53,6 +53,7 @@
 	idempotency    *idempotency.Store
 	ledger         *kvledger.Ledger
 	queue          *fairqueue.Queue[*attempt]
+	limit          requestLimit
 	wakeup         chan struct{} // holds a value while the scheduler has work
 	pendingCancels *ringbuffer.Buffer[string]
 	pendingCrashes *ringbuffer.Buffer[crash]
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -187,6 +187,9 @@
 	if err := a.checkPaused(); err != nil {
 		return asNotRun(err)
 	}
+	if !a.limit.take(a.endpointLimit(), time.Now()) {
+		return asNotRun(errkind.New(errkind.Overloaded, "endpoint is at the limit that it has stated"))
+	}
 	a.mu.Lock()
 	refused := a.refusedIDs.has(att.id)
 	arrivedDraining := !a.drainingSince.IsZero() && att.arrivedAt.After(a.drainingSince) && !att.preReserved()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -286,6 +286,13 @@
 	delay time.Duration
 	err   error
 	pause string // value of Retry-After in refusals; empty: it does not refuse
+	limit endpoint.Limit
+}
+
+func (s *fakeService) Limit() endpoint.Limit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
 }
 
 func (s *fakeService) Do(_ context.Context, c endpoint.Call) (endpoint.Response, error) {
