--- a/internal/gatewayd/silent_test.go
+++ b/internal/gatewayd/silent_test.go
@@ -191,6 +191,25 @@
 	})
 }
 
+// A store that comes back from a copy while the connections are silent answers only on a new connection, with an error. That answer must count at
+// once.
+func TestStoreRestoredWhileConnectionsAreSilent(t *testing.T) {
+	withConnections(t, 1, 1, func(f *testFleet) {
+		epoch := int64(1)
+		for i := range 25 {
+			time.Sleep(5*time.Second + time.Duration(i)*120*time.Millisecond)
+			copied := f.store.Copy()
+			f.store.SetEndpoint("i1", testEndpoint(1)) // lost with the copy
+			time.Sleep(3 * time.Second)
+			f.network.silence()
+			f.store.Restore(copied)
+			epoch++
+			f.store.SetEpoch(epoch)
+			f.requireEverywhere(contactBound, f.all, "configuration", hasEpoch(epoch))
+		}
+	})
+}
+
 // Silent connections must not be taken for an outage of the store, in which entries expire: an endpoint that leaves just then must get no
 // requests once the gateways count as sound.
 func TestEndpointLeavesWhileConnectionsAreSilent(t *testing.T) {
