--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -45,7 +45,7 @@
 	garbles  bool // breaks off or adds to some answers
 	leaving  bool // states in its answers that it shuts down
 	refuses  bool // refuses requests with a time to return
-	listener net.Listener
+	listener *silenceableListener
 	conns    map[net.Conn]struct{}
 
 	startedAt time.Time
@@ -53,7 +53,7 @@
 
 // start begins a new incarnation, which registers in the store.
 func (e *endpoint) start() error {
-	listener, err := net.Listen("tcp", e.addr)
+	listener, err := listenSilenceable(e.addr)
 	if err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 	}
 }
 
-func (e *endpoint) accept(listener net.Listener, conns map[net.Conn]struct{}) {
+func (e *endpoint) accept(listener *silenceableListener, conns map[net.Conn]struct{}) {
 	for {
 		c, err := listener.Accept()
 		if err != nil {
@@ -111,9 +111,7 @@
 	e.listener = nil
 	_ = listener.Close()
 	for c := range e.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		_ = c.(*silenceableConn).SetLinger(0)
 		_ = c.Close()
 	}
 	e.mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -32,6 +34,9 @@
 		{"configuration", func(float64) { w.changeConfiguration() }},
 		{"endpoint leaves", w.emptyEndpoint},
 		{"refusals", w.refuseRequests},
+		{"silent connections", w.silenceConnections},
+		{"silent connections", w.silenceConnections},
+		{"odd entries", func(float64) { w.writeOddEntries() }},
 	}
 	for time.Since(w.startedAt) < w.opts.Duration {
 		time.Sleep(time.Duration(w.rng.Int64N(int64(faultPause))))
@@ -201,3 +206,35 @@
 	e.set(func(e *endpoint) { e.garbles = true })
 	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.garbles = false }) })
 }
+
+// silenceConnections silences the open connections to the store and to the endpoints, and changes the configuration right after.
+func (w *world) silenceConnections(float64) {
+	const maxChangeDelay = 300 * time.Millisecond
+	w.checker.recordFault("", false)
+	for _, g := range w.gateways {
+		g.mu.Lock()
+		g.noteDisturbance()
+		g.mu.Unlock()
+	}
+	w.storeListener.silence()
+	for _, e := range w.endpoints {
+		e.set(func(e *endpoint) {
+			if e.listener != nil {
+				e.listener.silence()
+			}
+		})
+	}
+	w.after(time.Duration(w.rng.Int64N(int64(maxChangeDelay))), w.changeConfiguration)
+}
+
+// writeOddEntries writes entries of another writer among those of the endpoints.
+func (w *world) writeOddEntries() {
+	const depth = 20_000
+	for i, value := range []string{
+		strings.Repeat("[", depth) + strings.Repeat("]", depth), `{"Service":1e400}`, "{", "",
+		`{"Service":"model","Address":"127.0.0.1:99999","Zone":"z","Slots":4,"State":"ready"}`,
+		`{"Service":"shop","Address":"127.0.0.1:http","Zone":"z","Slots":9000000000000000000,"State":"ready"}`,
+	} {
+		w.store.SetEndpointValue(fmt.Sprintf("odd-%d", i), []byte(value))
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,14 +64,16 @@
 	dir       string
 	storeAddr string
 	store     *platformtest.Store
-	checker   *checker
-	gateways  []*gateway
-	endpoints []*endpoint
-	lastID    atomic.Int64
-	startedAt time.Time
-	faults    map[string]int
-	busy      sync.Map // gateways that a fault is using
-	pending   sync.WaitGroup
+	// storeListener accepts the connections to the store.
+	storeListener *silenceableListener
+	checker       *checker
+	gateways      []*gateway
+	endpoints     []*endpoint
+	lastID        atomic.Int64
+	startedAt     time.Time
+	faults        map[string]int
+	busy          sync.Map // gateways that a fault is using
+	pending       sync.WaitGroup
 
 	mu               sync.Mutex
 	epoch            int64     // of the configuration; each adds a route and withdraws the key that the one before added
@@ -115,11 +117,11 @@
 	defer cancel()
 	w := &world{opts: opts, ctx: ctx, rng: rand.New(rand.NewPCG(opts.Seed, 0)), binary: opts.Binary, dir: opts.Dir, store: platformtest.NewStore(),
 		checker: newChecker(), faults: make(map[string]int), epoch: 1}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenSilenceable("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
 	}
-	w.storeAddr = listener.Addr().String()
+	w.storeAddr, w.storeListener = listener.Addr().String(), listener
 	server := &http.Server{Handler: w.store, BaseContext: func(net.Listener) context.Context { return ctx }}
 	go func() { _ = server.Serve(listener) }() // ends with Close
 	defer func() { _ = server.Close() }()
