soak: silenced connections stay open across incarnations of an endpoint

A restarted endpoint dropped its listener and with it the connections that had been silenced; the collector then closed them, which ended answers without a length.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -39,14 +39,15 @@
 	service string
 	addr    string
 
-	mu       sync.Mutex
-	id       string // of the current incarnation
-	limit    float64
-	garbles  bool // breaks off or adds to some answers
-	leaving  bool // states in its answers that it shuts down
-	refuses  bool // refuses requests with a time to return
-	listener *silenceableListener
-	conns    map[net.Conn]struct{}
+	mu        sync.Mutex
+	id        string // of the current incarnation
+	limit     float64
+	garbles   bool // breaks off or adds to some answers
+	leaving   bool // states in its answers that it shuts down
+	refuses   bool // refuses requests with a time to return
+	listener  *silenceableListener
+	listeners []*silenceableListener // of all incarnations; they hold the connections that have been silenced
+	conns     map[net.Conn]struct{}
 
 	startedAt time.Time
 }
@@ -59,6 +60,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.listeners = append(e.listeners, listener)
 	e.addr, e.listener, e.conns = listener.Addr().String(), listener, make(map[net.Conn]struct{})
 	e.id = fmt.Sprintf("i-%s-%d", e.service, e.world.nextID())
 	e.startedAt, e.leaving, e.refuses = time.Now(), false, false
