--- a/internal/gatewayd/stop_test.go
+++ b/internal/gatewayd/stop_test.go
@@ -34,15 +34,12 @@
 
 func startStoppingGateway(t *testing.T) *stoppingGateway {
 	g := &stoppingGateway{received: make(map[string]bool)}
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		id := req.Header.Get("X-Bilberrylink-Attempt-Id")
+	endpoint := httptest.NewServer(platformtest.EndpointHandler(func(attemptID string) string {
 		g.mu.Lock()
-		g.received[id] = true
+		g.received[attemptID] = true
 		g.mu.Unlock()
 		time.Sleep(workTime)
-		w.Header().Set("X-Bilberrylink-Attempt-Id", id)
-		w.Header().Set("X-Bilberrylink-Response-Signature", "sig")
-		_, _ = io.WriteString(w, "ran "+id)
+		return "ran " + attemptID
 	}))
 	t.Cleanup(endpoint.Close)
 	store := platformtest.NewStore()
