--- a/endpoint/limit.go
+++ b/endpoint/limit.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// headerLimit names the requests a second that an endpoint in need takes, in its answers and for as long as these say so.
-const headerLimit = "Server-Limit"
+// HeaderLimit names the requests a second that an endpoint in need takes, in its answers and for as long as these say so.
+const HeaderLimit = "Server-Limit"
 
 // Limit is what the latest answer of an endpoint says of the requests that it takes.
 type Limit struct {
@@ -18,7 +18,7 @@
 
 // LimitOf returns the limit in the header of an answer. A limit that cannot be read is none.
 func LimitOf(header http.Header) Limit {
-	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header.Get(headerLimit)), 64)
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(header.Get(HeaderLimit)), 64)
 	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
 		return Limit{}
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -20,6 +20,10 @@
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
+// unackedTimeout closes a connection whose peer acknowledges no data for this long. Without it the kernel retransmits to a failed
+// VM for about 15 minutes, and the memory of its streams stays reserved.
+const unackedTimeout = 10 * time.Second
+
 const (
 	// bodyOverheadBytes is allowed on top of the setting max_body_bytes, for the other fields of a request and generated tokens.
 	bodyOverheadBytes = 4 << 20
@@ -49,7 +53,7 @@
 	}
 	listen := a.opts.Listen
 	if listen == nil {
-		listen = (&net.ListenConfig{Control: setUserTimeout}).Listen
+		listen = (&net.ListenConfig{Control: transport.UserTimeout(unackedTimeout)}).Listen
 	}
 	listener, err := listen(a.ctx, "tcp", a.opts.Node.Listen)
 	if err != nil {
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -121,7 +121,7 @@
 // Listen opens a TCP listener whose connections are closed when the other side has been silent for seconds: it answers neither keep-alive
 // probes nor acknowledges data.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: UserTimeout(unackedTimeout)}
 	l, err := config.Listen(ctx, "tcp", addr)
 	return l, errors.Wrapf(err, "listen on %s", addr)
 }
--- a/internal/transport/late.go
+++ b/internal/transport/late.go
@@ -30,10 +30,8 @@
 	if !ok {
 		return c
 	}
-	single := pooled.Clone()
-	single.DisableKeepAlives = true
 	repeating := *c
-	repeating.Transport = &lateTransport{pooled: pooled, single: single, repeatable: repeatable}
+	repeating.Transport = &lateTransport{pooled: pooled, single: WithoutKeepAlives(c).Transport, repeatable: repeatable}
 	return &repeating
 }
 
@@ -46,8 +44,9 @@
 }
 
 type lateTransport struct {
-	pooled, single *http.Transport
-	repeatable     func(*http.Request) bool
+	pooled     *http.Transport
+	single     http.RoundTripper // opens a connection for each call
+	repeatable func(*http.Request) bool
 }
 
 // CloseIdleConnections closes the idle connections; http.Client calls it.
--- a/internal/transport/late_test.go
+++ b/internal/transport/late_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // silenceableServer answers calls. It can silence the connections that are open.
@@ -127,8 +128,8 @@
 	raw, err := accepted.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	require.NoError(t, raw.Control(func(fd uintptr) {
-		timeout, err := userTimeout(fd)
+		ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 		require.NoError(t, err)
-		require.Equal(t, unackedTimeout, timeout)
+		require.Equal(t, unackedTimeout, time.Duration(ms)*time.Millisecond)
 	}))
 }
--- a/internal/transport/usertimeout.go
+++ b/internal/transport/usertimeout.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -11,19 +12,17 @@
 // for minutes.
 const unackedTimeout = 8 * time.Second
 
-// setUserTimeout limits the time for which data on the connections of a listener may stay unacknowledged.
-func setUserTimeout(_, _ string, conn syscall.RawConn) error {
-	var optionErr error
-	err := conn.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// UserTimeout returns a function for net.ListenConfig.Control that closes connections whose peer acknowledges no data for a time
+// (TCP_USER_TIMEOUT). Accepted connections inherit it from their listener.
+func UserTimeout(timeout time.Duration) func(network, addr string, conn syscall.RawConn) error {
+	return func(_, _ string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return errors.Wrap(err, "access listener socket")
+		}
+		return errors.Wrap(optionErr, "set TCP_USER_TIMEOUT")
 	}
-	return optionErr
-}
-
-func userTimeout(fd uintptr) (time.Duration, error) {
-	ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
-	return time.Duration(ms) * time.Millisecond, err
 }
