Evacuation of failure domains, also at gateways that the store turns away

Cause: the rows of the request were read with the configuration's table and ignored; no state for them existed.

Change: package evacuation keeps the list of evacuated failure domains with the position in the store's history as of which it is complete; the later list counts. Gateways pass it on in a datagram of its own, at once after a read and with each keep-alive while it is not empty. registry leaves the endpoints out of Usable and StillUsable, so waiting requests are placed anew. A send now checks all endpoints of a split prompt; before, only the primary one.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Scheduler     *placement.Scheduler
 	Quarantine    Quarantine
 	Throttle      Throttle
+	Evacuation    Evacuation
 	Versions      func() Versions // what this gateway holds
 	Log           *logrus.Logger
 	Registerer    prometheus.Registerer
@@ -139,6 +140,13 @@
 	return len(e.topology.near) + 1
 }
 
+// KnownGateways returns the number of gateways that may be in service, this one and those that have not been heard lately included.
+func (e *Exchange) KnownGateways() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return 1 + max(len(e.targets.byAddr), len(e.peers))
+}
+
 // PeerVersionsChanged returns a channel that signals that the versions of a peer have changed since the last receive.
 func (e *Exchange) PeerVersionsChanged() <-chan struct{} { return e.versionsChanged }
 
@@ -196,6 +204,9 @@
 			e.sendReports(statements, circleAndRelays)
 			e.sendReports(sends, ownCircle)
 			continue
+		case <-e.opts.Evacuation.Changed():
+			e.sendEvacuations(e.opts.Evacuation.List())
+			continue
 		case <-e.opts.Scheduler.Changed():
 		}
 		if timing.Sleep(ctx, coalesceDelay) != nil {
@@ -225,6 +236,9 @@
 		reportsTo = circleAndRelays
 	}
 	e.sendReports(e.opts.Throttle.Reports(), reportsTo)
+	if list, ok := e.opts.Evacuation.ToRepeat(); ok {
+		e.sendEvacuations(list)
+	}
 }
 
 // audience selects the gateways that a datagram is sent to.
@@ -316,6 +330,8 @@
 		return e.handleRecords(datagram, now)
 	case limitsMagic:
 		return e.handleReports(datagram)
+	case evacuationsMagic:
+		return e.handleEvacuations(datagram)
 	}
 	m, err := decode(datagram, now)
 	if err != nil {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/evacuation"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
@@ -89,7 +90,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{Name: "me", Addr: "10.0.0.1:1", FailureDomain: "a", Conn: discardConn{}, Scheduler: scheduler,
-		Quarantine: quarantine.New(quarantine.Options{Log: log}), Throttle: throttle.New(throttle.Options{Log: log}), Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
+		Quarantine: quarantine.New(quarantine.Options{Log: log}), Throttle: throttle.New(throttle.Options{Log: log}),
+		Evacuation: evacuation.New(evacuation.Options{Log: log}), Log: log, Versions: func() Versions { return Versions{Epoch: 1, StoreReachable: true} }})
 }
 
 // A delayed older state must not replace a newer one, and a state with fewer parts must remove the jobs of the others.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -440,7 +440,7 @@
 func (s *requestState) send(ctx context.Context, plan *resolvedPlan, reservations *reservationSet) (failure, bool) {
 	primary := plan.endpoints[0]
 	s.endpointID = primary.ID
-	if !s.gw.opts.Registry.StillUsable(primary) {
+	if slices.ContainsFunc(plan.endpoints, func(e *registry.Endpoint) bool { return !s.gw.opts.Registry.StillUsable(e) }) {
 		return failure{kind: errkind.Draining, notExecuted: true, reason: "endpoint left while the request was prepared"}, false
 	}
 	if f, blocked := s.blockedFailure(s.gw.opts.Quarantine.Admit); blocked {
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -136,14 +136,14 @@
 func (n *testNode) start() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := &daemon{log: log, stateSync: newStateSync(log), settings: &platform.Settings{Name: n.name, InternalAddr: n.addr},
+	d := &daemon{log: log, stateSync: newStateSync(log, nil), settings: &platform.Settings{Name: n.name, InternalAddr: n.addr},
 		store:     platform.NewStore(platform.StoreOptions{URL: "http://store", Transport: n.toStore(), Log: log}),
 		scheduler: placement.NewScheduler(), quarantine: quarantine.New(quarantine.Options{Log: log})}
 	d.throttle = throttle.New(throttle.Options{Log: log, Gateways: func() int { return 1 + len(d.exchange.LivePeers()) },
 		Sharing: func() int { return d.exchange.CircleSize() }})
 	d.storage = newQuarantineStorage(d.store, d.quarantine, d.era, log)
 	d.exchange = exchange.New(exchange.Options{Name: n.name, Addr: n.addr, FailureDomain: n.domain, Conn: memConn{n},
-		Scheduler: d.scheduler, Quarantine: d.quarantine, Throttle: d.throttle, Versions: d.stateSync.versions, Log: log})
+		Scheduler: d.scheduler, Quarantine: d.quarantine, Throttle: d.throttle, Evacuation: d.stateSync.evacuation, Versions: d.stateSync.versions, Log: log})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
 	n.daemon, n.inbox, n.closed = d, make(chan []byte, 4096), make(chan struct{})
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -113,9 +113,9 @@
 func newDaemon(opts Options) (*daemon, error) {
 	s := opts.Settings
 	d := &daemon{
-		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), stateSync: newStateSync(opts.Log),
-		scheduler: placement.NewScheduler(), backend: platform.NewBackend(),
+		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), scheduler: placement.NewScheduler(), backend: platform.NewBackend(),
 	}
+	d.stateSync = newStateSync(opts.Log, d.metricsRegistry)
 	d.store = platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Registerer: d.metricsRegistry, Log: d.log})
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
@@ -129,7 +129,7 @@
 	}
 	d.exchange = exchange.New(exchange.Options{
 		Name: s.Name, Addr: s.InternalAddr, FailureDomain: s.FailureDomain, Conn: conn, Scheduler: d.scheduler,
-		Quarantine: d.quarantine, Throttle: d.throttle,
+		Quarantine: d.quarantine, Throttle: d.throttle, Evacuation: d.stateSync.evacuation,
 		Versions: d.stateSync.versions, Log: d.log, Registerer: d.metricsRegistry,
 	})
 	d.stateSync.onNews = d.exchange.AnnounceVersions
@@ -146,7 +146,7 @@
 		Near:        func(e *registry.Endpoint) bool { return d.exchange.IsNear(memberOf(e)) },
 		Covered:     func(e *registry.Endpoint) bool { return d.exchange.IsCovered(memberOf(e)) },
 		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend,
-		Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
+		Log:    d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
 		Gateway: d.gateway, Catalog: d.servingSnapshot, ConfigCurrent: d.stateSync.configCurrent,
@@ -207,8 +207,7 @@
 	endpoints.CoalesceDelay = endpointCoalesceDelay
 	config.Await, endpoints.Await = d.follower.awaitTurn(configPollTimeout), d.follower.awaitTurn(endpointPollTimeout)
 	endpoints.KnownVersion = stateSync.registry.Version
-	config.OnFullRead = func(rows []platform.Row, version int64) { stateSync.applyConfigRows(rows, version) }
-	config.OnChange = config.OnFullRead
+	config.OnFullRead, config.OnChange = stateSync.replaceOperatorRows, stateSync.updateOperatorRows
 	endpoints.OnFullRead, endpoints.OnChange = stateSync.replaceEndpoints, stateSync.updateEndpoints
 	config.OnError = func(err error) { stateSync.markTableDown(config.Table, err) }
 	config.OnSuccess = func(now time.Time) {
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -4,9 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
+	"github.com/bilberrylink/bilberrylink/evacuation"
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/platform"
 	"github.com/bilberrylink/bilberrylink/registry"
@@ -21,6 +23,8 @@
 	log      *logrus.Logger
 	config   *catalog.CurrentSnapshot
 	registry *registry.Registry
+	// evacuation holds the operator's requests about failure domains, which come from the same table as the configuration.
+	evacuation *evacuation.Tracker
 
 	// onNews is called when this gateway has read something newer from the store, or when the store has become reachable or
 	// unreachable. What came from a peer is no news for the others.
@@ -36,11 +40,13 @@
 	compressedEpoch  int64
 }
 
-func newStateSync(log *logrus.Logger) *stateSync {
-	return &stateSync{
+func newStateSync(log *logrus.Logger, registerer prometheus.Registerer) *stateSync {
+	s := &stateSync{
 		log: log, config: new(catalog.CurrentSnapshot), registry: registry.New(nil),
 		tableUp: make(map[string]bool), onNews: func() {},
 	}
+	s.evacuation = evacuation.New(evacuation.Options{OnChange: s.registry.SetEvacuated, Log: log, Registerer: registerer})
+	return s
 }
 
 // storeReachable reports whether the latest call for each table succeeded.
@@ -126,6 +132,32 @@
 	}
 }
 
+// replaceOperatorRows applies all rows of the operator's table at a version of the store.
+func (s *stateSync) replaceOperatorRows(rows []platform.Row, version int64) {
+	list := evacuation.List{Position: version}
+	for _, c := range evacuationChanges(rows, version) {
+		list.FailureDomains = append(list.FailureDomains, c.FailureDomain)
+	}
+	s.evacuation.Replace(list)
+	s.applyConfigRows(rows, version)
+}
+
+// updateOperatorRows applies changed rows of the operator's table, up to a version of the store.
+func (s *stateSync) updateOperatorRows(rows []platform.Row, version int64) {
+	s.evacuation.Update(evacuationChanges(rows, version), version)
+	s.applyConfigRows(rows, version)
+}
+
+// evacuationChanges returns the changes to evacuations among the rows of the operator's table.
+func evacuationChanges(rows []platform.Row, version int64) (changes []evacuation.Change) {
+	for _, row := range rows {
+		if c, ok := row.Evacuation(version); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
 func (s *stateSync) applyConfigRows(rows []platform.Row, version int64) {
 	for _, row := range rows {
 		if row.IsConfig() {
--- a/internal/gatewayd/statesync_test.go
+++ b/internal/gatewayd/statesync_test.go
@@ -17,7 +17,7 @@
 func newTestStateSync() *stateSync {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return newStateSync(log)
+	return newStateSync(log, nil)
 }
 
 func endpointRow(key, state string) platform.Row {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -46,6 +46,8 @@
 	Draining bool
 	Born     int64 // start time in Unix milliseconds; 0: not given. A restarted endpoint may keep its ID.
 	Version  int64 // position of the latest change of the entry; 0: not given
+	// ColdFor is how long the endpoint stays cold, as of the latest change of the entry. A cold endpoint works slowly and accepts fewer requests.
+	ColdFor time.Duration `json:",omitempty"`
 }
 
 // Endpoint is an endpoint that is in use. Its Entry does not change. A restart of the endpoint creates a new Endpoint.
@@ -67,6 +69,8 @@
 	pausedUntil        time.Time // no new requests before this time, as the endpoint has stated
 	failureRate        float64   // 0 to 1, moving average
 	slowdown           float64   // ratio of observed to predicted time, moving average; 0: unknown
+	coldSince          time.Time // when the endpoint may last have become cold
+	coldUntil          time.Time // as the endpoint has stated; zero: it has not
 }
 
 // Outcome is the result of a request to an endpoint.
@@ -101,6 +105,7 @@
 	changedVersion int64     // position of the latest known change of an entry
 	// forgottenVersion is the position up to which entries may have been removed that are not recorded here.
 	forgottenVersion int64
+	evacuated        map[string]bool // failure domains whose endpoints get no requests
 	now              func() time.Time
 }
 
@@ -128,8 +133,12 @@
 	r.changedVersion = max(r.changedVersion, e.Version)
 	if old == nil || old.endpoint.Born != e.Born || old.endpoint.Addr != e.Addr || old.endpoint.Service != e.Service {
 		r.records[e.ID] = &record{endpoint: &Endpoint{Entry: e}, version: e.Version, listedAt: e.Version, draining: e.Draining}
+		r.markCold(r.records[e.ID].endpoint, e.ColdFor)
 		return true
 	}
+	if e.Version > old.version && e.ColdFor > 0 {
+		r.markCold(old.endpoint, e.ColdFor)
+	}
 	old.version = max(old.version, e.Version)
 	startsDraining := e.Draining && !old.draining
 	old.draining = old.draining || e.Draining // an endpoint that shuts down does not become ready again without a restart
@@ -140,6 +149,9 @@
 		}
 		return startsDraining
 	}
+	if !old.removedAt.IsZero() {
+		r.markCold(old.endpoint, e.ColdFor)
+	}
 	changed := !old.removedAt.IsZero() || startsDraining
 	old.removedAt, old.restoredAt, old.expiredInOutage, old.listedAt = time.Time{}, time.Time{}, false, e.Version
 	return changed
@@ -314,6 +326,53 @@
 	return r.storeDown || now.Sub(r.outageEndedAt) < outageGracePeriod
 }
 
+// mayReceive reports whether new requests may be sent to the endpoint of a record, whose failure domain may be evacuated.
+func (r *Registry) mayReceive(rec *record, now time.Time) bool {
+	return r.usable(rec, now) && !r.evacuated[rec.endpoint.Zone]
+}
+
+// SetEvacuated sets the failure domains whose endpoints get no requests. When it returns, Usable and StillUsable comply. The endpoints of a
+// failure domain that is in use again may be cold.
+func (r *Registry) SetEvacuated(failureDomains []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	previous := r.evacuated
+	r.evacuated = make(map[string]bool, len(failureDomains))
+	for _, d := range failureDomains {
+		r.evacuated[d] = true
+	}
+	for _, rec := range r.records {
+		if zone := rec.endpoint.Zone; previous[zone] && !r.evacuated[zone] {
+			r.markCold(rec.endpoint, 0)
+		}
+	}
+}
+
+// markCold records that an endpoint may be cold from now on, and for how long it states to be; 0: it has not said so.
+func (r *Registry) markCold(e *Endpoint, statedFor time.Duration) {
+	now := r.now()
+	e.health.coldSince = now
+	if until := now.Add(statedFor); statedFor > 0 && until.After(e.health.coldUntil) {
+		e.health.coldUntil = until
+	}
+}
+
+// ObserveCold records that an endpoint states to be cold for some time.
+func (r *Registry) ObserveCold(e *Endpoint, statedFor time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.markCold(e, statedFor)
+}
+
+// MayBeCold reports whether an endpoint may be cold, if its service stays cold for coldStart after a start. An endpoint that was unreachable,
+// unlisted or evacuated may have started again.
+func (r *Registry) MayBeCold(e *Endpoint, coldStart time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	return now.Before(e.health.coldUntil) || now.Before(e.health.coldSince.Add(coldStart))
+}
+
 // Usable returns the endpoints of a service that new requests may be sent to, sorted by ID. It leaves out those that are paused, and
 // endpoints with a recent connection failure as long as there are others.
 func (r *Registry) Usable(service string) []*Endpoint {
@@ -327,7 +386,7 @@
 			r.forgottenVersion = max(r.forgottenVersion, rec.version)
 			continue
 		}
-		if rec.endpoint.Service != service || !r.usable(rec, now) || now.Before(rec.endpoint.health.pausedUntil) {
+		if rec.endpoint.Service != service || !r.mayReceive(rec, now) || now.Before(rec.endpoint.health.pausedUntil) {
 			continue
 		}
 		if now.Before(rec.endpoint.health.avoidUntil) {
@@ -349,7 +408,7 @@
 	defer r.mu.Unlock()
 	rec := r.records[e.ID]
 	now := r.now()
-	return rec != nil && rec.endpoint == e && r.usable(rec, now) && !now.Before(e.health.pausedUntil)
+	return rec != nil && rec.endpoint == e && r.mayReceive(rec, now) && !now.Before(e.health.pausedUntil)
 }
 
 // Pause records that an endpoint wants no new requests until a time, and reports whether it was not paused before.
@@ -370,7 +429,7 @@
 	now := r.now()
 	for _, rec := range r.records {
 		until := rec.endpoint.health.pausedUntil
-		if rec.endpoint.Service == service && r.usable(rec, now) && now.Before(until) && (!ok || until.Before(at)) {
+		if rec.endpoint.Service == service && r.mayReceive(rec, now) && now.Before(until) && (!ok || until.Before(at)) {
 			at, ok = until, true
 		}
 	}
@@ -395,6 +454,7 @@
 		}
 		h.connectionFailures++
 		h.avoidUntil = now.Add(min(minAvoidance<<min(h.connectionFailures-1, 8), maxAvoidance))
+		h.coldSince = h.avoidUntil
 	}
 	h.failureRate += failureRateWeight * (failed - h.failureRate)
 	return now.Before(h.avoidUntil)
@@ -435,7 +495,7 @@
 	return e.health.failureRate, max(e.health.slowdown, 1)
 }
 
-// CountUsable returns the number of endpoints that new requests may be sent to.
+// CountUsable returns the number of endpoints that new requests may be sent to, or could be if their failure domains were not evacuated.
 func (r *Registry) CountUsable() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -180,3 +180,54 @@
 	fromPeer(10, 1, true) // listed again since
 	require.Len(t, r.Usable("s"), 2)
 }
+
+// The endpoints of an evacuated failure domain must get nothing from the moment at which SetEvacuated returns, and all of it again
+// afterwards.
+func TestEndpointsOfEvacuatedDomainsAreNotUsed(t *testing.T) {
+	r, _ := newTestRegistry()
+	for i, zone := range []string{"north", "north", "south"} {
+		r.Upsert(Entry{ID: string(rune('a' + i)), Service: "s", Addr: "10.0.0.1:1", Zone: zone})
+	}
+	chosen := r.Usable("s")[0]
+	r.SetEvacuated([]string{"north"})
+	require.Equal(t, []string{"c"}, usableIDs(r))
+	require.False(t, r.StillUsable(chosen), "an endpoint that was chosen before")
+	require.Equal(t, 3, r.CountUsable(), "the gateway stays ready")
+	r.SetEvacuated([]string{"south", "north"})
+	require.Empty(t, usableIDs(r))
+	r.SetEvacuated(nil)
+	require.Equal(t, []string{"a", "b", "c"}, usableIDs(r))
+}
+
+// Endpoints that may have started since they were last seen must count as cold for the time that their service states.
+func TestEndpointsThatMayHaveStartedCountAsCold(t *testing.T) {
+	const coldStart = 3 * time.Second
+	events := map[string]func(r *Registry, e *Endpoint){
+		"listed again": func(r *Registry, _ *Endpoint) {
+			r.Remove(5, "a")
+			r.Upsert(Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Zone: "z", Version: 6})
+		},
+		"evacuation":  func(r *Registry, _ *Endpoint) { r.SetEvacuated([]string{"z"}); r.SetEvacuated(nil) },
+		"unreachable": func(r *Registry, e *Endpoint) { r.ReportOutcome(e, Unreachable) },
+		"states it":   func(r *Registry, e *Endpoint) { r.ObserveCold(e, time.Second) },
+		"row states it": func(r *Registry, _ *Endpoint) {
+			r.Upsert(Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Zone: "z", Version: 2, ColdFor: time.Second})
+		},
+		"other instance": func(r *Registry, _ *Endpoint) {
+			r.Upsert(Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Zone: "z", Born: 1, Version: 2})
+		},
+	}
+	for name, event := range events {
+		t.Run(name, func(t *testing.T) {
+			r, clock := newTestRegistry()
+			r.Upsert(Entry{ID: "a", Service: "s", Addr: "10.0.0.1:1", Zone: "z", Version: 1})
+			require.True(t, r.MayBeCold(r.Usable("s")[0], coldStart), "seen for the first time")
+			clock.advance(coldStart)
+			require.False(t, r.MayBeCold(r.Usable("s")[0], coldStart))
+			event(r, r.Usable("s")[0])
+			require.True(t, r.MayBeCold(r.Usable("s")[0], coldStart))
+			clock.advance(coldStart + maxAvoidance)
+			require.False(t, r.MayBeCold(r.Usable("s")[0], coldStart))
+		})
+	}
+}
