Requests to cold endpoints are limited for the whole fleet without messages

A service may state how many requests a second a cold endpoint tolerates from all gateways together; above that it crashes. Nothing read that.

Change: registry keeps when an endpoint may have become cold (first seen, listed again, unreachable, evacuated, or stated in its row or an answer); package warmup gives each gateway a share of the limit that holds by itself; endpoints at their share may only help, as those with a stated limit.

Tests: the sum over 1 to 50 gateways in any second, and 360 gateways, at most what the platform allows; callers are served within the shares. Without the check in gateway the test there fails ("240ms" is not greater than "1s").

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -77,6 +77,10 @@
 type Service struct {
 	Name   string
 	Engine *engine.TimingModel // nil for plain services
+	// ColdStart is the time for which an endpoint is cold after its start: it works slowly, and crashes if it gets many more requests from all
+	// gateways together than ColdRequestsPerSecond; 0: any number.
+	ColdStart             time.Duration
+	ColdRequestsPerSecond float64
 }
 
 // Workspace owns API keys.
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/registry"
+	"github.com/bilberrylink/bilberrylink/warmup"
 )
 
 // An evacuation must also hold for a prompt that was placed before it: it must not be sent with a part at an evacuated endpoint. Before, only
@@ -38,3 +40,47 @@
 		}
 	})
 }
+
+// Cold endpoints must get no more requests a second than they tolerate, and callers must be served by others or a little later.
+func TestColdEndpointsGetFewRequests(t *testing.T) {
+	const perSecond = 5.0
+	synctest.Test(t, func(t *testing.T) {
+		sends := make(map[string][]time.Time)
+		tg := newTestGateway(nil)
+		tg.script = func(_ context.Context, _ int, r *EndpointRequest) (*Response, error) {
+			tg.mu.Lock()
+			sends[r.Endpoint.ID] = append(sends[r.Endpoint.ID], time.Now())
+			tg.mu.Unlock()
+			return newResponse(200, eventText(1, 6)), nil
+		}
+		service := &catalog.Service{Name: "model", Engine: testTiming, ColdStart: 3 * time.Second, ColdRequestsPerSecond: perSecond}
+		snapshot := catalog.New(1, nil, []*catalog.Service{service}, nil)
+		tg.gateway.opts.Catalog = func() *catalog.Snapshot { return snapshot }
+		tg.gateway.opts.Warmup = warmup.New(warmup.Options{})
+		time.Sleep(4 * time.Second) // the gateway knows its peers, and the endpoints are warm
+		tg.registry.SetEvacuated([]string{""})
+		tg.registry.SetEvacuated(nil)
+		var requests sync.WaitGroup
+		served := 0
+		for range 100 {
+			requests.Go(func() {
+				caller := tg.serve(t.Context(), catalog.Stream, nil)
+				tg.mu.Lock()
+				defer tg.mu.Unlock()
+				if caller.status == 200 {
+					served++
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		requests.Wait()
+		for id, times := range sends {
+			for i := range times {
+				if i+int(perSecond) < len(times) {
+					require.Greater(t, times[i+int(perSecond)].Sub(times[i]), time.Second, id)
+				}
+			}
+		}
+		require.Greater(t, served, int(perSecond)*3, "the shares are used")
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 	"github.com/bilberrylink/bilberrylink/throttle"
+	"github.com/bilberrylink/bilberrylink/warmup"
 )
 
 // Options configures a Gateway.
@@ -33,6 +34,7 @@
 	RetryBudget   *RetryBudget
 	Quarantine    *quarantine.Tracker
 	Throttle      *throttle.Tracker
+	Warmup        *warmup.Limiter // nil: cold endpoints get as many requests as others
 	Backend       Backend
 	Log           *logrus.Logger
 	Metrics       *Metrics
@@ -287,6 +289,10 @@
 			s.releasePlan(plan, nil) // another request took the last one that the endpoint accepts
 			continue
 		}
+		if s.limitedAsCold(plan.endpoints[0]) && !s.gw.opts.Warmup.Take(plan.Endpoints[0], s.service.ColdRequestsPerSecond) {
+			s.releasePlan(plan, nil)
+			continue
+		}
 		s.recordPlan(plan.Plan)
 		s.logPlan(plan)
 		if plan.ReserveTokens == nil {
@@ -545,6 +551,9 @@
 			Info("endpoint wants no requests for a while")
 	}
 	s.gw.opts.Throttle.Observe(primary.ID, resp.Limit)
+	if resp.ColdFor > 0 {
+		s.gw.opts.Registry.ObserveCold(primary, resp.ColdFor)
+	}
 	if resp.NotExecuted || resp.WrongEndpoint {
 		primary.RecordActivity(s.gw.opts.Now())
 		s.noSplit = s.noSplit || len(plan.endpoints) > 1
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -27,12 +27,20 @@
 
 // belowLimit reports whether an endpoint accepts a request now.
 func (s *requestState) belowLimit(e *registry.Endpoint) bool {
+	if s.limitedAsCold(e) && !s.gw.opts.Warmup.Accepts(e.ID, s.service.ColdRequestsPerSecond) {
+		return false
+	}
 	if !s.gw.opts.Throttle.Active() {
 		return true
 	}
 	return s.gw.opts.Throttle.Accepts(e.ID, func() throttle.Access { return s.accessTo(e) })
 }
 
+// limitedAsCold reports whether an endpoint may be cold and its service limits the requests to cold endpoints.
+func (s *requestState) limitedAsCold(e *registry.Endpoint) bool {
+	return s.service.ColdRequestsPerSecond > 0 && s.gw.opts.Warmup != nil && s.gw.opts.Registry.MayBeCold(e, s.service.ColdStart)
+}
+
 // waitForLimits decides on a request for which all usable endpoints are at their limits.
 func (s *requestState) waitForLimits(usable []*registry.Endpoint) (*resolvedPlan, placement.Decision, failure) {
 	ids := make([]string, len(usable))
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -33,6 +33,7 @@
 	"github.com/bilberrylink/bilberrylink/registry"
 	"github.com/bilberrylink/bilberrylink/storewatch"
 	"github.com/bilberrylink/bilberrylink/throttle"
+	"github.com/bilberrylink/bilberrylink/warmup"
 )
 
 const (
@@ -146,6 +147,7 @@
 		Near:        func(e *registry.Endpoint) bool { return d.exchange.IsNear(memberOf(e)) },
 		Covered:     func(e *registry.Endpoint) bool { return d.exchange.IsCovered(memberOf(e)) },
 		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend,
+		Warmup: warmup.New(warmup.Options{Name: s.Name, Gateways: d.exchange.KnownGateways, Registerer: d.metricsRegistry}),
 		Log:    d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.handler = &platform.Handler{
