exchange: other circles hear of short prompts within some 50 ms in small fleets

Cause: gateways of another circle heard of short prompts with the keep-alive only, up to 500 ms later. Parts of long prompts, and short prompts that leave their failure domain, were placed on endpoints that looked free.

Change: changes of short prompts reach the other circles after 4 ms for each gateway of the fleet, 40 ms at least, through relays as before. What a gateway receives stays bounded as the delay grows with the fleet.

The new test fails before ("not at entry-1 entry-2 entry-4 ...").

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -24,6 +24,11 @@
 	// coalesceDelay is the delay after a change, so that changes in quick succession are sent together. It is much shorter
 	// than the prefill of a prompt.
 	coalesceDelay = 3 * time.Millisecond
+	// farDelayPerGateway and minFarDelay determine the longest delay until the other circles hear of a change that concerns mainly the own one:
+	// prompts of other circles have parts at these endpoints, too. It grows with the number of gateways, so that what a gateway receives
+	// does not, up to keepAliveInterval.
+	farDelayPerGateway = 4 * time.Millisecond
+	minFarDelay        = 40 * time.Millisecond
 	// peerTimeout is the time without a message after which a peer is considered gone. It tolerates the loss of several
 	// states in a row.
 	peerTimeout = 2500 * time.Millisecond
@@ -179,6 +184,7 @@
 	ticker := time.NewTicker(keepAliveInterval)
 	defer ticker.Stop()
 	e.sendKeepAlive()
+	var farDue <-chan time.Time // when the other circles are told of changes that only the own one has heard of; nil: there are none
 	for {
 		select {
 		case <-ctx.Done():
@@ -186,6 +192,11 @@
 		case <-ticker.C:
 			e.opts.Scheduler.TakeChanged()
 			e.sendKeepAlive()
+			farDue = nil
+			continue
+		case <-farDue:
+			e.sendState(placement.Near, relaysOnly)
+			farDue = nil
 			continue
 		case <-e.kicked:
 			e.sendState(placement.Fleetwide, circleAndRelays)
@@ -215,6 +226,9 @@
 		changed := e.opts.Scheduler.TakeChanged()
 		if changed&placement.Near != 0 {
 			e.sendState(placement.Near, ownCircle)
+			if farDue == nil {
+				farDue = time.After(e.farDelay())
+			}
 		}
 		if changed&placement.Fleetwide != 0 {
 			e.sendState(placement.Fleetwide, circleAndRelays)
@@ -222,6 +236,17 @@
 	}
 }
 
+// farDelay returns the longest delay until the other circles hear of a change that concerns mainly the own one.
+func (e *Exchange) farDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	gateways := 1 + len(e.topology.near)
+	for _, circle := range e.topology.far {
+		gateways += len(circle)
+	}
+	return min(max(time.Duration(gateways)*farDelayPerGateway, minFarDelay), keepAliveInterval)
+}
+
 // sendKeepAlive sends all jobs to the whole fleet, and greets the addresses from which nothing has been heard.
 func (e *Exchange) sendKeepAlive() {
 	e.mu.Lock()
@@ -246,6 +271,7 @@
 
 const (
 	ownCircle       audience = iota // all other gateways of the circle
+	relaysOnly                      // one gateway of each other circle, which passes the state on
 	circleAndRelays                 // also one gateway of each other circle, which passes the state on
 	everyone                        // all known gateways directly
 )
@@ -262,8 +288,10 @@
 	if to == everyone {
 		return recipients{direct: e.targets.all()}
 	}
-	r.direct = slices.Clone(e.topology.near)
-	if to == circleAndRelays {
+	if to != relaysOnly {
+		r.direct = slices.Clone(e.topology.near)
+	}
+	if to != ownCircle {
 		r.relays = e.topology.randomRelays()
 	}
 	return r
--- a/internal/gatewayd/following_test.go
+++ b/internal/gatewayd/following_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/engine"
+	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
@@ -244,3 +246,21 @@
 		f.requireEverywhere(0, f.all, "endpoints that stay", uses("i2", true))
 	})
 }
+
+// Gateways of other circles must soon know of the short prompts at an endpoint, since they place parts of long prompts there. They heard of
+// them with the next keep-alive only, up to half a second later, and parts of long prompts delayed streams that had begun meanwhile.
+func TestOtherCirclesKnowShortPromptsSoon(t *testing.T) {
+	const delay = 60 * time.Millisecond // for a small fleet; prefill of a long part takes longer
+	model := &engine.TimingModel{Slots: 12, MemoryTokens: 200_000, TokensPerPass: 50, StepMs: 1, PrefillTokensPerMs: 200}
+	withFleet(t, 11, 3, func(f *testFleet) {
+		for range 20 {
+			time.Sleep(137 * time.Millisecond) // at different times since the last keep-alive
+			id := f.all[0].daemon.scheduler.Add(placement.Job{Endpoint: placement.KeyOf("i0"), PromptTokens: 50_000, Parts: 1, OutputTokens: 500,
+				LatencyTarget: 300 * time.Millisecond, GapTarget: 250 * time.Millisecond, PlacedAt: time.Now()})
+			knows := func(d *daemon) bool { return d.scheduler.TimeToNextEvent(model, "i0", 1, time.Now()) > 0 }
+			f.requireEverywhere(delay, f.all, "short prompt", knows)
+			f.all[0].daemon.scheduler.Remove([]uint64{id})
+			f.requireEverywhere(delay, f.all, "its end", func(d *daemon) bool { return !knows(d) })
+		}
+	})
+}
