gateway: a prompt that was refused for a named endpoint is split again; broken reservations count

Cause: any refusal of a split prompt forbade further splits, though 503 and 421 name the endpoint at fault; and an endpoint that breaks the connection of a reservation stayed a candidate.

Change: only a refusal that names no endpoint of the plan forbids splits; a connection that breaks during a reservation counts as a failed connection. Both tests fail before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 	sendCount          int                  // attempts that may have reached an endpoint
 	failedAttempts     int
 	triedEndpoints     []string       // IDs of the endpoints of earlier attempts
-	noSplit            bool           // an endpoint refused a split prompt; later attempts do not split it
+	noSplit            bool           // a split prompt was refused for an unknown reason; later attempts do not split it
 	notExecuted        bool           // certainly no attempt so far has been executed
 	headerWritten      atomic.Bool    // the caller has received the response header; read by EndRequests, too
 	lastEventID        int64          // last event that the caller has received; -1: none
@@ -518,14 +518,18 @@
 	}
 }
 
-// reportFault records the endpoint that a response names as the cause of an error. It may be a helper.
-func (s *requestState) reportFault(plan *resolvedPlan, resp *Response) {
-	fault := plan.endpoints[0]
-	for _, e := range plan.endpoints[1:] {
+// reportFault records the endpoint that a response names as the cause of an error and returns it, or nil if it names none of the plan. It may
+// be a helper.
+func (s *requestState) reportFault(plan *resolvedPlan, resp *Response) (named *registry.Endpoint) {
+	for _, e := range plan.endpoints {
 		if resp.FaultyEndpoint != "" && (resp.FaultyEndpoint == e.ID || resp.FaultyEndpoint == e.Addr) {
-			fault = e
+			named = e
 		}
 	}
+	fault := named
+	if fault == nil {
+		fault = plan.endpoints[0]
+	}
 	switch {
 	case resp.WrongEndpoint:
 		s.gw.opts.Registry.ReportOutcome(fault, registry.ShuttingDown)
@@ -535,6 +539,7 @@
 		s.logEntry("endpoint_avoided").WithFields(logrus.Fields{"at": fault.ID, "cause": "caused a refusal"}).
 			Info("endpoint is avoided for a while")
 	}
+	return named
 }
 
 // forwardResponse forwards a response whose header has arrived.
@@ -542,7 +547,7 @@
 	ctx context.Context, plan *resolvedPlan, resp *Response, watch *watchdog, sentAt time.Time,
 ) (failure, bool) {
 	primary := plan.endpoints[0]
-	s.reportFault(plan, resp)
+	fault := s.reportFault(plan, resp)
 	if resp.Leaving && s.gw.opts.Registry.MarkDraining(primary) {
 		s.logEntry("endpoint_left").WithField("at", primary.ID).Info("endpoint states that it shuts down")
 	}
@@ -556,7 +561,7 @@
 	}
 	if resp.NotExecuted || resp.WrongEndpoint {
 		primary.RecordActivity(s.gw.opts.Now())
-		s.noSplit = s.noSplit || len(plan.endpoints) > 1
+		s.noSplit = s.noSplit || len(plan.endpoints) > 1 && fault == nil
 		return failure{kind: errkind.Overloaded, notExecuted: true, reason: "endpoint refused " + strconv.Itoa(resp.Status)}, false
 	}
 	s.notExecuted = false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -119,6 +119,15 @@
 	return tg
 }
 
+// addModelEndpoints adds endpoints with addresses of their own and returns their IDs.
+func (tg *testGateway) addModelEndpoints(count int) (ids []string) {
+	for i := range count {
+		ids = append(ids, fmt.Sprint("n", i))
+		tg.registry.Upsert(registry.Entry{ID: ids[i], Service: "model", Addr: fmt.Sprintf("10.0.1.%d:1", i)})
+	}
+	return ids
+}
+
 func (tg *testGateway) serve(ctx context.Context, kind catalog.Kind, change func(*Request)) *fakeResponseWriter {
 	route := &catalog.Route{Name: "r", Kind: kind, MaxAttempts: 2, Timeout: 10 * time.Second, LatencyTarget: 300 * time.Millisecond,
 		TrafficSplit: []catalog.WeightedService{{Service: "app", Weight: 1}}}
@@ -651,3 +660,64 @@
 		})
 	}
 }
+
+// A prompt that was refused because of a part at a failed endpoint must be split again, without that endpoint. It was sent whole, so that prompts
+// for which one endpoint takes too long or has too little memory came late or were refused after a crash of a single one.
+func TestPromptRefusedForANamedHelperIsSplitAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		fault func(r *EndpointRequest) string
+		split bool
+	}{
+		"named":     {func(r *EndpointRequest) string { return r.Helpers[0].Addr }, true},
+		"not named": {func(*EndpointRequest) string { return "" }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				faulty := ""
+				tg := newTestGateway(func(_ context.Context, n int, r *EndpointRequest) (*Response, error) {
+					if n > 1 {
+						return newResponse(200, eventText(1, 6)), nil
+					}
+					resp := newResponse(503, "")
+					resp.NotExecuted, resp.FaultyEndpoint = true, test.fault(r)
+					faulty = resp.FaultyEndpoint
+					return resp, nil
+				})
+				tg.addModelEndpoints(6)
+				for _, id := range []string{"ma", "mb", "mc"} { // these have the same address
+					tg.registry.Remove(1, id)
+				}
+				caller := tg.serve(t.Context(), catalog.Stream, func(r *Request) {
+					r.PromptTokens, r.Route.Timeout, r.Route.LatencyTarget, r.Route.GapTarget = 150_000, 15*time.Second, 4*time.Second, time.Second
+				})
+				require.Equal(t, 200, caller.status, caller.refusedKind)
+				require.Len(t, tg.requests, 2)
+				require.Equal(t, test.split, len(tg.requests[1].Helpers) > 0)
+				for _, h := range tg.requests[1].Helpers {
+					require.NotEqual(t, faulty, h.Addr)
+				}
+			})
+		})
+	}
+}
+
+// An endpoint that breaks the connection of a reservation must not be chosen again at once. After a crash, prompts were refused within
+// 20 ms since each new plan asked the same endpoints for memory.
+func TestEndpointsThatBreakReservationsAreAvoided(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			tg := newTestGateway(func(context.Context, int, *EndpointRequest) (*Response, error) {
+				return newResponse(200, eventText(1, 6)), nil
+			})
+			tg.unreachable = make(map[string]bool)
+			for _, id := range tg.addModelEndpoints(maxFailedReservations - 1) {
+				tg.unreachable[id] = true
+			}
+			caller := tg.serve(t.Context(), catalog.Stream, func(r *Request) {
+				r.PromptTokens, r.Route.Timeout, r.Route.LatencyTarget, r.Route.GapTarget = 400_000, 30*time.Second, 6*time.Second, time.Second
+			})
+			time.Sleep(2 * maxExecutionDelay) // releases are repeated until then
+			require.Equal(t, 200, caller.status, caller.refusedKind)
+		})
+	}
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -106,6 +106,9 @@
 	}
 	if err != nil {
 		r.unansweredAt = r.state.gw.opts.Now()
+		if ctx.Err() == nil { // a late response is no sign of a failed endpoint
+			r.state.reportUnreachable(r.endpoint, err.Error())
+		}
 		r.state.logEntry("reserve_failed").WithError(err).WithField("at", r.endpoint.ID).Warn("no response to a reservation")
 	}
 	return ok && err == nil
