fleet: settings.evacuated, the failure domains whose endpoints are sent nothing

Cause: operators have no way to take a failure domain out of service short of stopping its agents. Change: the list in the text. A name that is not in failure_domains or is listed twice is a fault at the line of the list element (the existing check of duplicates gives the line of the first one); a text that evacuates all domains gets a warning. Measured: with validate.go as before, TestFaultsNameTheirLine and TestEvacuatedDomains fail; with the change go test ./fleet passes.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -72,6 +72,8 @@
 		{"batch: spring", "batch: autumn", `unknown batch "autumn"`, "batch: autumn"},
 		{"{model: puli, version", "{model: pumi, version", `unknown model "pumi"`, "pumi"},
 		{"[a, b, c]", "[a, b, a]", "listed twice", "[a, b, a]"},
+		{"[a, b, c]", "[a, b]\n  evacuated: [c]", `evacuated domain "c" is not in failure_domains`, "evacuated"},
+		{"[a, b, c]", "[a, b]\n  evacuated:\n    - a\n    - b # again\n    - a # twice", `"a" is listed twice`, "- a # twice"},
 	} {
 		text := strings.Replace(smallText, c.old, c.new, 1)
 		require.NotEqual(t, smallText, text, c.old)
@@ -123,6 +125,18 @@
 	}
 }
 
+// Guards against an evacuation of the whole fleet that nobody is told of, and against one that reaches another domain.
+func TestEvacuatedDomains(t *testing.T) {
+	for list, warnings := range map[string]int{"[]": 0, "[a]": 0, "[c, a]": 0, "[c, a, b]": 1} {
+		s, faults := NewSnapshot(1, []byte(strings.Replace(smallText, "[a, b, c]", "[a, b, c]\n  evacuated: "+list, 1)))
+		require.Empty(t, faults)
+		require.Len(t, Warnings(s), warnings, list)
+		for _, domain := range []string{"a", "b", "c", ""} {
+			require.Equal(t, domain != "" && strings.Contains(list, domain), s.Evacuated(domain), "%s %q", list, domain)
+		}
+	}
+}
+
 // Guards against a recall that does not follow dependencies and fallbacks, and against exponential work for texts with many
 // of them.
 func TestRecallFollowsDependenciesAndFallbacks(t *testing.T) {
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -242,6 +242,11 @@
 	return ""
 }
 
+// Evacuated reports whether the endpoints of a failure domain are to be sent nothing.
+func (s *Snapshot) Evacuated(domain string) bool {
+	return slices.Contains(s.Text.Settings.Evacuated, domain)
+}
+
 // Recalled returns the item in the list of recalls that covers v: its model, model@version, adapter, adapter@version or
 // one of its batches.
 func (s *Snapshot) Recalled(v endpoint.Version) (item string, recalled bool) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -20,6 +20,7 @@
 // Settings are fleet-wide values. Zero values take the defaults.
 type Settings struct {
 	FailureDomains   []string      `yaml:"failure_domains"` // all domains of the fleet; majorities are counted over them
+	Evacuated        []string      `yaml:"evacuated"`       // domains whose endpoints are sent nothing
 	FreshnessBound   time.Duration `yaml:"freshness_bound"` // age at which evidence of the epoch stops allowing new answers
 	RecallStreams    string        `yaml:"recall_streams"`  // what a recall does to running answers: finish or cut
 	IdempotencyTTL   time.Duration `yaml:"idempotency_ttl"` // lifetime of an idempotency record after its last write
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -201,6 +201,7 @@
 	for _, domain := range s.FailureDomains {
 		v.checkName(domain, "settings", "failure_domains", domain)
 	}
+	v.checkEvacuated(s)
 	const maxFreshnessBound = time.Minute
 	v.checkDuration(s.FreshnessBound, maxFreshnessBound, "settings", "freshness_bound")
 	v.checkDuration(s.IdempotencyTTL, math.MaxInt64, "settings", "idempotency_ttl")
@@ -212,6 +213,20 @@
 	}
 }
 
+// checkEvacuated adds a fault for each evacuated domain that is unknown or listed before. The fault has the line of the list
+// element itself, which is found by its index because the same name may be in the list twice.
+func (v *validator) checkEvacuated(s Settings) {
+	for i, domain := range s.Evacuated {
+		keys := []string{"settings", "evacuated", fmt.Sprintf("[%d]", i)}
+		if !slices.Contains(s.FailureDomains, domain) {
+			v.addFault(keys, "evacuated domain %q is not in failure_domains", domain)
+		}
+		if slices.Contains(s.Evacuated[:i], domain) {
+			v.addFault(keys, "%q is listed twice", domain)
+		}
+	}
+}
+
 func (v *validator) checkModel(name string, m *Model) {
 	v.checkName(name, "models", name)
 	if !v.checkPresent(m != nil, "models", name) {
@@ -498,11 +513,13 @@
 }
 
 // Warnings returns warnings about an accepted text: services and models that cannot answer because of recalls, recalls of
-// names that the text does not define, and missing failure domains.
+// names that the text does not define, missing failure domains, and the evacuation of all of them.
 func Warnings(s *Snapshot) []string {
 	var warnings []string
 	if len(s.Text.Settings.FailureDomains) == 0 {
 		warnings = append(warnings, "settings.failure_domains is empty: while the table is down, nodes refuse new answers")
+	} else if len(s.Text.Settings.Evacuated) == len(s.Text.Settings.FailureDomains) {
+		warnings = append(warnings, "settings.evacuated lists all failure domains: every request is refused")
 	}
 	for _, name := range sortedKeys(s.Text.Services) {
 		if _, err := s.Resolve(name); err != nil {
