entry: nothing is sent to endpoints of evacuated failure domains

Cause: the entry knows the domain of each endpoint from its agent's record, and did not use it for dispatch. Change: one check by the text that the entry holds now, immediately before each message that starts work: attempts (calls, prompts, retries, hedges, continued answers, the decode of a split prompt), reservations, prefills, and resumes of requests that can continue elsewhere. The routing view shows evacuated endpoints as leaving by plan and is refreshed when a text is adopted. Requests that wait adopt the new text at once and choose again; without an endpoint they get no_endpoint, not_run. Split prompts keep the parts that are prefilled and replace other members in evacuated domains; a split prompt without any engine gets no_endpoint instead of prompt_too_large. A release is sent only for a reservation that was requested. A node record without a domain takes that of the VM list.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,7 @@
 	endpointCrashed bool // the endpoint crashed while it ran the request
 	unreachable     bool // the agent could not be reached
 	entryIsolated   bool // this entry lacks fresh evidence, so that another endpoint would not help
+	evacuated       bool // nothing was sent, because the endpoint's failure domain is evacuated
 	attemptID       string
 	recordVersion   int64 // version of the idempotency record that the agent saw
 	load            *wire.Load
@@ -38,9 +39,9 @@
 
 func (f *failure) Error() string { return f.err.Error() }
 
-// transient reports whether the agent refused the work before it ran, for a temporary reason.
+// transient reports whether the work was refused before it ran, for a temporary reason.
 func (f *failure) transient() bool {
-	return f.err.Kind.Transient() && f.err.RunState == errkind.NotRun && !f.maybeRunning && !f.endpointCrashed && !f.unreachable
+	return f.evacuated || f.err.Kind.Transient() && f.err.RunState == errkind.NotRun && !f.maybeRunning && !f.endpointCrashed && !f.unreachable
 }
 
 // attempt is one execution of a request at one endpoint.
@@ -175,6 +176,8 @@
 		return &failure{err: kindErr, maybeRunning: kindErr.RunState == errkind.RunUnknown}
 	case resumes >= maxResumes || a.d.opts.Disabled.Resume:
 		return a.connectionLost(err)
+	case a.r.idempotent() && a.d.evacuated(a.node):
+		return a.connectionLost(err) // the request continues elsewhere; a non-idempotent call could not
 	}
 	return nil
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -141,7 +141,8 @@
 		return
 	}
 	e := d.opts.RoutingView.Endpoint(n.Endpoint)
-	e.SetAvailable(n.Live && !n.Leaving && n.Fault == "", n.Leaving)
+	evacuated := d.evacuated(n)
+	e.SetAvailable(n.Live && !n.Leaving && n.Fault == "" && !evacuated, n.Leaving || evacuated)
 	d.opts.RoutingView.Observe(n.Load)
 }
 
@@ -254,14 +255,14 @@
 	return nil
 }
 
-// stillServed reports whether a live endpoint of the target still has v loaded, which a rollout is replacing.
+// stillServed reports whether an endpoint of the target that may get requests still has v loaded, which a rollout is replacing.
 func (d *dispatcher) stillServed(snap *fleet.Snapshot, target fleet.Target, v *wire.Version) bool {
 	if _, recalled := snap.Recalled(wire.DecodeVersion(v)); recalled {
 		return false
 	}
 	return slices.ContainsFunc(target.Endpoints, func(name string) bool {
 		node, ok := d.members.Endpoint(name)
-		return ok && node.Live && slices.ContainsFunc(node.Loaded, func(l endpoint.Version) bool { return sameVersion(wire.EncodeVersion(l), v) })
+		return ok && node.Live && !d.evacuated(node) && slices.ContainsFunc(node.Loaded, func(l endpoint.Version) bool { return sameVersion(wire.EncodeVersion(l), v) })
 	})
 }
 
@@ -291,6 +292,9 @@
 		err := errkind.New(errkind.NoEndpoint, "endpoint left the membership")
 		return nil, &failure{err: err, unreachable: true}
 	}
+	if f := d.checkEvacuated(node, ep); f != nil {
+		return nil, f
+	}
 	remaining := time.Until(r.deadline) - d.deadlineMargin(r)
 	a := d.newAttempt(r, node, ep, remaining)
 	if err := a.run(ctx); err != nil {
@@ -378,7 +382,7 @@
 	if f.err.Kind == errkind.PromptTooLarge && f.err.RunState == errkind.NotRun && d.needsSplit(r) {
 		return nil // the refusal's load report shows that the prompt must be split
 	}
-	allowed := errkind.RuleOf(f.err.Kind).Retryable || f.unreachable
+	allowed := errkind.RuleOf(f.err.Kind).Retryable || f.unreachable || f.evacuated
 	if !allowed || f.entryIsolated {
 		return f.err
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -56,20 +56,46 @@
 
 // fakeEpochs is an epoch.View that the test sets.
 type fakeEpochs struct {
-	snap  atomic.Pointer[fleet.Snapshot]
-	stale atomic.Bool
+	snap    atomic.Pointer[fleet.Snapshot]
+	stale   atomic.Bool
+	mu      sync.Mutex
+	changed chan struct{}
 }
 
 func (f *fakeEpochs) Snapshot() *fleet.Snapshot { return f.snap.Load() }
 func (f *fakeEpochs) Fresh() bool               { return !f.stale.Load() }
-func (f *fakeEpochs) Changed() <-chan struct{}  { return nil }
+
+func (f *fakeEpochs) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
 
 func (f *fakeEpochs) set(t *testing.T, epoch int64, recalled string) {
+	f.setText(t, epoch, testConfig, recalled)
+}
+
+// evacuate sets a text with the failure domains a and b, of which the named ones are evacuated.
+func (f *fakeEpochs) evacuate(t *testing.T, epoch int64, domains ...string) {
+	list := "failure_domains: [a, b], evacuated: [" + strings.Join(domains, ", ") + "]"
+	f.setText(t, epoch, strings.Replace(testConfig, "failure_domains: [a]", list, 1), "")
+}
+
+func (f *fakeEpochs) setText(t *testing.T, epoch int64, config, recalled string) {
 	hash := func(s string) string { sum := sha256.Sum256([]byte(s)); return hex.EncodeToString(sum[:]) }
-	text := strings.NewReplacer("KEYHASH", hash(testKey), "GUESTHASH", hash("guest"), "RECALLED", recalled).Replace(testConfig)
+	text := strings.NewReplacer("KEYHASH", hash(testKey), "GUESTHASH", hash("guest"), "RECALLED", recalled).Replace(config)
 	snap, faults := fleet.NewSnapshot(epoch, []byte(text))
 	require.Empty(t, faults)
 	f.snap.Store(snap)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
 }
 
 // fakeMembers is a membership.View that the test sets.
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -237,15 +237,17 @@
 	}
 }
 
-// refreshRoutingView updates the routing view from the membership until ctx ends.
+// refreshRoutingView updates the routing view from the membership and the configuration until ctx ends.
 func (d *daemon) refreshRoutingView(ctx context.Context) error {
 	ticker := time.NewTicker(viewRefreshInterval)
 	defer ticker.Stop()
 	for {
+		changed := d.components.Epochs.Changed() // before the view is refreshed, so that no change is missed
 		d.server.dispatch.refreshView()
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-changed:
 		case <-ticker.C:
 		}
 	}
--- a/internal/entry/selection.go
+++ b/internal/entry/selection.go
@@ -28,13 +28,17 @@
 	s.lastFailure = f
 }
 
-// choose returns the endpoint of the next attempt. Once all candidates have been tried, it backs off and starts over. A prompt that is blamed
-// meanwhile is refused.
+// choose returns the endpoint of the next attempt. Once all candidates have been tried, it backs off and starts over, at once when the
+// configuration changes, which the request then adopts. A prompt that is blamed meanwhile is refused.
 func (s *endpointSelector) choose(ctx context.Context) (route.Choice, error) {
 	for {
 		if ctx.Err() != nil {
 			return route.Choice{}, s.d.contextError(ctx, s.lastFailure)
 		}
+		changed := s.d.epochs.Changed() // before the snapshot is read, so that no change is missed
+		if err := s.d.updateTarget(s.r); err != nil {
+			return route.Choice{}, err
+		}
 		if err := s.d.checkBlame(s.r); err != nil {
 			return route.Choice{}, err
 		}
@@ -47,7 +51,7 @@
 			return route.Choice{}, s.unavailableError()
 		}
 		s.tried = s.tried[:0]
-		if err := s.backOff(ctx); err != nil {
+		if err := s.backOff(ctx, changed); err != nil {
 			return route.Choice{}, err
 		}
 	}
@@ -88,12 +92,18 @@
 	return errkind.New(errkind.NoEndpoint, "no live endpoint serves "+s.r.requestedName)
 }
 
-func (s *endpointSelector) backOff(ctx context.Context) error {
+// backOff waits until the next attempt is due or the configuration changes.
+func (s *endpointSelector) backOff(ctx context.Context, changed <-chan struct{}) error {
 	if s.delay = min(s.delay*2, maxBackoff); s.delay == 0 {
 		s.delay = s.d.timing.InitialBackoff
 	}
-	if timing.Sleep(ctx, timing.Jitter(s.delay, 0.5)) != nil {
+	timer := time.NewTimer(timing.Jitter(s.delay, 0.5))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
 		return s.d.contextError(ctx, s.lastFailure)
+	case <-changed:
+	case <-timer.C:
 	}
 	return nil
 }
--- a/internal/entry/split.go
+++ b/internal/entry/split.go
@@ -38,6 +38,7 @@
 	text           string
 	tokens         int64          // to reserve: those of the text, and for the last segment also those of the answer
 	handle         *wire.KVHandle // of the prefilled KV; nil before
+	requested      atomic.Bool    // the reservation was requested
 	granted        atomic.Bool    // the reservation was granted
 	lost           atomic.Bool    // the member must be replaced
 	missedRenewals atomic.Int32   // consecutive renewals without a reply
@@ -102,6 +103,7 @@
 		}
 		s.planned = planned
 	}
+	s.markEvacuated()
 	if f, ep := s.replaceLost(ctx); f != nil {
 		return f, ep
 	}
@@ -210,9 +212,13 @@
 	if seg.node.Addr == "" {
 		return &failure{err: errkind.New(errkind.NoEndpoint, "endpoint left the membership"), unreachable: true}
 	}
+	if f := s.d.checkEvacuated(seg.node, seg.ep); f != nil {
+		return f
+	}
 	maxWait = min(maxWait, time.Until(s.r.deadline))
 	ctx, cancel := context.WithTimeout(ctx, maxWait+s.d.timing.SilenceTimeout)
 	defer cancel()
+	seg.requested.Store(true)
 	reply, err := s.d.agents.unary(seg.node.Addr).Reserve(ctx, &wire.ReserveRequest{
 		Reservation: seg.reservation,
 		RequestId:   s.r.id,
@@ -278,6 +284,9 @@
 }
 
 func (s *splitRequest) prefillSegment(ctx context.Context, seg *segment, imported []*wire.KVHandle) *failure {
+	if f := s.d.checkEvacuated(seg.node, seg.ep); f != nil {
+		return f
+	}
 	recordEnd := seg.ep.RecordDispatch(s.r.class(), seg.tokens)
 	defer recordEnd()
 	s.d.metrics.segments.Inc()
@@ -354,6 +363,9 @@
 func (s *splitRequest) decode(ctx context.Context) (*failure, *route.Endpoint) {
 	segments := s.reservedSegments()
 	last := segments[len(segments)-1]
+	if f := s.d.checkEvacuated(last.node, last.ep); f != nil {
+		return f, last.ep
+	}
 	a := s.d.newAttempt(s.r, last.node, last.ep, time.Until(s.r.deadline)-s.d.deadlineMargin(s.r))
 	work := a.message.GetModel()
 	work.Version = wire.EncodeVersion(s.version) // the version of the other segments
@@ -419,6 +431,16 @@
 	}
 }
 
+// markEvacuated makes the pass replace the members in evacuated failure domains that have prefilled nothing. The others keep
+// their segments, as running requests are left to finish.
+func (s *splitRequest) markEvacuated() {
+	for _, seg := range s.reservedSegments() {
+		if seg.handle == nil && s.d.evacuated(seg.node) {
+			seg.lost.Store(true)
+		}
+	}
+}
+
 // replaceLost replaces each lost member by another endpoint. It does not wait for the memory of a replacement, because
 // waiting while members with later names are reserved could deadlock. If no endpoint grants it at once, all reservations
 // are released.
--- a/internal/entry/split_lease.go
+++ b/internal/entry/split_lease.go
@@ -66,7 +66,7 @@
 		return
 	}
 	for _, seg := range segments {
-		if seg.node.Addr == "" {
+		if !seg.requested.Load() {
 			continue
 		}
 		s.d.pendingReleases.Go(func() {
--- a/internal/entry/split_plan.go
+++ b/internal/entry/split_plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"unicode/utf8"
 
@@ -15,6 +16,9 @@
 	totalTokens := s.r.promptTokens + s.r.maxTokens
 	s.version = s.chooseVersion()
 	members := s.candidates()
+	if len(members) == 0 {
+		return nil, errkind.New(errkind.NoEndpoint, "no live endpoint serves "+s.r.requestedName)
+	}
 	share := preferredMemoryShare
 	count, heldTokens := countMembers(members, totalTokens, share)
 	// Half of the candidates should remain as replacements.
@@ -22,6 +26,9 @@
 		share = min(share+memoryShareStep, maxMemoryShare)
 		count, heldTokens = countMembers(members, totalTokens, share)
 	}
+	if heldTokens < totalTokens && s.anyEvacuated() {
+		return nil, errkind.New(errkind.NoEndpoint, "the engines outside the evacuated failure domains do not hold the prompt")
+	}
 	if heldTokens < totalTokens {
 		return nil, errkind.New(errkind.PromptTooLarge, "the engines' memory together does not hold the prompt")
 	}
@@ -56,6 +63,14 @@
 	return members
 }
 
+// anyEvacuated reports whether an endpoint of the service is in an evacuated failure domain.
+func (s *splitRequest) anyEvacuated() bool {
+	return slices.ContainsFunc(s.d.pool(s.r.snap, &s.r.target).Endpoints(), func(e *route.Endpoint) bool {
+		node, ok := s.d.members.Endpoint(e.Name)
+		return ok && s.d.evacuated(node)
+	})
+}
+
 // chooseVersion returns the version that all members use. During a rollout it is the one whose endpoints have the most
 // memory in total.
 func (s *splitRequest) chooseVersion() endpoint.Version {
--- a/internal/entry/split_test.go
+++ b/internal/entry/split_test.go
@@ -28,6 +28,7 @@
 	prefills      []string
 	versions      []string // of the prefills
 	prefillTime   time.Duration
+	onPrefill     func()                      // called by each Prefill
 	failPrefillAt string                      // endpoint whose first Prefill fails
 	crashPrefills bool                        // every Prefill crashes its endpoint
 	memory        map[string]*kvledger.Ledger // by endpoint; nil: every reservation is granted
@@ -79,6 +80,9 @@
 
 func (s splitAgent) Prefill(_ context.Context, r *wire.PrefillRequest) (*wire.PrefillReply, error) {
 	time.Sleep(s.log.prefillTime)
+	if s.log.onPrefill != nil {
+		s.log.onPrefill()
+	}
 	s.log.mu.Lock()
 	defer s.log.mu.Unlock()
 	s.log.prefills = append(s.log.prefills, s.name)
--- a/membership/table.go
+++ b/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"container/list"
 	"maps"
 	"math"
@@ -375,7 +376,7 @@
 	n := Node{Name: name, Addr: s.vm.Addr, FailureDomain: s.vm.FailureDomain, Role: s.vm.Role, Leaving: s.leaving,
 		Live: t.live(s, now), LastHeard: s.heardAt, Epoch: s.knownEpoch}
 	if r := s.record; r != nil {
-		n.Addr, n.FailureDomain, n.Role = r.Addr, r.FailureDomain, cloud.VMRole(r.Role)
+		n.Addr, n.FailureDomain, n.Role = r.Addr, cmp.Or(r.FailureDomain, s.vm.FailureDomain), cloud.VMRole(r.Role)
 		n.Endpoint, n.EndpointKind, n.Incarnation = r.Endpoint, r.EndpointKind, r.Incarnation
 		n.Epoch, n.Fault, n.OrderFault, n.Load = r.Epoch, r.Fault, r.OrderFault, r.Load
 		for _, v := range r.Loaded {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -38,6 +38,20 @@
 	require.Len(t, table.ServingCandidates(time.Second), 1, "a new epoch is not accepted without it")
 }
 
+// Guards against an agent that is in no failure domain, so that an evacuation misses it, because its own record states none.
+func TestFailureDomainComesFromRecordOrList(t *testing.T) {
+	table := NewTable(Options{Name: "entry-1"})
+	table.SetVMList([]cloud.VM{{Name: "agent-1", Addr: "a:1", FailureDomain: "b", State: cloud.VMLive, Role: cloud.RoleAgent}})
+	table.Observe(agentRecord("i1", 1), true)
+	n, _ := table.Endpoint("model-01")
+	require.Equal(t, "a", n.FailureDomain, "the record is newer than the list")
+	record := agentRecord("i1", 2)
+	record.FailureDomain = ""
+	table.Observe(record, true)
+	n, _ = table.Endpoint("model-01")
+	require.Equal(t, "b", n.FailureDomain)
+}
+
 // Guards against a lagging list that takes a running node out of service, and against a stopped node that stays live.
 func TestRemovedFromListButHeardStaysLive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
