agent: returns the queued attempts of an evacuated failure domain

Cause: most requests wait in the queues of agents. Those that waited in an evacuated domain would still have reached its endpoints, and an entry that has not learned the text yet would have sent more. Change: an agent whose domain is evacuated ends its queued attempts as not_ready, not_run, which costs their entries no retry, and refuses new attempts and reservations in the same way. Running attempts and prompts that hold reserved memory go on. draining is not used, because entries would treat the agent as leaving until it restarts.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -144,7 +144,7 @@
 	return nil
 }
 
-// checkMayRun checks that the configuration is fresh and assigns the attempt's service or version to this endpoint, and that the
+// checkMayRun checks that the configuration is fresh, does not evacuate this agent's failure domain and assigns the attempt's service or version to this endpoint, and that the
 // version is loaded and not recalled. It is called at admission and again before the endpoint is called.
 func (a *Agent) checkMayRun(att *attempt) error {
 	s := a.peer.Epochs().Snapshot()
@@ -156,6 +156,9 @@
 	loaded := a.report.Loaded
 	reportOutdated := a.hasEngine() && time.Since(a.reportedAt) > maxReportAge
 	a.mu.Unlock()
+	if err := a.evacuationError(s, att); err != nil {
+		return err
+	}
 	if err := a.resolveService(s, att, loaded); err != nil {
 		return err
 	}
@@ -171,6 +174,16 @@
 	return nil
 }
 
+// evacuationError returns the error of an attempt that may not start because the failure domain is evacuated. An attempt that
+// continues a long prompt, which holds memory here, counts as running. The kind is NotReady, because Draining would make
+// entries treat the agent as leaving until it restarts.
+func (a *Agent) evacuationError(s *fleet.Snapshot, att *attempt) error {
+	if !s.Evacuated(a.opts.Node.FailureDomain) || att.preReserved() {
+		return nil
+	}
+	return errkind.New(errkind.NotReady, "failure domain "+a.opts.Node.FailureDomain+" is evacuated")
+}
+
 // resolveService looks up the attempt's service in the configuration and checks that this endpoint serves it.
 func (a *Agent) resolveService(s *fleet.Snapshot, att *attempt, loaded []endpoint.Version) error {
 	att.service = s.Text.Services[att.request.GetService()]
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -47,12 +48,14 @@
 	timing.Signal(a.orderRequested)
 }
 
-// watchEpochs cancels attempts of recalled versions and requests an order whenever the configuration changes.
+// watchEpochs cancels attempts of recalled versions, returns queued attempts if the failure domain is evacuated, and requests
+// an order whenever the configuration changes.
 func (a *Agent) watchEpochs(ctx context.Context) error {
 	for {
 		changed := a.peer.Epochs().Changed()
 		if s := a.peer.Epochs().Snapshot(); s != nil {
 			a.applyRecalls(s)
+			a.applyEvacuation(s)
 			a.requestOrder()
 		}
 		select {
@@ -76,6 +79,19 @@
 	a.removeSegmentReservations(recalledReservations)
 }
 
+// applyEvacuation ends the queued attempts that may not start because the failure domain is evacuated, so that their entries
+// send them elsewhere. An attempt that is queued after this is refused when its turn comes.
+func (a *Agent) applyEvacuation(s *fleet.Snapshot) {
+	a.mu.Lock()
+	attempts := slices.Collect(maps.Values(a.attempts))
+	a.mu.Unlock()
+	for _, att := range attempts {
+		if err := a.evacuationError(s, att); err != nil && a.queue.Remove(att.queueItem) {
+			a.fail(att, asNotRun(err))
+		}
+	}
+}
+
 // cancelRecalled cancels attempts of recalled versions and returns the reservations of segments that hold KV memory of such
 // versions.
 func (a *Agent) cancelRecalled(s *fleet.Snapshot, cutStreams bool) (recalledReservations []string) {
