--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -206,6 +206,8 @@
 	f.Add([]byte(smallText))
 	f.Add([]byte("services: {a: {kind: plain, endpoints: [\"x-{1..99999999999}\"]}}"))
 	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("settings:\n  failure_domains: [a, b]\n  evacuated:\n  - a"))
+	f.Add([]byte("settings: {failure_domains: [a], evacuated: [a]}"))
 	f.Add([]byte("services: {a: }"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		start := time.Now()
@@ -221,6 +223,14 @@
 		if s != nil {
 			Warnings(s)
 			CheckRecallChanges(nil, s.Text, data)
+			for _, domain := range s.Text.Settings.FailureDomains[:min(1, len(s.Text.Settings.FailureDomains))] {
+				for _, evacuated := range []bool{true, false} {
+					next, err := SetEvacuated(data, domain, evacuated)
+					if _, faults := Parse(next); err == nil && len(faults) > 0 {
+						t.Fatalf("evacuation of %q makes the text invalid: %v", domain, faults)
+					}
+				}
+			}
 			if d := Diff(s.Text, s.Text); len(d) > 0 {
 				t.Fatalf("difference to itself: %v", d)
 			}
