epoch: the status lists evacuated failure domains and how many endpoints each has

Cause: operators see in the status what is recalled and rolled out, but not what is evacuated. Change: Status.Evacuated, from the text and the known agents. Entries of the domain are not counted. Measured: TestStatusShowsEvacuatedDomains, which does not compile without the change; go test ./epoch passes.

--- a/epoch/inforce.go
+++ b/epoch/inforce.go
@@ -56,8 +56,15 @@
 	Nodes       []NodeStatus `json:"nodes"`
 	Warnings    []string     `json:"warnings,omitempty"`
 
-	Recalls  []RecallStatus  `json:"recalls,omitempty"`
-	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
+	Evacuated []EvacuatedDomain `json:"evacuated,omitempty"`
+	Recalls   []RecallStatus    `json:"recalls,omitempty"`
+	Rollouts  []RolloutStatus   `json:"rollouts,omitempty"`
+}
+
+// EvacuatedDomain is a failure domain whose endpoints are sent nothing.
+type EvacuatedDomain struct {
+	Name      string `json:"name"`
+	Endpoints int    `json:"endpoints"` // known endpoints in the domain
 }
 
 // inForceTracker decides when an epoch is in force, that is, when no node can serve under an earlier one any more. This is
@@ -248,6 +255,7 @@
 		}
 		status.Nodes = append(status.Nodes, n)
 	}
+	status.Evacuated = evacuatedDomains(current, candidates)
 	status.Recalls = recallStatus(current, a.inForce.lastInForce(), candidates)
 	status.Rollouts = rolloutStatus(current, candidates)
 	return status
@@ -278,6 +286,21 @@
 	return nil
 }
 
+// evacuatedDomains returns the failure domains that current evacuates, in the order of the text.
+func evacuatedDomains(current *fleet.Snapshot, candidates []membership.ServingCandidate) []EvacuatedDomain {
+	var list []EvacuatedDomain
+	for _, name := range current.Text.Settings.Evacuated {
+		domain := EvacuatedDomain{Name: name}
+		for _, c := range candidates {
+			if c.FailureDomain == name && c.Endpoint != "" {
+				domain.Endpoints++
+			}
+		}
+		list = append(list, domain)
+	}
+	return list
+}
+
 // recallStatus returns the state of the names recalled by current. A name is stopped if lastInForce, the snapshot of
 // the last epoch in force, already recalls it.
 func recallStatus(current, lastInForce *fleet.Snapshot, candidates []membership.ServingCandidate) []RecallStatus {
--- a/epoch/status_test.go
+++ b/epoch/status_test.go
@@ -27,6 +27,15 @@
 	require.Equal(t, []RecallStatus{{Name: "b1", Stopped: true}, {Name: "m@1", Stopped: true}}, recallStatus(second, second, nil))
 }
 
+// An evacuated domain must appear in the status with its endpoints, which the entries of the domain are not.
+func TestStatusShowsEvacuatedDomains(t *testing.T) {
+	s, faults := fleet.NewSnapshot(2, []byte("settings: {failure_domains: [a, b, c], evacuated: [b, c]}\n"))
+	require.Empty(t, faults)
+	candidates := []membership.ServingCandidate{{Name: "n1", FailureDomain: "a", Endpoint: "e1"}, {Name: "n2", FailureDomain: "b"},
+		{Name: "n3", FailureDomain: "b", Endpoint: "e3"}}
+	require.Equal(t, []EvacuatedDomain{{Name: "b", Endpoints: 1}, {Name: "c"}}, evacuatedDomains(s, candidates))
+}
+
 // A rollout that is stuck must appear in the status with the fault that blocks it, and a complete one must not appear.
 func TestRolloutStatusShowsBlockingFault(t *testing.T) {
 	s, faults := fleet.NewSnapshot(2, []byte("models: {m: {version: \"2\", endpoints: [e1, e2, e3]}}\n"))
