--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -49,6 +49,7 @@
 	Validate ValidateCmd `cmd:"" help:"Check a configuration text without a server."`
 	Diff     DiffCmd     `cmd:"" help:"Show the changes between the current text and a file."`
 	Apply    ApplyCmd    `cmd:"" help:"Submit a text as a change of the current one."`
+	Evacuate EvacuateCmd `cmd:"" help:"Send nothing more to the endpoints of a failure domain, or with --end, use them again."`
 	Status   StatusCmd   `cmd:"" help:"Show the epoch and the state of each node."`
 	Audit    AuditCmd    `cmd:"" help:"Show the audit trail."`
 }
@@ -177,35 +178,42 @@
 	if c.Submission == "" {
 		c.Submission = rand.Text()
 	}
-	header := http.Header{"If-Match": {etag}, operator.SubmissionHeader: {c.Submission}, operator.OperatorHeader: {c.Operator}}
-	body, _, err := env.sendRequest(http.MethodPut, "/v1/fleet", header, raw)
+	retry := "repeat with --submission " + c.Submission + " --if-match " + strings.Trim(etag, `"`)
+	result, err := env.submitText(raw, etag, c.Submission, c.Operator, retry)
 	if err != nil {
-		return c.addRetryFlags(err, etag)
+		return err
 	}
+	return env.reportResult(result, c.Wait)
+}
+
+// submitText submits a text as a change of the one with the ETag. retry tells the operator what to do if the outcome is unknown.
+func (env *Context) submitText(raw []byte, etag, submission, remark, retry string) (epoch.SubmitResult, error) {
+	header := http.Header{"If-Match": {etag}, operator.SubmissionHeader: {submission}, operator.OperatorHeader: {remark}}
 	var result epoch.SubmitResult
-	if err := json.Unmarshal(body, &result); err != nil {
-		return errors.Wrap(err, "answer")
-	}
-	if c.Wait > 0 && !result.InForce {
-		result.InForce = env.waitInForce(result.Epoch, c.Wait)
+	body, _, err := env.sendRequest(http.MethodPut, "/v1/fleet", header, raw)
+	if err != nil {
+		return result, addRetryAdvice(err, retry)
 	}
-	return c.printResult(env, result)
+	return result, errors.Wrap(json.Unmarshal(body, &result), "answer")
 }
 
-// addRetryFlags adds the flags for a retry to an error that leaves the outcome of the submission unknown.
-func (c *ApplyCmd) addRetryFlags(err error, etag string) error {
-	retry := "\nrepeat with --submission " + c.Submission + " --if-match " + strings.Trim(etag, `"`)
+// addRetryAdvice adds the advice for a retry to an error that leaves the outcome of the submission unknown.
+func addRetryAdvice(err error, retry string) error {
 	var exitErr *ExitError
 	if errors.As(err, &exitErr) {
 		if exitErr.Code == ExitInDoubt {
-			exitErr.Message += retry
+			exitErr.Message += "\n" + retry
 		}
 		return err
 	}
-	return &ExitError{Code: ExitInDoubt, Message: err.Error() + retry}
+	return &ExitError{Code: ExitInDoubt, Message: err.Error() + "\n" + retry}
 }
 
-func (c *ApplyCmd) printResult(env *Context, result epoch.SubmitResult) error {
+// reportResult waits until an accepted text is in force, unless wait is 0, and prints the result.
+func (env *Context) reportResult(result epoch.SubmitResult, wait time.Duration) error {
+	if wait > 0 && !result.InForce {
+		result.InForce = env.waitInForce(result.Epoch, wait)
+	}
 	if env.CLI.JSON {
 		if err := env.printJSON(result); err != nil {
 			return err
@@ -216,7 +224,7 @@
 			fmt.Fprintf(env.Out, "warning: %s\n", w)
 		}
 	}
-	if c.Wait > 0 && !result.InForce {
+	if wait > 0 && !result.InForce {
 		return &ExitError{Code: ExitPending, Message: "not in force yet; see bilberryctl status"}
 	}
 	return nil
@@ -261,6 +269,9 @@
 	if len(status.Unconfirmed) > 0 {
 		fmt.Fprintf(env.Out, "unconfirmed: %s\n", strings.Join(status.Unconfirmed, ", "))
 	}
+	for _, d := range status.Evacuated {
+		fmt.Fprintf(env.Out, "evacuated %s: %d endpoints\n", d.Name, d.Endpoints)
+	}
 	for _, r := range status.Recalls {
 		state := "some nodes may still start answers from it"
 		if r.Stopped {
