bilberryctl check FILE: entries without effect, contradictions, differences from the current text

Cause: validate reports only faults for which a text is refused, so a shadowed call or a limit of zero is found when callers complain, and a missing recall only when the text is submitted.

--- a/cmd/bilberryctl/main.go
+++ b/cmd/bilberryctl/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	var cli ctl.CLI
-	kctx := settings.Parse(&cli, "bilberryctl", "Validates, compares and applies configuration texts, and shows the fleet status and the audit trail.")
+	kctx := settings.Parse(&cli, "bilberryctl", "Checks, compares and applies configuration texts, evacuates failure domains, and shows the fleet status and the audit trail.")
 	err := kctx.Run(&ctl.Context{CLI: &cli, Out: os.Stdout, Client: http.DefaultClient})
 	if err == nil {
 		return
--- a/epoch/acceptor.go
+++ b/epoch/acceptor.go
@@ -213,19 +213,16 @@
 	if sub.BaseEpoch != current.Epoch {
 		return nil, a.newConflict(ctx, sub.BaseEpoch, current.Epoch)
 	}
-	next, faults := fleet.NewSnapshot(current.Epoch+1, sub.Raw)
-	if len(faults) == 0 {
-		var old *fleet.Text
-		if held := a.options.Store.Snapshot(); held != nil {
-			old = held.Text
-		}
-		faults = fleet.CheckRecallChanges(old, next.Text, sub.Raw)
+	var old *fleet.Text
+	if held := a.options.Store.Snapshot(); held != nil {
+		old = held.Text
 	}
-	if len(faults) == 0 {
-		return next, nil
+	report := fleet.Validate(current.Epoch+1, sub.Raw, old)
+	if report.Snapshot != nil {
+		return report.Snapshot, nil
 	}
-	rejection := a.newRejection(errkind.New(errkind.FleetInvalid, fmt.Sprintf("the text has %d faults", len(faults))), current.Epoch)
-	for _, f := range faults {
+	rejection := a.newRejection(errkind.New(errkind.FleetInvalid, fmt.Sprintf("the text has %d faults", len(report.Faults))), current.Epoch)
+	for _, f := range report.Faults {
 		rejection.Details = append(rejection.Details, f.String())
 	}
 	return nil, rejection
@@ -384,6 +381,10 @@
 	result := SubmitResult{Epoch: committed.Epoch, Submission: sub.ID}
 	if snapshot := a.options.Store.SnapshotAt(committed.Epoch); snapshot != nil {
 		result.Warnings = fleet.Warnings(snapshot)
+		for _, f := range fleet.Findings(snapshot) {
+			result.Warnings = append(result.Warnings, f.String())
+		}
+		result.Warnings = truncateDetails(result.Warnings)
 	}
 	a.requestCollection()
 	if !a.options.SkipConfirmation {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,8 +36,7 @@
 // Guards against examples that are not valid, or whose sizes differ from the deployments that they stand for.
 func TestExamplesAreValid(t *testing.T) {
 	for file, want := range map[string]struct{ engines, plain int }{"workshop": {24, 3}, "timing-centre": {15, 3}} {
-		raw, err := os.ReadFile("../examples/" + file + ".yaml")
-		require.NoError(t, err)
+		raw := readExample(t, file)
 		s, faults := NewSnapshot(1, raw)
 		require.Empty(t, faults)
 		require.Empty(t, CheckRecallChanges(nil, s.Text, raw))
@@ -53,6 +52,12 @@
 	}
 }
 
+func readExample(t *testing.T, name string) []byte {
+	raw, err := os.ReadFile("../examples/" + name + ".yaml")
+	require.NoError(t, err)
+	return raw
+}
+
 // Guards against a fault that is accepted, or that is reported with a wrong line.
 func TestFaultsNameTheirLine(t *testing.T) {
 	for _, c := range []struct{ old, new, message, marker string }{
@@ -222,6 +227,7 @@
 		}
 		if s != nil {
 			Warnings(s)
+			Findings(s)
 			CheckRecallChanges(nil, s.Text, data)
 			for _, domain := range s.Text.Settings.FailureDomains[:min(1, len(s.Text.Settings.FailureDomains))] {
 				for _, evacuated := range []bool{true, false} {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -38,14 +39,18 @@
 	ExitDiffers  = 6 // the texts that diff compared differ
 )
 
+// defaultServer is the base URL of the first entry of a development fleet.
+const defaultServer = "http://127.0.0.1:8080"
+
 // CLI declares the global flags and the commands.
 type CLI struct {
-	Server  string           `name:"server" default:"http://127.0.0.1:8080" help:"Base URL of an entry."`
+	Server  string           `name:"server" help:"Base URL of an entry (http://127.0.0.1:8080)."`
 	Token   string           `name:"token" help:"Operator token."`
 	JSON    bool             `name:"json" help:"Print JSON."`
 	Timeout time.Duration    `name:"timeout" default:"30s" help:"Timeout of one request."`
 	Version kong.VersionFlag `name:"version" env:"-" help:"Print the version and exit."`
 
+	Check    CheckCmd    `cmd:"" help:"Check a configuration text; with --server, also against the current one. Nothing is submitted."`
 	Validate ValidateCmd `cmd:"" help:"Check a configuration text without a server."`
 	Diff     DiffCmd     `cmd:"" help:"Show the changes between the current text and a file."`
 	Apply    ApplyCmd    `cmd:"" help:"Submit a text as a change of the current one."`
@@ -70,48 +75,6 @@
 	Client *http.Client
 }
 
-// ValidateCmd is the command `validate FILE`.
-type ValidateCmd struct {
-	File string `arg:"" type:"existingfile" help:"Configuration text."`
-}
-
-// Run checks the file and prints every fault with its line.
-func (c *ValidateCmd) Run(env *Context) error {
-	raw, err := os.ReadFile(c.File)
-	if err != nil {
-		return err
-	}
-	snapshot, faults := fleet.NewSnapshot(1, raw)
-	if len(faults) == 0 {
-		faults = fleet.CheckRecallChanges(nil, snapshot.Text, raw)
-	}
-	var warnings []string
-	if snapshot != nil {
-		warnings = fleet.Warnings(snapshot)
-	}
-	if env.CLI.JSON {
-		err = env.printJSON(map[string]any{"valid": len(faults) == 0, "faults": faults, "warnings": warnings})
-	} else {
-		env.printFaults(c.File, faults, warnings)
-	}
-	if err == nil && len(faults) > 0 {
-		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
-	}
-	return err
-}
-
-func (env *Context) printFaults(file string, faults []fleet.Fault, warnings []string) {
-	for _, f := range faults {
-		fmt.Fprintf(env.Out, "%s:%d: %s\n", file, f.Line, f.Message)
-	}
-	for _, w := range warnings {
-		fmt.Fprintf(env.Out, "warning: %s\n", w)
-	}
-	if len(faults) == 0 {
-		fmt.Fprintf(env.Out, "%s: valid\n", file)
-	}
-}
-
 // DiffCmd is the command `diff FILE`.
 type DiffCmd struct {
 	File string `arg:"" type:"existingfile" help:"Configuration text."`
@@ -125,17 +88,13 @@
 	}
 	proposed, faults := fleet.Parse(raw)
 	if len(faults) > 0 {
-		env.printFaults(c.File, faults, nil)
-		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
+		env.printFaults(c.File, "", faults)
+		return faultsError(faults)
 	}
-	currentRaw, _, err := env.fetchText()
+	current, _, err := env.fetchParsedText()
 	if err != nil {
 		return err
 	}
-	current, faults := fleet.Parse(currentRaw)
-	if len(faults) > 0 && len(currentRaw) > 0 {
-		return errors.Errorf("current text: %s", faults[0])
-	}
 	differences := fleet.Diff(current, proposed)
 	if env.CLI.JSON {
 		if err := env.printJSON(differences); err != nil {
@@ -178,7 +137,7 @@
 	if c.Submission == "" {
 		c.Submission = rand.Text()
 	}
-	retry := "repeat with --submission " + c.Submission + " --if-match " + strings.Trim(etag, `"`)
+	retry := "repeat with --submission " + c.Submission + " --if-match " + trimETag(etag)
 	result, err := env.submitText(raw, etag, c.Submission, c.Operator, retry)
 	if err != nil {
 		return err
@@ -438,10 +397,12 @@
 	return body, header.Get("ETag"), err
 }
 
+func trimETag(etag string) string { return strings.Trim(etag, `"`) }
+
 // sendRequest sends one request and returns the response body and headers. A status other than 200 is returned as an
 // ExitError.
 func (env *Context) sendRequest(method, path string, header http.Header, body []byte) ([]byte, http.Header, error) {
-	baseURL, err := url.Parse(env.CLI.Server)
+	baseURL, err := url.Parse(cmp.Or(env.CLI.Server, defaultServer))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "--server")
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -82,6 +82,13 @@
 	_, code = r.run("validate", first)
 	require.Equal(t, ExitOK, code)
 
+	out, code = r.run("check", invalid)
+	require.Equal(t, ExitInvalid, code)
+	require.Contains(t, out, invalid+":2: unknown kind")
+	out, code = r.run("check", first)
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "differences from epoch 0")
+
 	out, code = r.run("apply", "--wait", "20s", first)
 	require.Equal(t, ExitOK, code, out)
 	require.Contains(t, out, "epoch 1 accepted, in force: true")
@@ -90,6 +97,20 @@
 	require.Contains(t, out, "~ settings.max_body_bytes: 1048577 -> 1048578")
 	_, code = r.run("diff", first)
 	require.Equal(t, ExitOK, code)
+	out, code = r.run("check", second)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "valid\n1 differences from epoch 1\n~ settings.max_body_bytes: 1048577 -> 1048578\n")
+	noLimit := r.writeFile(append(experiment.ConfigText(2, 0, 2), "  w: {requests_per_second: 0}\nrecalled: []\n"...))
+	out, code = r.run("check", "--strict", "--json", noLimit)
+	require.Equal(t, ExitInvalid, code)
+	var result checkResult
+	require.NoError(t, json.NewDecoder(strings.NewReader(out)).Decode(&result))
+	require.Equal(t, []fleet.Fault{{Line: 5, Message: "workspace w: requests_per_second: 0 is no limit"}}, result.Findings)
+	require.Equal(t, "1", result.ComparedTo)
+	require.Contains(t, result.Differences, "~ settings.max_body_bytes: 1048577 -> 1048578")
+	out, code = r.run("validate", noLimit)
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, noLimit+":5: warning: workspace w: requests_per_second: 0 is no limit\n"+noLimit+": valid\n", out)
 
 	out, code = r.run("apply", "--if-match", "0", second)
 	require.Equal(t, ExitConflict, code, out)
@@ -108,6 +129,9 @@
 	require.Equal(t, 1, strings.Count(out, "  accepted  "))
 	require.Equal(t, 1, strings.Count(out, "  epoch_conflict  "))
 	require.Equal(t, 1, strings.Count(out, "  fleet_invalid  "))
+	out, code = r.run("apply", noLimit)
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "warning: line 5: workspace w: requests_per_second: 0 is no limit")
 }
 
 // Guards against changes without a valid token or without an If-Match of the current text.
@@ -159,4 +183,9 @@
 	r := &commandRunner{t: t, server: "http://127.0.0.1:1", client: http.DefaultClient}
 	_, code := r.run("status")
 	require.Equal(t, ExitFailure, code)
+	file := r.writeFile(experiment.ConfigText(2, 3, 1))
+	_, code = r.run("check", file)
+	require.Equal(t, ExitFailure, code)
+	_, code = r.run("validate", file)
+	require.Equal(t, ExitOK, code, "validate asks no server")
 }
--- a/internal/ctl/evacuate.go
+++ b/internal/ctl/evacuate.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,7 +47,7 @@
 
 // reportUnchanged reports on the current text, to which the list already belongs.
 func (c *EvacuateCmd) reportUnchanged(env *Context, etag string) error {
-	number, err := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64)
+	number, err := strconv.ParseInt(trimETag(etag), 10, 64)
 	if err != nil {
 		return errors.Wrap(err, "ETag of the current text")
 	}
