--- a/internal/entry/split_plan.go
+++ b/internal/entry/split_plan.go
@@ -16,9 +16,6 @@
 	totalTokens := s.r.promptTokens + s.r.maxTokens
 	s.version = s.chooseVersion()
 	members := s.candidates()
-	if len(members) == 0 {
-		return nil, errkind.New(errkind.NoEndpoint, "no live endpoint serves "+s.r.requestedName)
-	}
 	share := preferredMemoryShare
 	count, heldTokens := countMembers(members, totalTokens, share)
 	// Half of the candidates should remain as replacements.
