--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,8 +36,7 @@
 // Guards against examples that are not valid, or whose sizes differ from the deployments that they stand for.
 func TestExamplesAreValid(t *testing.T) {
 	for file, want := range map[string]struct{ engines, plain int }{"workshop": {24, 3}, "timing-centre": {15, 3}} {
-		raw, err := os.ReadFile("../examples/" + file + ".yaml")
-		require.NoError(t, err)
+		raw := readExample(t, file)
 		s, faults := NewSnapshot(1, raw)
 		require.Empty(t, faults)
 		require.Empty(t, CheckRecallChanges(nil, s.Text, raw))
@@ -53,6 +52,12 @@
 	}
 }
 
+func readExample(t *testing.T, name string) []byte {
+	raw, err := os.ReadFile("../examples/" + name + ".yaml")
+	require.NoError(t, err)
+	return raw
+}
+
 // Guards against a fault that is accepted, or that is reported with a wrong line.
 func TestFaultsNameTheirLine(t *testing.T) {
 	for _, c := range []struct{ old, new, message, marker string }{
@@ -72,6 +77,8 @@
 		{"batch: spring", "batch: autumn", `unknown batch "autumn"`, "batch: autumn"},
 		{"{model: puli, version", "{model: pumi, version", `unknown model "pumi"`, "pumi"},
 		{"[a, b, c]", "[a, b, a]", "listed twice", "[a, b, a]"},
+		{"[a, b, c]", "[a, b]\n  evacuated: [c]", `evacuated domain "c" is not in failure_domains`, "evacuated"},
+		{"[a, b, c]", "[a, b]\n  evacuated:\n    - a\n    - b # again\n    - a # twice", `"a" is listed twice`, "- a # twice"},
 	} {
 		text := strings.Replace(smallText, c.old, c.new, 1)
 		require.NotEqual(t, smallText, text, c.old)
@@ -123,6 +130,18 @@
 	}
 }
 
+// Guards against an evacuation of the whole fleet that nobody is told of, and against one that reaches another domain.
+func TestEvacuatedDomains(t *testing.T) {
+	for list, warnings := range map[string]int{"[]": 0, "[a]": 0, "[c, a]": 0, "[c, a, b]": 1} {
+		s, faults := NewSnapshot(1, []byte(strings.Replace(smallText, "[a, b, c]", "[a, b, c]\n  evacuated: "+list, 1)))
+		require.Empty(t, faults)
+		require.Len(t, Warnings(s), warnings, list)
+		for _, domain := range []string{"a", "b", "c", ""} {
+			require.Equal(t, domain != "" && strings.Contains(list, domain), s.Evacuated(domain), "%s %q", list, domain)
+		}
+	}
+}
+
 // Guards against a recall that does not follow dependencies and fallbacks, and against exponential work for texts with many
 // of them.
 func TestRecallFollowsDependenciesAndFallbacks(t *testing.T) {
@@ -192,6 +211,8 @@
 	f.Add([]byte(smallText))
 	f.Add([]byte("services: {a: {kind: plain, endpoints: [\"x-{1..99999999999}\"]}}"))
 	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("settings:\n  failure_domains: [a, b]\n  evacuated:\n  - a"))
+	f.Add([]byte("settings: {failure_domains: [a], evacuated: [a]}"))
 	f.Add([]byte("services: {a: }"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		start := time.Now()
@@ -206,7 +227,16 @@
 		}
 		if s != nil {
 			Warnings(s)
+			Findings(s)
 			CheckRecallChanges(nil, s.Text, data)
+			for _, domain := range s.Text.Settings.FailureDomains[:min(1, len(s.Text.Settings.FailureDomains))] {
+				for _, evacuated := range []bool{true, false} {
+					next, err := SetEvacuated(data, domain, evacuated)
+					if _, faults := Parse(next); err == nil && len(faults) > 0 {
+						t.Fatalf("evacuation of %q makes the text invalid: %v", domain, faults)
+					}
+				}
+			}
 			if d := Diff(s.Text, s.Text); len(d) > 0 {
 				t.Fatalf("difference to itself: %v", d)
 			}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -38,17 +39,22 @@
 	ExitDiffers  = 6 // the texts that diff compared differ
 )
 
+// defaultServer is the base URL of the first entry of a development fleet.
+const defaultServer = "http://127.0.0.1:8080"
+
 // CLI declares the global flags and the commands.
 type CLI struct {
-	Server  string           `name:"server" default:"http://127.0.0.1:8080" help:"Base URL of an entry."`
+	Server  string           `name:"server" help:"Base URL of an entry (http://127.0.0.1:8080)."`
 	Token   string           `name:"token" help:"Operator token."`
 	JSON    bool             `name:"json" help:"Print JSON."`
 	Timeout time.Duration    `name:"timeout" default:"30s" help:"Timeout of one request."`
 	Version kong.VersionFlag `name:"version" env:"-" help:"Print the version and exit."`
 
+	Check    CheckCmd    `cmd:"" help:"Check a configuration text; with --server, also against the current one. Nothing is submitted."`
 	Validate ValidateCmd `cmd:"" help:"Check a configuration text without a server."`
 	Diff     DiffCmd     `cmd:"" help:"Show the changes between the current text and a file."`
 	Apply    ApplyCmd    `cmd:"" help:"Submit a text as a change of the current one."`
+	Evacuate EvacuateCmd `cmd:"" help:"Send nothing more to the endpoints of a failure domain, or with --end, use them again."`
 	Status   StatusCmd   `cmd:"" help:"Show the epoch and the state of each node."`
 	Audit    AuditCmd    `cmd:"" help:"Show the audit trail."`
 }
@@ -69,48 +75,6 @@
 	Client *http.Client
 }
 
-// ValidateCmd is the command `validate FILE`.
-type ValidateCmd struct {
-	File string `arg:"" type:"existingfile" help:"Configuration text."`
-}
-
-// Run checks the file and prints every fault with its line.
-func (c *ValidateCmd) Run(env *Context) error {
-	raw, err := os.ReadFile(c.File)
-	if err != nil {
-		return err
-	}
-	snapshot, faults := fleet.NewSnapshot(1, raw)
-	if len(faults) == 0 {
-		faults = fleet.CheckRecallChanges(nil, snapshot.Text, raw)
-	}
-	var warnings []string
-	if snapshot != nil {
-		warnings = fleet.Warnings(snapshot)
-	}
-	if env.CLI.JSON {
-		err = env.printJSON(map[string]any{"valid": len(faults) == 0, "faults": faults, "warnings": warnings})
-	} else {
-		env.printFaults(c.File, faults, warnings)
-	}
-	if err == nil && len(faults) > 0 {
-		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
-	}
-	return err
-}
-
-func (env *Context) printFaults(file string, faults []fleet.Fault, warnings []string) {
-	for _, f := range faults {
-		fmt.Fprintf(env.Out, "%s:%d: %s\n", file, f.Line, f.Message)
-	}
-	for _, w := range warnings {
-		fmt.Fprintf(env.Out, "warning: %s\n", w)
-	}
-	if len(faults) == 0 {
-		fmt.Fprintf(env.Out, "%s: valid\n", file)
-	}
-}
-
 // DiffCmd is the command `diff FILE`.
 type DiffCmd struct {
 	File string `arg:"" type:"existingfile" help:"Configuration text."`
@@ -124,17 +88,13 @@
 	}
 	proposed, faults := fleet.Parse(raw)
 	if len(faults) > 0 {
-		env.printFaults(c.File, faults, nil)
-		return &ExitError{Code: ExitInvalid, Message: fmt.Sprintf("%d faults", len(faults))}
+		env.printFaults(c.File, "", faults)
+		return faultsError(faults)
 	}
-	currentRaw, _, err := env.fetchText()
+	current, _, err := env.fetchParsedText()
 	if err != nil {
 		return err
 	}
-	current, faults := fleet.Parse(currentRaw)
-	if len(faults) > 0 && len(currentRaw) > 0 {
-		return errors.Errorf("current text: %s", faults[0])
-	}
 	differences := fleet.Diff(current, proposed)
 	if env.CLI.JSON {
 		if err := env.printJSON(differences); err != nil {
@@ -177,35 +137,42 @@
 	if c.Submission == "" {
 		c.Submission = rand.Text()
 	}
-	header := http.Header{"If-Match": {etag}, operator.SubmissionHeader: {c.Submission}, operator.OperatorHeader: {c.Operator}}
-	body, _, err := env.sendRequest(http.MethodPut, "/v1/fleet", header, raw)
+	retry := "repeat with --submission " + c.Submission + " --if-match " + trimETag(etag)
+	result, err := env.submitText(raw, etag, c.Submission, c.Operator, retry)
 	if err != nil {
-		return c.addRetryFlags(err, etag)
+		return err
 	}
+	return env.reportResult(result, c.Wait)
+}
+
+// submitText submits a text as a change of the one with the ETag. retry tells the operator what to do if the outcome is unknown.
+func (env *Context) submitText(raw []byte, etag, submission, remark, retry string) (epoch.SubmitResult, error) {
+	header := http.Header{"If-Match": {etag}, operator.SubmissionHeader: {submission}, operator.OperatorHeader: {remark}}
 	var result epoch.SubmitResult
-	if err := json.Unmarshal(body, &result); err != nil {
-		return errors.Wrap(err, "answer")
-	}
-	if c.Wait > 0 && !result.InForce {
-		result.InForce = env.waitInForce(result.Epoch, c.Wait)
+	body, _, err := env.sendRequest(http.MethodPut, "/v1/fleet", header, raw)
+	if err != nil {
+		return result, addRetryAdvice(err, retry)
 	}
-	return c.printResult(env, result)
+	return result, errors.Wrap(json.Unmarshal(body, &result), "answer")
 }
 
-// addRetryFlags adds the flags for a retry to an error that leaves the outcome of the submission unknown.
-func (c *ApplyCmd) addRetryFlags(err error, etag string) error {
-	retry := "\nrepeat with --submission " + c.Submission + " --if-match " + strings.Trim(etag, `"`)
+// addRetryAdvice adds the advice for a retry to an error that leaves the outcome of the submission unknown.
+func addRetryAdvice(err error, retry string) error {
 	var exitErr *ExitError
 	if errors.As(err, &exitErr) {
 		if exitErr.Code == ExitInDoubt {
-			exitErr.Message += retry
+			exitErr.Message += "\n" + retry
 		}
 		return err
 	}
-	return &ExitError{Code: ExitInDoubt, Message: err.Error() + retry}
+	return &ExitError{Code: ExitInDoubt, Message: err.Error() + "\n" + retry}
 }
 
-func (c *ApplyCmd) printResult(env *Context, result epoch.SubmitResult) error {
+// reportResult waits until an accepted text is in force, unless wait is 0, and prints the result.
+func (env *Context) reportResult(result epoch.SubmitResult, wait time.Duration) error {
+	if wait > 0 && !result.InForce {
+		result.InForce = env.waitInForce(result.Epoch, wait)
+	}
 	if env.CLI.JSON {
 		if err := env.printJSON(result); err != nil {
 			return err
@@ -216,7 +183,7 @@
 			fmt.Fprintf(env.Out, "warning: %s\n", w)
 		}
 	}
-	if c.Wait > 0 && !result.InForce {
+	if wait > 0 && !result.InForce {
 		return &ExitError{Code: ExitPending, Message: "not in force yet; see bilberryctl status"}
 	}
 	return nil
@@ -261,6 +228,9 @@
 	if len(status.Unconfirmed) > 0 {
 		fmt.Fprintf(env.Out, "unconfirmed: %s\n", strings.Join(status.Unconfirmed, ", "))
 	}
+	for _, d := range status.Evacuated {
+		fmt.Fprintf(env.Out, "evacuated %s: %d endpoints\n", d.Name, d.Endpoints)
+	}
 	for _, r := range status.Recalls {
 		state := "some nodes may still start answers from it"
 		if r.Stopped {
@@ -427,10 +397,12 @@
 	return body, header.Get("ETag"), err
 }
 
+func trimETag(etag string) string { return strings.Trim(etag, `"`) }
+
 // sendRequest sends one request and returns the response body and headers. A status other than 200 is returned as an
 // ExitError.
 func (env *Context) sendRequest(method, path string, header http.Header, body []byte) ([]byte, http.Header, error) {
-	baseURL, err := url.Parse(env.CLI.Server)
+	baseURL, err := url.Parse(cmp.Or(env.CLI.Server, defaultServer))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "--server")
 	}
