gateway: wrong predictions are counted by what may have delayed the event

The scheduler now compares what it knows of the primary endpoint at the first event with what it knew at the placement: work of peers that was not known, a part or a prompt placed later, or none of these. bilberry_gateway_predictions_total has the counts, a debug line the endpoint.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,13 +8,15 @@
 
 // Metrics holds the Prometheus metrics of a gateway.
 type Metrics struct {
-	requests   *prometheus.CounterVec
-	retries    *prometheus.CounterVec
-	refusals   *prometheus.CounterVec
-	broken     *prometheus.CounterVec
-	plans      *prometheus.CounterVec
-	duration   *prometheus.HistogramVec
-	firstEvent *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	broken   *prometheus.CounterVec
+	plans    *prometheus.CounterVec
+	// predictions counts first events that were predicted in time.
+	predictions *prometheus.CounterVec
+	duration    *prometheus.HistogramVec
+	firstEvent  *prometheus.HistogramVec
 }
 
 // NewMetrics creates the metrics of a gateway and registers them with reg unless reg is nil.
@@ -29,6 +31,9 @@
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberry_gateway_broken_attempts_total", Help: "Attempts that endpoints broke off, by the part of the answer that had arrived.",
 		}, []string{"progress"}),
+		predictions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_predictions_total",
+			Help: "First events that were predicted in time, by whether they were or by what may have delayed them."}, []string{"outcome"}),
 		plans: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberry_gateway_plans_total", Help: "Plans that requests asked for, by whether the request then waited."}, []string{"waits"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -39,7 +44,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.retries, m.refusals, m.broken, m.plans, m.duration, m.firstEvent)
+		reg.MustRegister(m.requests, m.retries, m.refusals, m.broken, m.plans, m.predictions, m.duration, m.firstEvent)
 	}
 	return m
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
@@ -62,15 +63,31 @@
 // recordFirstEvent records the first event of an attempt.
 func (s *requestState) recordFirstEvent(plan *resolvedPlan, sentAt time.Time) {
 	now := s.gw.opts.Now()
-	s.gw.opts.Scheduler.MarkDecoding(plan.JobIDs)
 	if s.firstEventLatency == 0 {
 		s.firstEventLatency = now.Sub(s.req.ArrivedAt)
+		s.observePrediction(plan, now)
 	}
+	s.gw.opts.Scheduler.MarkDecoding(plan.JobIDs)
 	if took := now.Sub(sentAt); plan.PredictedLatency > minSlowdownPrediction && len(plan.endpoints) == 1 {
 		s.gw.opts.Registry.ObserveSlowdown(plan.endpoints[0], took.Seconds()/plan.PredictedLatency.Seconds())
 	}
 }
 
+// observePrediction counts the placement and, if it promised a first event in time that came late, what may have delayed it.
+func (s *requestState) observePrediction(plan *resolvedPlan, now time.Time) {
+	target := s.req.Route.LatencyTarget
+	if target <= 0 || s.waitedForPlan+plan.PredictedLatency > target {
+		return
+	}
+	outcome := "in_time"
+	if s.firstEventLatency > target {
+		outcome = string(s.gw.opts.Scheduler.DelayCause(plan.JobIDs[0], now))
+		s.logEntry("late_first_event").WithFields(logrus.Fields{"cause": outcome, "predicted_ms": plan.PredictedLatency.Milliseconds(),
+			"waited_ms": s.waitedForPlan.Milliseconds(), "first_ms": s.firstEventLatency.Milliseconds()}).Debug("first event was predicted in time and came late")
+	}
+	s.gw.opts.Metrics.predictions.WithLabelValues(outcome).Inc()
+}
+
 // minSlowdownPrediction is the shortest prediction from which the speed of an endpoint can be judged.
 const minSlowdownPrediction = 40 * time.Millisecond
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -187,6 +187,11 @@
 		return p, decision
 	}
 	p.JobIDs = s.addPlanJobs(p, r, now)
+	for i := range loads {
+		if loads[i].ID == p.Endpoints[0] {
+			s.local[p.JobIDs[0]].othersKnown = len(loads[i].load.jobs)
+		}
+	}
 	return p, Admit
 }
 
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -39,6 +39,7 @@
 	PlacedAt      time.Time
 	Decoding      bool // the first event has arrived
 	Late          bool // has missed a target; further delay costs its caller little
+	othersKnown   int  // jobs that were known at the endpoint when this one was placed; not exchanged
 	// Queued marks a request that is in the queue and not placed yet. Endpoint is then the key of its service, and PlacedAt
 	// the time since which its caller waits.
 	Queued bool
