--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -86,8 +86,11 @@
 
 // Snapshot is one version of the configuration.
 type Snapshot struct {
-	Epoch          int64 // version number set by the operator
-	MaxBodyBytes   int64 // 0: unlimited
+	Epoch          int64         // version number set by the operator
+	MaxBodyBytes   int64         // 0: unlimited
+	MaxHeaderBytes int64         // request line and headers; 0: unlimited
+	HeaderTimeout  time.Duration // for a caller to send them; 0: unlimited
+	IdleTimeout    time.Duration // of a caller's connection between requests; 0: unlimited
 	RequiresAPIKey bool
 
 	services     map[string]*Service   // by name
