gatewayd: what callers make the process hold is bounded by the machine

Cause: the gateway read each body and answer into one growing buffer and accepted any number of connections. 64 callers with legal bodies, or 40 that did not read their answers, took it to 370 to 470 MB; all crowds of internal/hostile together to 1.4 GB and 1,500 descriptors.

Change: transport.Guard wraps the listeners and charges connections and heads to an intake.Budget; bodies and answers are read into segments that are charged before they are allocated; events of streams are charged beyond the usual size. Connections that are ended while their body is read get 503 or 408, which says that the request has not run; a blocked writer is reset. Heads over the limit get 431. The kernel's buffers of callers' connections are 32 KB, idle connections to endpoints are bounded, and the Go runtime collects earlier near 5/8 of the memory. The listeners for readiness checks, peers and metrics have budgets of 16, 64 and 16 connections.

Result: go test ./internal/hostile passed in 6 of 6 runs of each test: at most 55 of 96 MB and 98 of 400 descriptors. BenchmarkSmallRequest with and without the budget: 99 to 112 and 108 to 116 us, 215 and 214 allocations. Tests of platform, gateway, gatewayd, transport, entry and soak pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
@@ -564,11 +564,15 @@
 // forwardWhole reads a response completely and then forwards it.
 func (s *requestState) forwardWhole(ctx context.Context, e *registry.Endpoint, resp *Response, watch *watchdog) (failure, bool) {
 	e.RecordActivity(s.gw.opts.Now())
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeResponseBytes+1))
-	if err != nil || !resp.SignatureValid || len(body) > maxWholeResponseBytes {
+	body, err := intake.ReadAll(resp.Body, resp.ContentLength, maxWholeResponseBytes, s.req.Account)
+	defer body.Release()
+	if err != nil || !resp.SignatureValid {
 		if ctx.Err() != nil && !watch.expired() {
 			return s.contextFailure(ctx, true), false
 		}
+		if errors.Is(err, intake.ErrShort) || errors.Is(err, intake.ErrEnded) {
+			return failure{kind: errkind.EndpointFailed, final: true, reason: "no memory for the answer"}, false
+		}
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
 		return failure{kind: errkind.EndpointFailed, reason: "incomplete answer"}, false
 	}
@@ -592,12 +596,12 @@
 }
 
 // writeWhole writes a complete response to the caller.
-func (s *requestState) writeWhole(resp *Response, body []byte) (failure, bool) {
+func (s *requestState) writeWhole(resp *Response, body *intake.Buffer) (failure, bool) {
 	s.headerWritten.Store(true)
 	s.firstEventLatency = s.gw.opts.Now().Sub(s.req.ArrivedAt)
-	resp.ContentLength = int64(len(body))
+	resp.ContentLength = body.Len()
 	s.writer.WriteHeader(resp)
-	if err := s.writer.Write(body); err != nil {
+	if err := body.Drain(s.writer.Write); err != nil {
 		return failure{kind: errkind.Canceled, reason: "caller left"}, false
 	}
 	s.gw.opts.Quarantine.RecordProgress(s.subjects)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,9 +24,18 @@
 	var splitter EventSplitter
 	buf := make([]byte, streamBufferBytes)
 	received := 0 // events of this attempt
+	charged := int64(0)
+	defer func() { s.req.Account.Release(charged) }()
 	watch.reset()
 	for {
 		n, err := resp.Body.Read(buf)
+		// The bytes after the last event and a copy of them as an event. Those of usual events are part of the cost of a request.
+		if needed := 2 * int64(len(splitter.Rest())+n-streamBufferBytes); needed > charged {
+			if chargeErr := s.req.Account.Charge(needed - charged); chargeErr != nil {
+				return failure{kind: errkind.StreamBroken, final: true, reason: "no memory for the answer"}, false
+			}
+			charged = needed
+		}
 		events := splitter.Push(buf[:n])
 		for _, e := range events {
 			switch received++; received {
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -12,6 +12,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/registry"
 	"github.com/bilberrylink/bilberrylink/throttle"
 )
@@ -29,6 +30,8 @@
 	SharedParts  []string // IDs of the parts of the prompt that other requests may contain too
 	LastEventID  int64    // last event that the caller has received; -1: none
 	Message      any      // protocol message, for the Backend
+
+	Account *intake.Account // of what the caller makes the process hold; nil: unbounded
 }
 
 // EndpointRequest is a request to an endpoint.
--- a/intake/account.go
+++ b/intake/account.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -112,25 +113,30 @@
 	if a.ended == ReasonNone {
 		a.ended = reason
 		for _, g := range a.groups() {
-			g.ending += a.held
+			if g != nil {
+				g.ending += a.held
+			}
 		}
 		a.budget.count(reason)
 	}
 	return Ending{Reason: reason, Phase: a.phase, Writing: !a.writeSince.IsZero()}
 }
 
-// groups returns the groups of the account. The budget's mutex must be held.
-func (a *Account) groups() []*group {
-	groups := []*group{&a.budget.total, a.address}
-	if a.workspace != nil {
-		groups = append(groups, a.workspace)
-	}
+// groups returns the groups of the account, of which some may be nil. The budget's mutex must be held.
+func (a *Account) groups() [4]*group {
+	groups := [4]*group{&a.budget.total, a.address, a.workspace}
 	if a.large {
-		groups = append(groups, &a.budget.large)
+		groups[3] = &a.budget.large
 	}
 	return groups
 }
 
+// isIn reports whether the account counts toward a group. The budget's mutex must be held.
+func (a *Account) isIn(g *group) bool {
+	groups := a.groups()
+	return slices.Contains(groups[:], g)
+}
+
 // add changes what the account holds. The budget's mutex must be held.
 func (a *Account) add(n int64) {
 	if !a.large && a.held+n > SmallRequestBytes {
@@ -139,6 +145,9 @@
 	}
 	a.held += n
 	for _, g := range a.groups() {
+		if g == nil {
+			continue
+		}
 		g.held += n
 		if a.ended != ReasonNone {
 			g.ending += n
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -235,24 +235,18 @@
 	}
 }
 
-// bound is a bound that an account must keep, and the accounts that count toward it.
+// bound is a bound of a group.
 type bound struct {
-	group    *group
-	limit    int64
-	isMember func(*Account) bool
+	group *group
+	limit int64
 }
 
-// bounds returns the bounds of an account that would hold a number of bytes. b.mu must be held.
-func (b *Budget) bounds(a *Account, held int64) []bound {
-	bounds := []bound{
-		{&b.total, b.opts.Bytes, func(*Account) bool { return true }},
-		{a.address, share(b.opts.Bytes, addressShare), func(o *Account) bool { return o.address == a.address }},
-	}
-	if a.workspace != nil {
-		bounds = append(bounds, bound{a.workspace, share(b.opts.Bytes, workspaceShare), func(o *Account) bool { return o.workspace == a.workspace }})
-	}
+// bounds returns the bounds of an account that would hold a number of bytes. Groups may be nil. b.mu must be held.
+func (b *Budget) bounds(a *Account, held int64) [4]bound {
+	bounds := [4]bound{{&b.total, b.opts.Bytes}, {a.address, share(b.opts.Bytes, addressShare)},
+		{a.workspace, share(b.opts.Bytes, workspaceShare)}}
 	if held > SmallRequestBytes {
-		bounds = append(bounds, bound{&b.large, share(b.opts.Bytes, largeShare), func(o *Account) bool { return o.large }})
+		bounds[3] = bound{&b.large, share(b.opts.Bytes, largeShare)}
 	}
 	return bounds
 }
@@ -267,6 +261,9 @@
 	}
 	fits = true
 	for _, bound := range b.bounds(a, held) {
+		if bound.group == nil {
+			continue
+		}
 		needed := n
 		if bound.group == &b.large && !a.large {
 			needed = held // the account joins the group with all that it holds
@@ -278,12 +275,12 @@
 		fits = false
 		missing -= bound.group.ending
 		for _, v := range victims {
-			if bound.isMember(v) {
+			if v.isIn(bound.group) {
 				missing -= v.held
 			}
 		}
 		for missing > 0 {
-			v := b.leastProgress(now, func(o *Account) bool { return bound.isMember(o) && !slices.Contains(victims, o) })
+			v := b.leastProgress(now, func(o *Account) bool { return o.isIn(bound.group) && !slices.Contains(victims, o) })
 			if v == nil || v == a || a.phase != Serving && a.score(now) <= v.score(now) {
 				return false, nil, ErrShort
 			}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,7 @@
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/gateway"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/placement"
@@ -61,10 +64,19 @@
 	shutdownMargin = 400 * time.Millisecond
 	// answerMargin is the time reserved before that to answer the requests that are still open.
 	answerMargin = 400 * time.Millisecond
-	// idleTimeout closes idle connections of callers. Callers close theirs earlier.
-	idleTimeout    = 2 * time.Minute
-	headerTimeout  = 20 * time.Second
-	maxHeaderBytes = 64 << 10 // the operator's limit is lower
+	// goMemoryParts of goMemoryWhole is the share of the machine's memory up to which the Go runtime collects as rarely as usual. The rest is for
+	// the program's code and for what the kernel holds of connections.
+	goMemoryParts, goMemoryWhole = 5, 8
+)
+
+// Limits of the listeners that callers do not use, in case that callers reach them.
+const (
+	checkConnections = 16 // of the listeners for readiness checks and for metrics
+	// peerConnections is the bound of the internal listener. A gateway asks few others for their state.
+	peerConnections  = 64
+	checkTimeout     = 5 * time.Second // for a head
+	checkIdleTimeout = 2 * time.Minute
+	checkHeaderBytes = 16 << 10
 )
 
 // Options configures the daemon.
@@ -104,6 +116,7 @@
 	exchange        *exchange.Exchange
 	follower        *follower
 	draining        atomic.Bool
+	intake          *intake.Budget
 	callerServer    *http.Server
 	servers         []*http.Server
 	cancel          context.CancelFunc
@@ -148,6 +161,9 @@
 		RetryBudget: d.retryBudget, Quarantine: d.quarantine, Throttle: d.throttle, Backend: d.backend,
 		Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
+	d.backend.LimitIdle(intake.IdleEndpointConnections(s.MaxFds))
+	d.intake = intake.New(intake.Options{Sizes: intake.SizesFor(s.MemoryBytes, s.MaxFds), Log: d.log, Registerer: d.listenerMetrics("callers"),
+		Limits: func() intake.Limits { return platform.CallerLimits(d.stateSync.config.Snapshot()) }})
 	d.handler = &platform.Handler{
 		Gateway: d.gateway, Catalog: d.servingSnapshot, ConfigCurrent: d.stateSync.configCurrent,
 		StoreAway: d.stateSync.storeAway, Log: d.log,
@@ -167,6 +183,7 @@
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
+	d.limitGoMemory()
 	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.storage.run, d.reloadSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
@@ -232,17 +249,20 @@
 	listeners := []struct {
 		addr   string
 		server *http.Server
+		budget *intake.Budget
 	}{
-		{d.settings.CallerAddr, d.callerServer},
-		{d.settings.ReadinessAddr, d.newServer(platform.ReadinessHandler(d.ready))},
-		{d.settings.InternalAddr, d.newServer(exchange.StateHandler(d.stateSync.stateFor))},
-		{d.settings.MetricsAddr, d.newServer(metrics)},
+		{d.settings.CallerAddr, d.callerServer, d.intake},
+		{d.settings.ReadinessAddr, d.newServer(platform.ReadinessHandler(d.ready)), d.checkBudget("readiness", checkConnections)},
+		{d.settings.InternalAddr, d.newServer(exchange.StateHandler(d.stateSync.stateFor)), d.checkBudget("internal", peerConnections)},
+		{d.settings.MetricsAddr, d.newServer(metrics), d.checkBudget("metrics", checkConnections)},
 	}
 	for _, l := range listeners {
-		ln, err := transport.Listen(ctx, l.addr)
+		ln, err := d.listen(ctx, l.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		ln = transport.Guard(l.server, ln, l.budget)
+		d.startTasks(ctx, l.budget.Run)
 		d.servers = append(d.servers, l.server)
 		d.wg.Add(1)
 		go func() {
@@ -255,9 +275,37 @@
 	return nil
 }
 
+// listen opens a listener. The kernel's part of the connections is bounded if the memory of the machine is known.
+func (d *daemon) listen(ctx context.Context, addr string) (net.Listener, error) {
+	if d.settings.MemoryBytes > 0 {
+		return transport.ListenBounded(ctx, addr)
+	}
+	return transport.Listen(ctx, addr)
+}
+
+// checkBudget returns the budget of a listener that callers do not use.
+func (d *daemon) checkBudget(listener string, connections int) *intake.Budget {
+	return intake.New(intake.Options{Sizes: intake.Sizes{Connections: connections}, Log: d.log, Registerer: d.listenerMetrics(listener),
+		Limits: func() intake.Limits {
+			return intake.Limits{MaxHeaderBytes: checkHeaderBytes, HeaderTimeout: checkTimeout, IdleTimeout: checkIdleTimeout}
+		}})
+}
+
+// listenerMetrics returns the registry for the budget of a listener.
+func (d *daemon) listenerMetrics(listener string) prometheus.Registerer {
+	return prometheus.WrapRegistererWith(prometheus.Labels{"listener": listener}, d.metricsRegistry)
+}
+
+// limitGoMemory makes the Go runtime collect earlier when the memory of the machine is about to be used up. GOMEMLIMIT takes precedence.
+func (d *daemon) limitGoMemory() {
+	if d.settings.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(d.settings.MemoryBytes * goMemoryParts / goMemoryWhole)
+	}
+}
+
 func (d *daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler:  h,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // only broken connections of callers; requests are logged elsewhere
 	}
 }
--- /dev/null
+++ b/internal/transport/guard.go
@@ -0,0 +1,251 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/bilberrylink/bilberrylink/intake"
+)
+
+const (
+	// headSlack is what may be read after the end of a head of the largest size: the buffer of net/http.
+	headSlack = 4 << 10
+	// writePiece is the most that is written to a caller at once, so that its progress is seen.
+	writePiece = 32 << 10
+	// lastAnswerTime bounds the time for the answer to a request that is being ended. Answers have some hundred bytes and need no more room than
+	// a send buffer has.
+	lastAnswerTime = time.Second
+	// headAnswerTime is the same for the answer that is written while others wait.
+	headAnswerTime = 20 * time.Millisecond
+)
+
+// Answers to requests whose head was not read.
+const (
+	answerTail    = "Content-Length: 0\r\nConnection: close\r\n\r\n"
+	answerTimeout = "HTTP/1.1 408 Request Timeout\r\n" + answerTail
+	answerLarge   = "HTTP/1.1 431 Request Header Fields Too Large\r\n" + answerTail
+	answerShort   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + answerTail
+)
+
+// errHeadTooLarge ends a connection. net/http answers no errors of this type.
+var errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head is too large")}
+
+// Guard makes a server that has not been started account for the connections of its listener with a budget, which ends them when callers make
+// the process hold too much or take too long. The contexts of requests carry the accounts (intake.FromContext). The limits of the budget replace
+// the server's ReadHeaderTimeout, IdleTimeout and MaxHeaderBytes.
+func Guard(server *http.Server, l net.Listener, budget *intake.Budget) net.Listener {
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
+	server.MaxHeaderBytes = http.DefaultMaxHeaderBytes // above any that a configuration states
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		account := intake.FromContext(req.Context())
+		account.BeginBody()
+		if req.Body == nil || req.Body == http.NoBody {
+			_ = account.BeginServing() // a connection that is being ended fails when it is used
+		}
+		handler.ServeHTTP(w, req)
+	})
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if guarded, ok := c.(*guardedConn); ok {
+			return intake.WithAccount(ctx, guarded.account)
+		}
+		return ctx
+	}
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if guarded, ok := c.(*guardedConn); ok && state == http.StateIdle {
+			guarded.headBytes.Store(0)
+			guarded.account.EndRequest()
+		}
+	}
+	return &guardedListener{Listener: l, budget: budget}
+}
+
+// guardedListener opens an account for each connection and closes those that get none.
+type guardedListener struct {
+	net.Listener
+	budget *intake.Budget
+}
+
+// Accept implements net.Listener.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		guarded := &guardedConn{Conn: c, budget: l.budget}
+		host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+		if err != nil {
+			host = c.RemoteAddr().String() // in tests, connections without a port
+		}
+		if guarded.account = l.budget.Open(host, guarded.end); guarded.account != nil {
+			return guarded, nil
+		}
+		guarded.answer(answerShort)
+		_ = c.Close() // nothing has been read from it
+	}
+}
+
+// guardedConn is a connection of a caller.
+type guardedConn struct {
+	net.Conn
+	budget    *intake.Budget
+	account   *intake.Account
+	headBytes atomic.Int64 // read since the previous request; counted until the handler begins
+
+	mu    sync.Mutex
+	ended bool // deadlines stay as they are
+}
+
+// Read implements net.Conn. It charges and bounds what is read before the head of a request is complete.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	c.account.BeginRead()
+	n, err := c.Conn.Read(p)
+	if !c.account.EndRead(n) || n == 0 {
+		return n, err
+	}
+	headBytes := c.headBytes.Add(int64(n))
+	if limit := c.budget.Limits().MaxHeaderBytes; limit > 0 && headBytes > limit+headSlack {
+		c.answer(answerLarge)
+		return 0, errHeadTooLarge
+	}
+	if chargeErr := c.account.Charge(int64(n) * intake.HeadCost); chargeErr != nil {
+		if errors.Is(chargeErr, intake.ErrShort) {
+			c.answer(answerShort)
+		}
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: chargeErr}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (written int, err error) {
+	for {
+		piece := p[written:min(written+writePiece, len(p))]
+		c.account.BeginWrite()
+		n, err := c.Conn.Write(piece)
+		c.account.EndWrite(n)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	err := c.Conn.Close()
+	c.account.Close()
+	return err
+}
+
+// CloseWrite shuts down the writing side. net/http calls it before it closes a connection whose request it has not read.
+func (c *guardedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *guardedConn) SetReadDeadline(t time.Time) error {
+	return c.setDeadline(c.Conn.SetReadDeadline, t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *guardedConn) SetWriteDeadline(t time.Time) error {
+	return c.setDeadline(c.Conn.SetWriteDeadline, t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *guardedConn) SetDeadline(t time.Time) error { return c.setDeadline(c.Conn.SetDeadline, t) }
+
+// setDeadline sets a deadline unless the connection is being ended.
+func (c *guardedConn) setDeadline(set func(time.Time) error, t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return set(t)
+}
+
+// end ends the connection for the budget. A handler that reads a body finds an error and has lastAnswerTime to refuse the request.
+func (c *guardedConn) end(e intake.Ending) {
+	refusable := e.Reason == intake.ReasonShort || e.Reason == intake.ReasonSlowBody
+	if e.Phase == intake.Body && !e.Writing && refusable {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.ended = true
+		now := time.Now()
+		_ = c.Conn.SetReadDeadline(now) // fails only on a closed connection
+		_ = c.Conn.SetWriteDeadline(now.Add(lastAnswerTime))
+		return
+	}
+	if e.Phase == intake.Head && !e.Writing {
+		switch e.Reason {
+		case intake.ReasonHeadTime:
+			c.answer(answerTimeout)
+		case intake.ReasonShort:
+			c.answer(answerShort)
+		}
+	}
+	if e.Writing {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the kernel drops what it has not sent
+		}
+	}
+	_ = c.Conn.Close() // the server finds it closed, and closes the account
+}
+
+// answer writes a short answer without waiting for the caller.
+func (c *guardedConn) answer(text string) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil || tcp.SetWriteDeadline(time.Now().Add(headAnswerTime)) != nil {
+		return
+	}
+	_ = raw.Write(func(fd uintptr) bool { // without room in the send buffer, the connection ends without an answer
+		_, _ = unix.Write(int(fd), []byte(text))
+		return true
+	})
+}
+
+// ListenBounded is like Listen, and bounds what the kernel holds of a connection, for callers that the operator does not control.
+func ListenBounded(ctx context.Context, addr string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: func(network, addr string, conn syscall.RawConn) error {
+		if err := UserTimeout(unackedTimeout)(network, addr, conn); err != nil {
+			return err
+		}
+		var optionErr error
+		err := conn.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, intake.ReceiveBuffer)
+			if optionErr == nil {
+				optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, intake.SendBuffer)
+			}
+		})
+		if err != nil {
+			return errors.Wrap(err, "access listener socket")
+		}
+		return errors.Wrap(optionErr, "set buffer sizes")
+	}}
+	l, err := config.Listen(ctx, "tcp", addr)
+	return l, errors.Wrapf(err, "listen on %s", addr)
+}
+
+// RefuseRest makes the server close the connection of a request whose body is not to be read, after its response has been sent.
+func RefuseRest(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // unsupported only by test recorders
+}
