gatewayd: what the kernel receives from endpoints for callers that do not read is bounded, too

Cause: while a caller does not read its stream, the gateway does not read from the endpoint, and the kernel's receive buffer of that connection grows to megabytes. It counts toward the memory of the process.

Change: connections to endpoints have the same receive buffer of 32 KB if the memory is stated, and a connection of a caller is taken to cost 96 instead of 64 KB, so that 426 fit 160 MB. Growing buffers of events are charged threefold.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,8 +29,9 @@
 	watch.reset()
 	for {
 		n, err := resp.Body.Read(buf)
-		// The bytes after the last event and a copy of them as an event. Those of usual events are part of the cost of a request.
-		if needed := 2 * int64(len(splitter.Rest())+n-streamBufferBytes); needed > charged {
+		// The bytes after the last event, their buffer after it has grown, and a copy of them as an event. Those of usual events are part of the cost
+		// of a request.
+		if needed := 3 * int64(len(splitter.Rest())+n-streamBufferBytes); needed > charged {
 			if chargeErr := s.req.Account.Charge(needed - charged); chargeErr != nil {
 				return failure{kind: errkind.StreamBroken, final: true, reason: "no memory for the answer"}, false
 			}
--- a/intake/sizes.go
+++ b/intake/sizes.go
@@ -11,10 +11,11 @@
 	// memoryShare is the share of the machine's memory for the bytes of callers, and the same again for their connections. The other half
 	// is for the program, its configuration and view of the fleet, and what the garbage collector has not collected yet.
 	memoryShare = 4
-	// connectionCost is what a connection costs without a request: 16 KB of the process (two stacks, two buffers) and at most 48 KB that the
-	// kernel has received and the process has not read (see ReceiveBuffer).
-	connectionCost = 64 << 10
-	// ReceiveBuffer is the size of the kernel's receive buffer of a caller's connection. The kernel doubles it and counts its overhead, too.
+	// connectionCost is what a connection costs at most besides the budget for bytes: 16 KB of the process (two stacks, two buffers), and 48 KB that
+	// the kernel has received of the caller and 32 KB that it has received of an endpoint for it while the process does not read.
+	connectionCost = 96 << 10
+	// ReceiveBuffer is the size of the kernel's receive buffer of a connection with a caller or an endpoint. The kernel doubles it and counts its
+	// overhead, too.
 	ReceiveBuffer = 32 << 10
 	// SendBuffer is the size of the kernel's send buffer.
 	SendBuffer = 32 << 10
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -162,6 +162,9 @@
 		Log: d.log, Metrics: gateway.NewMetrics(d.metricsRegistry),
 	})
 	d.backend.LimitIdle(intake.IdleEndpointConnections(s.MaxFds))
+	if s.MemoryBytes > 0 {
+		d.backend.BoundReceiveBuffers()
+	}
 	d.intake = intake.New(intake.Options{Sizes: intake.SizesFor(s.MemoryBytes, s.MaxFds), Log: d.log, Registerer: d.listenerMetrics("callers"),
 		Limits: func() intake.Limits { return platform.CallerLimits(d.stateSync.config.Snapshot()) }})
 	d.handler = &platform.Handler{
--- a/internal/transport/guard.go
+++ b/internal/transport/guard.go
@@ -229,17 +229,10 @@
 		if err := UserTimeout(unackedTimeout)(network, addr, conn); err != nil {
 			return err
 		}
-		var optionErr error
-		err := conn.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, intake.ReceiveBuffer)
-			if optionErr == nil {
-				optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, intake.SendBuffer)
-			}
-		})
-		if err != nil {
-			return errors.Wrap(err, "access listener socket")
+		if err := setSocketOption(conn, unix.SO_SNDBUF, intake.SendBuffer); err != nil {
+			return err
 		}
-		return errors.Wrap(optionErr, "set buffer sizes")
+		return BoundReceiveBuffer(network, addr, conn)
 	}}
 	l, err := config.Listen(ctx, "tcp", addr)
 	if err != nil {
@@ -252,6 +245,21 @@
 	return l, nil
 }
 
+// BoundReceiveBuffer is a function for net.ListenConfig.Control and net.Dialer.Control that bounds what the kernel receives for a connection before
+// the process reads it.
+func BoundReceiveBuffer(_, _ string, conn syscall.RawConn) error {
+	return setSocketOption(conn, unix.SO_RCVBUF, intake.ReceiveBuffer)
+}
+
+func setSocketOption(conn syscall.RawConn, option, value int) error {
+	var optionErr error
+	err := conn.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, value) })
+	if err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	return errors.Wrap(optionErr, "set size of a socket buffer")
+}
+
 // backlog bounds the connections that the kernel has accepted and the process has not: up to 12 MB of what their callers have sent. The
 // default of Go is that of the system, 4,096.
 const backlog = 256
