entry: what callers make the process hold is bounded by the VM

Cause: an entry read bodies and accepted connections without a common bound, like the gateway before.

Bodies count threefold because of their copies; answers of plain services count while they are written. transport.Guard finds the end of a body by itself, and works below TLS. A request that is the only one may take what all large requests may, so that the largest body is served without other load. The internal listeners of entries and agents are not guarded.

No test starts a real entry process before hostile callers yet.

--- a/cmd/bilberry-entry/main.go
+++ b/cmd/bilberry-entry/main.go
@@ -27,6 +27,8 @@
 	Policy              string           `name:"policy" default:"least_ttft" enum:"least_ttft,least_requests,round_robin,random" help:"Routing policy (${enum})."`
 	BalancerLag         time.Duration    `name:"balancer-lag" default:"5s" help:"Time from /readyz failing until the load balancer sends no more requests."`
 	DrainTimeout        time.Duration    `name:"drain-timeout" default:"10m" help:"Maximum time to wait for streams to finish on shutdown."`
+	MemoryMB            int64            `name:"memory-mb" help:"Memory of this VM in MB, from which the bounds for callers follow; 0: none."`
+	MaxFds              int              `name:"max-fds" help:"File descriptors of this process, from which the bound for connections follows; 0: none."`
 	Version             kong.VersionFlag `name:"version" env:"-" help:"Print the version and exit."`
 }
 
@@ -45,6 +47,9 @@
 			return errors.Wrap(err, "--operator-token-hash")
 		}
 	}
+	if c.MemoryMB < 0 || c.MaxFds < 0 {
+		return errors.New("--memory-mb and --max-fds must not be negative")
+	}
 	if c.BalancerLag < 0 || c.DrainTimeout < 0 {
 		return errors.New("--balancer-lag and --drain-timeout must not be negative")
 	}
@@ -63,6 +68,8 @@
 		OperatorTokenHashes: c.OperatorTokenHashes,
 		Platform:            cloudhttp.New(c.URL, transport.NewHTTPClient(nil, nil)),
 		Seeds:               c.Seeds,
+		MemoryBytes:         c.MemoryMB << 20,
+		MaxFds:              c.MaxFds,
 		Log:                 log,
 		Policy:              c.Policy,
 		BalancerLag:         c.BalancerLag,
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -245,6 +245,8 @@
 func (b *Budget) bounds(a *Account, held int64) [4]bound {
 	total := bound{&b.total, b.opts.Bytes}
 	switch {
+	case held > a.smallLimit && b.isAlone(a):
+		return [4]bound{total, {&b.large, share(b.opts.Bytes, largeShare)}}
 	case held > a.smallLimit:
 		return [4]bound{total, {a.address, share(b.opts.Bytes, addressShare)}, {a.workspace, share(b.opts.Bytes, workspaceShare)},
 			{&b.large, share(b.opts.Bytes, largeShare)}}
@@ -254,12 +256,15 @@
 	return [4]bound{total, {a.address, share(b.opts.Bytes, smallShare)}, {a.workspace, share(b.opts.Bytes, smallShare)}}
 }
 
+// isAlone reports whether no other connection holds anything. A request without other load may take all that large ones may. b.mu must be held.
+func (b *Budget) isAlone(a *Account) bool { return b.total.held == a.held }
+
 // makeRoom reports whether an account may hold n more bytes. Otherwise it returns the accounts to end for it, of which there may be none if
 // enough are being ended, or ErrShort. An answer takes precedence over requests that are still being read, as its request has run. b.mu must be
 // held.
 func (b *Budget) makeRoom(a *Account, n int64, now time.Time) (fits bool, victims []*Account, err error) {
 	held := a.held + n
-	if held > share(b.opts.Bytes, connectionShare) {
+	if held > share(b.opts.Bytes, connectionShare) && !b.isAlone(a) {
 		return false, nil, ErrShort
 	}
 	fits = true
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/blame"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/invariant"
@@ -79,11 +80,15 @@
 // viewRefreshInterval is the interval at which the routing view takes over liveness and load from the membership.
 const viewRefreshInterval = 250 * time.Millisecond
 
-// readHeaderTimeout bounds the time in which a caller sends the headers of a request.
-const readHeaderTimeout = 10 * time.Second
-
-// callerIdleTimeout closes idle keep-alive connections. Load balancers reuse theirs within a shorter time.
-const callerIdleTimeout = 5 * time.Minute
+// Limits for connections of callers.
+const (
+	// readHeaderTimeout bounds the time in which a caller sends the headers of a request.
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout closes idle keep-alive connections. Load balancers reuse theirs within a shorter time.
+	callerIdleTimeout = 5 * time.Minute
+	// maxHeaderBytes bounds the headers of a request if the memory is stated. Otherwise the bound is that of net/http, 1 MB.
+	maxHeaderBytes = 64 << 10
+)
 
 // daemon is one running entry.
 type daemon struct {
@@ -92,6 +97,7 @@
 	server         *server
 	blames         *blame.Tracker
 	routingView    *route.View
+	intake         *intake.Budget // of callers
 	callerServer   *http.Server
 	internalServer *http.Server
 	callerListener net.Listener
@@ -119,6 +125,8 @@
 	d.server = &server{metrics: newMetrics(reg), gatherer: reg, log: opts.Log, startedAt: time.Now(),
 		rateLimiter: limit.NewRateLimiter(limit.RateLimiterOptions{})}
 	d.blames = blame.New(blame.Options{Table: opts.Platform.Table, TTL: d.blameTTL, Log: opts.Log, Registerer: reg})
+	d.intake = intake.New(intake.Options{Sizes: intake.SizesFor(opts.MemoryBytes, opts.MaxFds), Limits: d.callerLimits, Log: opts.Log,
+		Registerer: prometheus.WrapRegistererWith(prometheus.Labels{"listener": "callers"}, reg)})
 	if err := d.buildComponents(reg); err != nil {
 		return nil, err
 	}
@@ -170,7 +178,7 @@
 
 // start opens the listeners and starts the background goroutines.
 func (d *daemon) start(ctx context.Context) error {
-	listener, err := d.listen(ctx, d.opts.CallerListenAddr)
+	listener, err := d.listenForCallers(ctx)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -180,12 +188,11 @@
 		return err
 	}
 	d.callerServer = &http.Server{
-		Handler:           d.server.router(d.components.OperatorRoutes...),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		BaseContext:       func(net.Listener) context.Context { return d.requests },
+		Handler:     d.server.router(d.components.OperatorRoutes...),
+		BaseContext: func(net.Listener) context.Context { return d.requests },
 	}
-	go d.serve(d.callerServer, listener, "callers")
+	transport.LimitGoMemory(d.opts.MemoryBytes)
+	go d.serve(d.callerServer, transport.Guard(d.callerServer, listener, d.intake), "callers")
 	d.startBackgroundJobs()
 	d.opts.Log.WithField("callers", listener.Addr().String()).WithField("node", d.opts.Node.Name).Info("entry started")
 	return nil
@@ -208,6 +215,28 @@
 	return nil
 }
 
+// listenForCallers opens the listener for callers. The kernel's part of the connections is bounded if the memory is stated.
+func (d *daemon) listenForCallers(ctx context.Context) (net.Listener, error) {
+	if d.opts.MemoryBytes > 0 && d.opts.Listen == nil {
+		return transport.ListenBounded(ctx, d.opts.CallerListenAddr)
+	}
+	return d.listen(ctx, d.opts.CallerListenAddr)
+}
+
+func (d *daemon) callerLimits() intake.Limits {
+	limits := intake.Limits{HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	if d.opts.MemoryBytes > 0 {
+		limits.MaxHeaderBytes = maxHeaderBytes
+	}
+	return limits
+}
+
+// endSlowCallers ends connections of callers that exceed a limit of time, until ctx ends.
+func (d *daemon) endSlowCallers(ctx context.Context) error {
+	d.intake.Run(ctx)
+	return nil
+}
+
 func (d *daemon) listen(ctx context.Context, addr string) (net.Listener, error) {
 	if d.opts.Listen != nil {
 		return d.opts.Listen(ctx, "tcp", addr)
@@ -224,7 +253,7 @@
 func (d *daemon) startBackgroundJobs() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	jobs := append([]func(context.Context) error{d.blames.Run, d.refreshRoutingView}, d.components.BackgroundJobs...)
+	jobs := append([]func(context.Context) error{d.blames.Run, d.refreshRoutingView, d.endSlowCallers}, d.components.BackgroundJobs...)
 	d.endedJobs = make(chan struct{}, len(jobs))
 	d.jobCount = len(jobs)
 	for _, job := range jobs {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -24,6 +24,8 @@
 	Seeds               []string       // internal addresses of some other nodes
 	Dial                func(ctx context.Context, network, addr string) (net.Conn, error)
 	Listen              func(ctx context.Context, network, addr string) (net.Listener, error) // nil: the default listener
+	MemoryBytes         int64                                                                 // of the VM, from which the bounds for callers follow; 0: not stated, no bounds
+	MaxFds              int                                                                   // file descriptors of the process; 0: not stated
 	Log                 *logrus.Logger
 	Policy              string            // routing policy; empty: route.LeastTTFT
 	BalancerLag         time.Duration     // how long load balancers send new connections after /readyz fails; 0: DefaultBalancerLag
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -15,6 +15,7 @@
 
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -58,6 +59,10 @@
 	if err := s.execute(hr.Context(), r); err != nil {
 		return err
 	}
+	// The answer counts from here on, so that one that its caller does not read makes room for others.
+	if err := intake.FromContext(hr.Context()).Charge(int64(len(r.response.GetBody()))); err != nil {
+		return errkind.New(errkind.StreamBroken, "no memory for the answer")
+	}
 	return writeResponse(w, r.response)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +21,7 @@
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/limit"
 	"github.com/bilberrylink/bilberrylink/membership"
@@ -159,6 +160,7 @@
 	if !strings.EqualFold(scheme, "Bearer") || !ok || workspace == nil {
 		return identity{}, errkind.New(errkind.Unauthorized, "missing or wrong key")
 	}
+	intake.FromContext(r.Context()).SetWorkspace(name)
 	return identity{snap: snap, name: name, workspace: workspace}, nil
 }
 
@@ -258,17 +260,45 @@
 // readBody reads a request's body until the deadline. The read deadline is removed after the body: net/http goes on
 // reading to detect a disconnect and would treat an expired deadline as one.
 func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64, deadline time.Time) ([]byte, error) {
+	account := intake.FromContext(hr.Context())
+	if err := account.Charge(intake.RequestCost); err != nil {
+		return nil, refuseRest(w, account, err)
+	}
 	if hr.ContentLength == 0 {
 		return nil, nil
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(deadline) // unsupported only by test recorders
-	data, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBytes))
-	_ = controller.SetReadDeadline(time.Time{}) // as above
+	account.ExpectBody(hr.ContentLength)
+	body, err := intake.ReadAll(hr.Body, hr.ContentLength, maxBytes, account)
+	defer body.Release()
+	if err == nil {
+		err = account.Charge(bodyCopies * body.Len())
+	}
 	if err != nil {
-		return nil, bodyReadError(err)
+		return nil, refuseRest(w, account, err)
 	}
-	return data, nil
+	_ = controller.SetReadDeadline(time.Time{}) // as above
+	return bytes.Join(body.Segments(), nil), nil
+}
+
+// bodyCopies is how often a body is held while its request runs: as one piece or as decoded text, and as a prompt or a call.
+const bodyCopies = 2
+
+// refuseRest returns the error for a body that could not be read. If there is no memory for it or it comes too slowly, its rest is not read.
+func refuseRest(w http.ResponseWriter, account *intake.Account, err error) error {
+	switch ended := account.Ended(); {
+	case errors.Is(err, intake.ErrTooLarge):
+		account.CountRefusal(intake.ReasonLargeBody)
+		return errkind.New(errkind.BodyTooLarge, "body is larger than the limit")
+	case ended == intake.ReasonSlowBody:
+		transport.RefuseRest(w)
+		return errkind.New(errkind.InvalidRequest, "body came too slowly")
+	case ended != intake.ReasonNone || errors.Is(err, intake.ErrShort):
+		transport.RefuseRest(w)
+		return errkind.New(errkind.Overloaded, "no memory for the request")
+	}
+	return errkind.New(errkind.InvalidRequest, "body could not be read")
 }
 
 // maxBodyBytes returns the largest body that the configuration allows.
@@ -279,14 +309,6 @@
 	return fleet.DefaultMaxBodyBytes
 }
 
-func bodyReadError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return errkind.New(errkind.BodyTooLarge, "body is larger than the limit")
-	}
-	return errkind.New(errkind.InvalidRequest, "body could not be read")
-}
-
 // modelList is the response of GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -10,8 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,9 +62,6 @@
 	shutdownMargin = 400 * time.Millisecond
 	// answerMargin is the time reserved before that to answer the requests that are still open.
 	answerMargin = 400 * time.Millisecond
-	// goMemoryParts of goMemoryWhole is the share of the machine's memory up to which the Go runtime collects as rarely as usual. The rest is for
-	// the program's code and for what the kernel holds of connections.
-	goMemoryParts, goMemoryWhole = 5, 8
 )
 
 // Limits of the listeners that callers do not use, in case that callers reach them.
@@ -186,7 +181,7 @@
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.limitGoMemory()
+	transport.LimitGoMemory(d.settings.MemoryBytes)
 	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.storage.run, d.reloadSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
@@ -299,13 +294,6 @@
 	return prometheus.WrapRegistererWith(prometheus.Labels{"listener": listener}, d.metricsRegistry)
 }
 
-// limitGoMemory makes the Go runtime collect earlier when the memory of the machine is about to be used up. GOMEMLIMIT takes precedence.
-func (d *daemon) limitGoMemory() {
-	if d.settings.MemoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(d.settings.MemoryBytes * goMemoryParts / goMemoryWhole)
-	}
-}
-
 func (d *daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:  h,
--- a/internal/transport/guard.go
+++ b/internal/transport/guard.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -50,17 +54,19 @@
 		account.BeginBody()
 		if req.Body == nil || req.Body == http.NoBody {
 			_ = account.BeginServing() // a connection that is being ended fails when it is used
+		} else {
+			req.Body = &countedBody{ReadCloser: req.Body, account: account}
 		}
 		handler.ServeHTTP(w, req)
 	})
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		if guarded, ok := c.(*guardedConn); ok {
+		if guarded := guardedOf(c); guarded != nil {
 			return intake.WithAccount(ctx, guarded.account)
 		}
 		return ctx
 	}
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if guarded, ok := c.(*guardedConn); ok && state == http.StateIdle {
+		if guarded := guardedOf(c); guarded != nil && state == http.StateIdle {
 			guarded.headBytes.Store(0)
 			guarded.account.EndRequest()
 		}
@@ -68,6 +74,32 @@
 	return &guardedListener{Listener: l, budget: budget}
 }
 
+// guardedOf returns the guarded connection below a connection of a server, or nil.
+func guardedOf(c net.Conn) *guardedConn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	guarded, _ := c.(*guardedConn)
+	return guarded
+}
+
+// countedBody tells the account when the body has been read. It fails then if the connection is being ended, whose request must not run.
+type countedBody struct {
+	io.ReadCloser
+	account *intake.Account
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if ended := b.account.BeginServing(); ended != nil {
+			return n, ended
+		}
+	}
+	return n, err
+}
+
 // guardedListener opens an account for each connection and closes those that get none.
 type guardedListener struct {
 	net.Listener
@@ -281,6 +313,18 @@
 	return listenErr
 }
 
+// goMemoryParts of goMemoryWhole is the share of the machine's memory up to which the Go runtime collects as rarely as usual. The rest is for the
+// program's code and for what the kernel holds of connections.
+const goMemoryParts, goMemoryWhole = 5, 8
+
+// LimitGoMemory makes the Go runtime collect more often when the memory of the machine is about to be used up; 0: not known, no limit. The
+// environment variable GOMEMLIMIT takes precedence.
+func LimitGoMemory(machineBytes int64) {
+	if machineBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(machineBytes * goMemoryParts / goMemoryWhole)
+	}
+}
+
 // RefuseRest makes the server close the connection of a request whose body is not to be read, after its response has been sent.
 func RefuseRest(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
