intake: fields of heads are charged, and time for which the process was suspended counts against nobody

A process that is suspended for seconds would have ended all connections when it went on.

Change: 256 bytes for each field are charged before a request is served. Limits of time of the configuration have a margin of 0.5 s.

--- a/intake/account.go
+++ b/intake/account.go
@@ -110,15 +110,27 @@
 	return placeRank{2, a.score(now)}, a.isEndable(now)
 }
 
+// excuse makes a time that the process was suspended not count. The budget's mutex must be held.
+func (a *Account) excuse(d time.Duration, now time.Time) {
+	for _, since := range []*time.Time{&a.since, &a.readSince, &a.writeSince} {
+		if since.IsZero() {
+			continue
+		}
+		if *since = since.Add(d); since.After(now) { // it began after the suspension
+			*since = now
+		}
+	}
+}
+
 // overTime returns the limit of time that the connection exceeds. The budget's mutex must be held.
 func (a *Account) overTime(limits Limits, now time.Time) Reason {
 	inPhase := now.Sub(a.since)
 	switch {
 	case !a.writeSince.IsZero() && now.Sub(a.writeSince) > unreadTimeout:
 		return ReasonUnread
-	case a.phase == Idle && limits.IdleTimeout > 0 && inPhase > limits.IdleTimeout:
+	case a.phase == Idle && limits.IdleTimeout > 0 && inPhase > limits.IdleTimeout+timeMargin:
 		return ReasonIdleTime
-	case a.phase == Head && limits.HeaderTimeout > 0 && inPhase > limits.HeaderTimeout:
+	case a.phase == Head && limits.HeaderTimeout > 0 && inPhase > limits.HeaderTimeout+timeMargin:
 		return ReasonHeadTime
 	case a.phase == Body && a.writeSince.IsZero():
 		turn, _ := a.progress(now)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,6 +85,10 @@
 	// among the least useful of all.
 	maxSearched   = 256
 	sweepInterval = 250 * time.Millisecond
+	// timeMargin is added to the limits of time of the configuration, for callers that use them to the end.
+	timeMargin = 500 * time.Millisecond
+	// maxSweepDelay is the delay of a sweep from which the process is taken to have been suspended. That time does not count against callers.
+	maxSweepDelay = time.Second
 	logInterval   = time.Second
 )
 
@@ -110,6 +114,7 @@
 	workspaces map[string]*group
 	waiting    int           // calls of Charge that wait for bytes
 	freed      chan struct{} // closed when bytes are released or a connection is being ended, if any call waits
+	sweptAt    time.Time     // zero: not yet
 	unlogged   map[Reason]int
 	loggedAt   time.Time
 }
@@ -323,10 +328,16 @@
 	}
 	var list []ended
 	b.mu.Lock()
+	delay := now.Sub(b.sweptAt) - sweepInterval
+	suspended := !b.sweptAt.IsZero() && delay > maxSweepDelay
+	b.sweptAt = now
 	for a := range b.accounts {
 		if a.ended != ReasonNone {
 			continue
 		}
+		if suspended {
+			a.excuse(delay, now)
+		}
 		if reason := a.overTime(limits, now); reason != ReasonNone {
 			list = append(list, ended{a, a.beginEnd(reason)})
 		}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -248,6 +248,33 @@
 	}
 }
 
+// Guards against ending all callers after the process has been suspended, which their limits would otherwise run through.
+func TestSuspendedProcessExcusesItsCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}, 0)
+		idle, head, body, answer := open(b, "1"), open(b, "1"), open(b, "1"), open(b, "1")
+		head.EndRead(1)
+		body.receive(t, 1)
+		body.BeginRead()
+		answer.BeginBody()
+		require.NoError(t, answer.BeginServing())
+		answer.BeginWrite()
+		b.Sweep()
+		time.Sleep(time.Hour)
+		b.Sweep()
+		for _, c := range []*caller{idle, head, body, answer} {
+			require.Empty(t, c.endings)
+		}
+		for range 40 * 4 {
+			time.Sleep(sweepInterval)
+			b.Sweep()
+		}
+		for _, c := range []*caller{idle, head, body, answer} {
+			require.Len(t, c.endings, 1)
+		}
+	})
+}
+
 // Guards against bodies that are cut off and look complete, against bytes over the limit, and against more charged than read bytes stay.
 func TestReadAll(t *testing.T) {
 	for _, size := range []int{0, 1, firstSegment, maxSegment, maxSegment + 1, 1 << 20} {
--- a/intake/sizes.go
+++ b/intake/sizes.go
@@ -50,6 +50,9 @@
 // HeadCost is the number of bytes that a byte of a head takes: the buffer, the parsed fields, their copy for endpoints and its encoding.
 const HeadCost = 4
 
+// FieldCost is what a field of a head costs besides: its entries in two maps.
+const FieldCost = 256
+
 // RequestCost is what a request costs besides its head, body and answer: its state, a connection to an endpoint and its buffers.
 const RequestCost = 16 << 10
 
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -63,6 +63,11 @@
 	runCrowds(t, crowd{headerCallers, sendEndlessHeaders})
 }
 
+// Guards against heads within the limit that take many times their length in memory.
+func TestHeadsOfManyFields(t *testing.T) {
+	runCrowds(t, crowd{headerCallers, sendManyFields})
+}
+
 // Guards against bytes before a request line that never comes.
 func TestEndlessEmptyLines(t *testing.T) {
 	runCrowds(t, crowd{headerCallers, sendEmptyLines})
@@ -196,6 +201,19 @@
 	}
 }
 
+// sendManyFields sends a request whose head has about 3,000 fields and is 200 bytes shorter than the limit.
+func sendManyFields(_ context.Context, conn net.Conn, parked func()) {
+	head := callerRequest("/hold/", "")
+	head = head[:len(head)-len("\r\n")]
+	for i := 0; len(head) < maxHeadBytes-200; i++ {
+		head = fmt.Appendf(head, "%x:\r\n", i)
+	}
+	if _, err := conn.Write(append(head, "\r\n"...)); err == nil {
+		parked()
+		awaitEnd(conn)
+	}
+}
+
 func sendEndlessHeaders(ctx context.Context, conn net.Conn, parked func()) {
 	_, err := io.WriteString(conn, "GET /short/ HTTP/1.1\r\nHost: "+callerHost+"\r\n")
 	for i := 0; err == nil; i++ {
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -37,6 +37,7 @@
 	startTimeout  = 30 * time.Second
 	answerTimeout = time.Minute // for the ordinary request; a failure, not a bound on the time to answer
 	maxBodyBytes  = 4 << 20
+	maxHeadBytes  = 16 << 10
 	longAnswer    = 7 << 20
 	sampleTime    = 20 * time.Millisecond
 )
@@ -81,7 +82,7 @@
 	}
 	store.SetConfig(platformtest.Config{Epoch: 1, Services: []string{"shop"}, APIKeys: []string{apiKey},
 		Routes: []platformtest.Route{route("/hold/"), route("/long/"), route("/short/")},
-		Limits: platformtest.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Limits: platformtest.Limits{MaxHeaderBytes: maxHeadBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}.Encode())
 	store.SetEndpoint("i-1", platformtest.Endpoint{Service: "shop", Addr: endpoint.Listener.Addr().String(), StartedAt: time.Now()})
 	storeServer := httptest.NewServer(store)
