hostile: endless streams with large events

Cause: long answers were read slowly only as whole answers, and what the kernel receives from endpoints was not counted.

Change: a test with 200 callers that read endless streams of 200 KB events slowly; unread bytes of connections to the endpoint count in all tests. The other tests are as before otherwise.

--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -20,7 +20,8 @@
 const (
 	bodyCallers   = 64 // with bodies of maxBodyBytes
 	headerCallers = 420
-	answerCallers = 40 // with answers of longAnswer bytes
+	answerCallers = 40  // with answers of longAnswer bytes
+	streamCallers = 200 // with events of eventBytes
 	callerAddrs   = 4
 	pressureTime  = 4 * time.Second // for which the crowd stays, at least
 	redialPause   = 50 * time.Millisecond
@@ -78,6 +79,11 @@
 	runCrowds(t, crowd{answerCallers, readSlowly})
 }
 
+// Guards against streams whose events pile up in the process or in its connections to endpoints because callers do not read them.
+func TestEndlessStreamsReadSlowly(t *testing.T) {
+	runCrowds(t, crowd{streamCallers, readStreamSlowly})
+}
+
 // Guards against limits that hold for each kind of abuse and not for their sum.
 func TestAllAbusesAtOnce(t *testing.T) {
 	runCrowds(t, crowd{bodyCallers, sendWhole}, crowd{bodyCallers, sendChunks}, crowd{bodyCallers, sendAllButEnd},
@@ -235,8 +241,16 @@
 
 // readSlowly asks for a long answer and reads a few bytes of it now and then.
 func readSlowly(ctx context.Context, conn net.Conn, parked func()) {
+	readPathSlowly(ctx, conn, "/long/", parked)
+}
+
+func readStreamSlowly(ctx context.Context, conn net.Conn, parked func()) {
+	readPathSlowly(ctx, conn, "/stream/", parked)
+}
+
+func readPathSlowly(ctx context.Context, conn net.Conn, path string, parked func()) {
 	_ = conn.(*net.TCPConn).SetReadBuffer(smallChunk) // a larger buffer only takes bytes off the gateway
-	_, err := conn.Write(callerRequest("/long/", ""))
+	_, err := conn.Write(callerRequest(path, ""))
 	for buf := make([]byte, 16); err == nil; pause(ctx, dribblePause) {
 		_, err = conn.Read(buf)
 		parked()
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -39,6 +39,7 @@
 	maxBodyBytes  = 4 << 20
 	maxHeadBytes  = 16 << 10
 	longAnswer    = 7 << 20
+	eventBytes    = 200_000 // of a stream
 	sampleTime    = 20 * time.Millisecond
 )
 
@@ -59,10 +60,12 @@
 	os.Exit(code)
 }
 
-// gateway is a gateway process with one endpoint. Requests to /hold/ are answered when the crowd has left, those to /long/ at length.
+// gateway is a gateway process with one endpoint. Requests to /hold/ are answered when the crowd has left, those to /long/ at length and those to
+// /stream/ without end.
 type gateway struct {
 	t       *testing.T
 	addr    string
+	backend string // address of the endpoint
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	release chan struct{} // closed when the crowd has left
@@ -76,15 +79,17 @@
 	g := &gateway{t: t, ended: make(chan struct{}), release: make(chan struct{})}
 	endpoint := httptest.NewServer(http.HandlerFunc(g.answer))
 	t.Cleanup(endpoint.Close)
+	g.backend = endpoint.Listener.Addr().String()
 	store := platformtest.NewStore()
-	route := func(prefix string) platformtest.Route {
-		return platformtest.Route{Host: callerHost, Prefix: prefix, Kind: "idempotent", Service: "shop", Attempts: 1, Timeout: callerTimeout}
+	route := func(kind, prefix string) platformtest.Route {
+		return platformtest.Route{Host: callerHost, Prefix: prefix, Kind: kind, Service: "shop", Attempts: 1, Timeout: callerTimeout}
 	}
 	store.SetConfig(platformtest.Config{Epoch: 1, Services: []string{"shop"}, APIKeys: []string{apiKey},
-		Routes: []platformtest.Route{route("/hold/"), route("/long/"), route("/short/")},
+		Routes: []platformtest.Route{route("idempotent", "/hold/"), route("idempotent", "/long/"), route("idempotent", "/short/"),
+			route("streaming", "/stream/")},
 		Limits: platformtest.Limits{MaxHeaderBytes: maxHeadBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}.Encode())
-	store.SetEndpoint("i-1", platformtest.Endpoint{Service: "shop", Addr: endpoint.Listener.Addr().String(), StartedAt: time.Now()})
+	store.SetEndpoint("i-1", platformtest.Endpoint{Service: "shop", Addr: g.backend, StartedAt: time.Now()})
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	first := freePorts(t, 4)
@@ -144,6 +149,11 @@
 		size = longAnswer
 	}
 	platformtest.EndpointHandler(func(string) string { return strings.Repeat("x", size) }).ServeHTTP(w, req)
+	for i := 0; strings.HasPrefix(req.URL.Path, "/stream/"); i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", eventBytes)); err != nil {
+			return
+		}
+	}
 }
 
 // request sends an ordinary request and returns the status of its whole answer, or 0.
@@ -187,18 +197,15 @@
 	return 0
 }
 
-// unreadBytes returns what the kernel has received for the process from callers and the process has not read.
+// unreadBytes returns what the kernel has received for the process from callers and the endpoint and the process has not read.
 func (g *gateway) unreadBytes() (total int64) {
-	const addrField, stateField, queueField, listening = 1, 3, 4, "0A"
-	host, port, _ := net.SplitHostPort(g.addr)
-	ip := net.ParseIP(host).To4()
-	portNumber, _ := strconv.Atoi(port)
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], portNumber)
+	const localField, remoteField, stateField, queueField, listening = 1, 2, 3, 4, "0A"
+	callers, endpoint := procAddr(g.addr), procAddr(g.backend)
 	table, err := os.ReadFile("/proc/net/tcp")
 	require.NoError(g.t, err)
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		if len(fields) <= queueField || fields[addrField] != local || fields[stateField] == listening {
+		if len(fields) <= queueField || fields[localField] != callers && fields[remoteField] != endpoint || fields[stateField] == listening {
 			continue
 		}
 		_, unread, _ := strings.Cut(fields[queueField], ":")
@@ -208,6 +215,14 @@
 	return total
 }
 
+// procAddr returns an address as the table of connections has it.
+func procAddr(addr string) string {
+	host, port, _ := net.SplitHostPort(addr) // of a listener
+	ip := net.ParseIP(host).To4()
+	portNumber, _ := strconv.Atoi(port) // as above
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], portNumber)
+}
+
 // requireBounds fails the test if the process has ended or exceeds its machine, or if it does not answer an ordinary request.
 func (g *gateway) requireBounds() {
 	g.t.Logf("highest: %d of %d MB, %d of %d descriptors", g.memory>>20, memoryMb, g.openFiles, maxFds-reservedFiles)
