--- a/internal/processes/harness_test.go
+++ b/internal/processes/harness_test.go
@@ -181,6 +181,7 @@
 	ip        string // address of all listeners; empty: a new loopback address
 	tls       func(node string) settings.TLS
 	advertise func(node, addr string) string // address to advertise for a node; nil: addr
+	entryArgs []string                       // of the entries, in addition
 }
 
 // startFleet starts the stand-ins, two entries, and an agent for each of four engines and two plain services. It waits until
@@ -213,6 +214,7 @@
 		args := f.registerNode(o, name, seeds[i], i, cloud.RoleEntry)
 		args = append(args, "--seeds", strings.Join(seeds, ","), "--listen", listen, "--balancer-lag", "500ms",
 			"--operator-token-hash", hexSHA256(operatorToken))
+		args = append(args, o.entryArgs...)
 		f.entries = append(f.entries, f.newProcess(name, "bilberry-entry", args...))
 	}
 	for i, name := range slices.Concat(engines, services) {
