--- a/internal/gatewayd/reload.go
+++ b/internal/gatewayd/reload.go
@@ -59,6 +59,7 @@
 		{"name", current.Name, next.Name}, {"failure domain", current.FailureDomain, next.FailureDomain},
 		{"caller address", current.CallerAddr, next.CallerAddr}, {"readiness address", current.ReadinessAddr, next.ReadinessAddr},
 		{"internal address", current.InternalAddr, next.InternalAddr}, {"metrics address", current.MetricsAddr, next.MetricsAddr},
+		{"memory", current.MemoryBytes, next.MemoryBytes}, {"descriptors", current.MaxFds, next.MaxFds},
 		{"store", current.StoreURL, next.StoreURL}, {"grace period", current.GracePeriod, next.GracePeriod},
 	} {
 		if setting.now != setting.next {
