Plans of waiting requests by the time that a plan takes; repeats of evacuations bounded at any size

250 plans a second would cost a fleet with 770 endpoints a quarter of a core of each gateway: a short plan takes 0.25 ms with 195 endpoints (BenchmarkChoose). Waiting requests now use a twentieth of the gateway's time at most. During an evacuation, 360 gateways that all repeat the list twice a second would send each other 43 KB/s each; from 25 gateways on each repeats it less often, 3 KB/s.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,9 @@
 	// fartherReports is the number of keep-alives of which one carries the reports on limits to the other circles, which leave limited
 	// endpoints alone and only have to hear that a limit still holds.
 	fartherReports = 20
+	// repeatingGateways is the number of gateways of which one repeats the evacuated failure domains with each of its keep-alives. In a larger
+	// fleet each does so less often: any gateway hears them some 50 times a second.
+	repeatingGateways = 25
 	// relayTimeout is the time without a message after which a peer is no longer chosen as a relay: two keep-alive intervals and a
 	// margin.
 	relayTimeout = 1200 * time.Millisecond
@@ -237,14 +240,17 @@
 }
 
 // farDelay returns FarDelay for the fleet as it is known.
-func (e *Exchange) farDelay() time.Duration {
+func (e *Exchange) farDelay() time.Duration { return FarDelay(e.liveGateways()) }
+
+// liveGateways returns the number of gateways that have been heard lately, this one included.
+func (e *Exchange) liveGateways() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	gateways := 1 + len(e.topology.near)
 	for _, circle := range e.topology.far {
 		gateways += len(circle)
 	}
-	return FarDelay(gateways)
+	return gateways
 }
 
 // FarDelay returns the longest delay until the other circles hear of a change that concerns mainly one circle, in a fleet with a number of
@@ -267,8 +273,10 @@
 		reportsTo = circleAndRelays
 	}
 	e.sendReports(e.opts.Throttle.Reports(), reportsTo)
-	if list, ok := e.opts.Evacuation.ToRepeat(); ok {
-		e.sendEvacuations(list)
+	if e.keepAlives%(1+e.liveGateways()/repeatingGateways) == 0 {
+		if list, ok := e.opts.Evacuation.ToRepeat(); ok {
+			e.sendEvacuations(list)
+		}
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	reservationCount atomic.Uint64
 	active           atomic.Int64
 	waiting          atomic.Int64 // requests that wait for a plan
+	planTime         atomic.Int64 // nanoseconds that a plan takes, moving average
 	answeredInTime   atomic.Uint64
 	ending           context.Context
 	end              context.CancelFunc
@@ -311,15 +312,27 @@
 	}
 }
 
-// planInterval is the shortest interval between two plans that waiting requests of this gateway ask for: a plan takes up to 0.1 ms of a
-// core, of which a VM may have a tenth. In a burst, requests that asked every 25 ms took the time of all other work.
-const planInterval = 4 * time.Millisecond
+// Waiting requests of this gateway ask for a plan at intervals of minPlanInterval, or planTimeFactor times what a plan takes, which grows with
+// the number of endpoints. In a burst, requests that each asked every 25 ms took the processor time of all other work.
+const (
+	minPlanInterval = 4 * time.Millisecond
+	planTimeFactor  = 20
+	// planTimeWeight is the weight of the latest plan in the moving average of the time that one takes.
+	planTimeWeight = 0.1
+)
 
 // awaitPlan waits until the request should ask for a plan again.
 func (s *requestState) awaitPlan(ctx context.Context) error {
 	waiting := s.gw.waiting.Add(1)
 	defer s.gw.waiting.Add(-1)
-	return timing.Sleep(ctx, max(placement.WaitInterval, time.Duration(waiting)*planInterval))
+	interval := max(minPlanInterval, planTimeFactor*time.Duration(s.gw.planTime.Load()))
+	return timing.Sleep(ctx, max(placement.WaitInterval, time.Duration(waiting)*interval))
+}
+
+// observePlanTime records the time that a plan has taken.
+func (g *Gateway) observePlanTime(took time.Duration) {
+	average := g.planTime.Load()
+	g.planTime.Store(average + int64(planTimeWeight*float64(int64(took)-average))) // an update that is lost does no harm
 }
 
 // leaveQueue removes the request's queue entry, if there is one.
@@ -423,6 +436,8 @@
 		candidates = slices.DeleteFunc(candidates, func(c placement.Candidate) bool { return c.HelperOnly })
 		return s.gw.opts.Scheduler.ChoosePlain(candidates, now), placement.Admit
 	}
+	startedAt := time.Now()
+	defer func() { s.gw.observePlanTime(time.Since(startedAt)) }()
 	return s.gw.opts.Scheduler.Choose(s.service.Engine, candidates, placement.Request{
 		PromptTokens: s.req.PromptTokens, OutputTokens: s.req.OutputTokens,
 		LatencyTarget: s.req.Route.LatencyTarget, GapTarget: s.req.Route.GapTarget,
