soak: failure domains that are evacuated

A third of the endpoints are in another failure domain, which is evacuated at times, also while the store refuses, comes back from a copy, or gateways are killed and paused.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -18,6 +18,7 @@
 	limitSlack       = 5
 	configTime       = 2 * time.Second        // from a change of the configuration until it must be in force
 	drainTime        = 2 * time.Second        // from an answer of an endpoint that leaves until its gateway must send it no requests
+	evacuationTime   = 5 * time.Second        // from the evacuation of a failure domain until its endpoints must get no requests
 	refusalLag       = 500 * time.Millisecond // from a refusal with a time to return, for requests under way
 	maxSendsToPaused = 2
 )
@@ -37,6 +38,9 @@
 	badResponse string // what is wrong with the answer itself
 }
 
+// evacuation is a time in which otherDomain was evacuated.
+type evacuation struct{ from, until time.Time } // until is zero while it lasts
+
 // limitChange is a limit that an endpoint states from a time on; 0: none.
 type limitChange struct {
 	perSecond float64
@@ -56,6 +60,7 @@
 	hardFaults   map[string][]time.Time // kills and pauses, by gateway
 	limits       map[string]limitChange // by endpoint incarnation
 	limitedUntil map[string]time.Time
+	evacuations  []evacuation
 	violations   []string
 }
 
@@ -116,6 +121,34 @@
 	}
 }
 
+// recordEvacuation records that otherDomain is evacuated from now on, or not any more.
+func (c *checker) recordEvacuation(evacuated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if n := len(c.evacuations); n > 0 && c.evacuations[n-1].until.IsZero() {
+		c.evacuations[n-1].until = now
+	}
+	if evacuated {
+		c.evacuations = append(c.evacuations, evacuation{from: now})
+	}
+}
+
+func (c *checker) checkEvacuations() {
+	late := 0
+	for _, r := range slices.Concat(c.runs, c.refusals) {
+		for _, e := range c.evacuations {
+			lasts := e.until.IsZero() || r.at.Before(e.until)
+			if r.domain == otherDomain && r.at.After(e.from.Add(evacuationTime)) && lasts && !c.disturbedAt(r.at) {
+				late++
+			}
+		}
+	}
+	if late > 0 {
+		c.add("%d requests reached endpoints of an evacuated failure domain", late)
+	}
+}
+
 // check returns all violations.
 func (c *checker) check() []string {
 	c.mu.Lock()
@@ -129,6 +162,7 @@
 	}
 	c.checkCrashingPart()
 	c.checkLimits()
+	c.checkEvacuations()
 	c.checkSends()
 	return c.violations
 }
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -27,6 +27,7 @@
 	attempt  string
 	path     string
 	endpoint string
+	domain   string // failure domain of the endpoint
 	at       time.Time
 	parts    string
 	leaving  bool // the endpoint stated in its answer that it shuts down
@@ -38,6 +39,7 @@
 	world   *world
 	service string
 	addr    string
+	domain  string // failure domain
 
 	mu        sync.Mutex
 	id        string // of the current incarnation
@@ -71,7 +73,7 @@
 
 // register writes the endpoint's row. e.mu must be held.
 func (e *endpoint) register() {
-	e.world.store.SetEndpoint(e.id, platformtest.Endpoint{Service: e.service, Addr: e.addr, Zone: zone, StartedAt: e.startedAt})
+	e.world.store.SetEndpoint(e.id, platformtest.Endpoint{Service: e.service, Addr: e.addr, Zone: e.domain, StartedAt: e.startedAt})
 }
 
 // registerAgain writes the row again if the endpoint lives and the store has lost it.
@@ -166,7 +168,7 @@
 		_, err := io.WriteString(c, platformtest.OrderDone)
 		return err == nil
 	}
-	r := run{attempt: req.AttemptID, path: req.Path, endpoint: id, at: time.Now(), parts: req.Parts, leaving: leaving, refused: refuses}
+	r := run{attempt: req.AttemptID, path: req.Path, endpoint: id, domain: e.domain, at: time.Now(), parts: req.Parts, leaving: leaving, refused: refuses}
 	if refuses {
 		e.world.checker.recordRefusal(r)
 		_, err := io.WriteString(c, platformtest.Refusal(req.AttemptID, refusalTime))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,6 +33,7 @@
 		{"configuration", func(float64) { w.changeConfiguration() }},
 		{"configuration", func(float64) { w.changeConfiguration() }},
 		{"endpoint leaves", w.emptyEndpoint},
+		{"evacuation", w.evacuate},
 		{"refusals", w.refuseRequests},
 		{"silent connections", w.silenceConnections},
 		{"silent connections", w.silenceConnections},
@@ -152,6 +153,7 @@
 		}
 		w.store.Restore(copied)
 		w.writeConfiguration()
+		w.writeEvacuation()
 		for range changes - 1 {
 			w.changeConfiguration()
 		}
@@ -183,6 +185,15 @@
 	})
 }
 
+// evacuate evacuates a failure domain for longer than gateways may take to comply.
+func (w *world) evacuate(seconds float64) {
+	if w.isEvacuated() {
+		return
+	}
+	w.setEvacuated(true)
+	w.after(evacuationTime+time.Duration(seconds*float64(time.Second)), func() { w.setEvacuated(false) })
+}
+
 func (w *world) refuseRequests(seconds float64) {
 	e := w.randomEndpoint()
 	e.set(func(e *endpoint) { e.refuses = true })
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -78,6 +78,7 @@
 	mu               sync.Mutex
 	epoch            int64     // of the configuration; each adds a route and withdraws the key that the one before added
 	changedAt        time.Time // of the latest change of the configuration
+	evacuated        bool // otherDomain
 	storeAway        bool
 	storeDisturbedAt time.Time
 }
@@ -90,6 +91,7 @@
 	shopService   = "shop"
 	apiKey        = "key"
 	latencyTarget = 500 * time.Millisecond
+	otherDomain   = "other" // failure domain of some endpoints, which is evacuated at times
 )
 
 const (
@@ -177,6 +179,26 @@
 func addedPrefix(epoch int64) string { return fmt.Sprintf("/added-%d/", epoch) }
 func addedKey(epoch int64) string    { return fmt.Sprintf("%s-%d", apiKey, epoch) }
 
+// setEvacuated evacuates otherDomain or takes that back.
+func (w *world) setEvacuated(evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated = evacuated
+	w.store.SetEvacuated(otherDomain, evacuated)
+	w.checker.recordEvacuation(evacuated)
+}
+
+// writeEvacuation writes the operator's request again if the store has lost it.
+func (w *world) writeEvacuation() {
+	w.setEvacuated(w.isEvacuated())
+}
+
+func (w *world) isEvacuated() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.evacuated
+}
+
 func (w *world) storeDisturbed(away bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -186,7 +208,10 @@
 func (w *world) startAll() error {
 	const shopEndpoints = 3
 	for i := range w.opts.Endpoints + shopEndpoints {
-		e := &endpoint{world: w, service: modelService, addr: "127.0.0.1:0"}
+		e := &endpoint{world: w, service: modelService, addr: "127.0.0.1:0", domain: zone}
+		if i%3 == 0 { // of each service, some stay
+			e.domain = otherDomain
+		}
 		if i >= w.opts.Endpoints {
 			e.service = shopService
 		}
