fleetsim: failure domains with paths, circles, absence and rules for comparison

The simulation had no cost of crossing failure domains: no path delay, no bytes, no circles above 24 gateways, no domain whose endpoints take no requests. It now has paths with a delay, a bandwidth and losses; circles as the exchange forms them; an absence, as in an evacuation or a loss; and counts bytes that cross and the oscillation of the share that leaves.

--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -2,7 +2,8 @@
 // of placement affects callers, before the change is measured with real processes.
 //
 // Gateways know of each other's jobs after a fixed delay. Engines work in passes: a pass runs the prefill of all prompts
-// that wait when it begins, and then generates one event of every answer under way.
+// that wait when it begins, and then generates one event of every answer under way. Paths between failure domains have a delay
+// and may be narrow or lossy.
 package fleetsim
 
 import (
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/engine"
+	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/placement"
 )
 
@@ -50,15 +52,47 @@
 	Endpoints     int
 	PeerViewDelay time.Duration // from a placement until the other gateways know of it
 	// Domains is the number of failure domains, over which gateways and endpoints are distributed evenly. Changes of short prompts
-	// are known in the other domains after keepAliveInterval at most. 0: all gateways know of all changes after PeerViewDelay.
+	// are known outside the circle of a gateway after keepAliveInterval at most. 0: all gateways know of all changes after PeerViewDelay.
 	Domains int
 	// DomainTraffic holds the share of each domain of the arrivals, relative to the other shares; nil: equal shares.
 	DomainTraffic []float64
-	Duration      time.Duration // of arrivals; the simulation itself runs until all requests have ended
-	Workloads     []Workload
-	Seed          uint64
+	Absence       *Absence
+	// Path returns the path between two failure domains; nil: paths take no time.
+	Path      func(from, to int) Path
+	Rule      Rule
+	Duration  time.Duration // of arrivals; the simulation itself runs until all requests have ended
+	Workloads []Workload
+	Seed      uint64
 }
 
+// Absence is the time for which a failure domain takes no new requests. Those under way are completed.
+type Absence struct {
+	Domain      int
+	From, Until time.Duration
+	// Lost means that callers reach no gateway of the domain, as when it is lost; otherwise its endpoints are evacuated only.
+	Lost bool
+}
+
+// Path is a network path between two failure domains.
+type Path struct {
+	Delay          time.Duration // one way
+	BytesPerSecond float64       // 0: unlimited
+	Loss           float64       // share of messages that are delayed by retransmissionDelay
+}
+
+// retransmissionDelay is the shortest time after which TCP repeats a lost segment.
+const retransmissionDelay = 200 * time.Millisecond
+
+// Rule tells which endpoints are offered to the placement.
+type Rule int
+
+// The rules other than Weigh are for comparison.
+const (
+	Weigh  Rule = iota // all endpoints; the placement weighs those in other failure domains
+	Never              // those in the failure domain of the gateway
+	Always             // all endpoints, as if they were near the gateway
+)
+
 // Outcome counts the results of the requests of one kind.
 type Outcome struct {
 	Requests     int
@@ -68,6 +102,7 @@
 	Abandoned    int     // caller gave up
 	OfferedValue float64 // if all requests were answered in time
 	EarnedValue  float64
+	CrossedBytes int     // between failure domains: prompts, answers, and the parts and contexts of split prompts
 	WaitingLoss  float64 // value lost by requests that waited and were not placed within their latency target
 }
 
@@ -80,8 +115,13 @@
 	// HerdedShare is the share of requests that were placed on an endpoint on which another gateway had placed one within the
 	// last herdWindow.
 	HerdedShare float64
+	// Oscillation is the mean difference between the shares of requests that left their failure domain in successive intervals of
+	// oscillationInterval, over all failure domains.
+	Oscillation float64
 }
 
+const oscillationInterval = 250 * time.Millisecond
+
 // herdWindow is about the delay until gateways know of each other's placements.
 const herdWindow = 10 * time.Millisecond
 
@@ -99,7 +139,10 @@
 		s.now = e.at
 		e.action()
 	}
-	return Result{Outcomes: s.outcomes, HerdedShare: float64(s.herdedCount) / float64(max(s.placedCount, 1))}
+	return Result{
+		Outcomes: s.outcomes, HerdedShare: float64(s.herdedCount) / float64(max(s.placedCount, 1)),
+		Oscillation: s.oscillation(),
+	}
 }
 
 type simulation struct {
@@ -111,7 +154,13 @@
 	schedulers    []*placement.Scheduler
 	pendingScopes []placement.Scope // by gateway: scopes of the updates to other gateways that are scheduled
 	engines       map[string]*simEngine
-	candidates    [][]placement.Candidate // by failure domain
+	circles       exchange.Circles
+	circleOf      []exchange.Circle       // by gateway
+	candidates    [][]placement.Candidate // by gateway
+	remaining     [][]placement.Candidate // by gateway, without those of the absent failure domain
+	domainOf      map[string]int          // by endpoint
+	pathFreeAt    map[[2]int]time.Time    // by pair of failure domains: when the bytes sent so far have been transmitted
+	departures    []map[int64]*departures // by failure domain and interval
 	outcomes      map[string]*Outcome
 	placedCount   int
 	herdedCount   int
@@ -121,28 +170,84 @@
 	s := &simulation{
 		Config: c, rng: rand.New(rand.NewPCG(c.Seed, 0)), now: start, pendingScopes: make([]placement.Scope, c.Gateways),
 		engines: make(map[string]*simEngine), outcomes: make(map[string]*Outcome),
+		domainOf: make(map[string]int), pathFreeAt: make(map[[2]int]time.Time),
 	}
+	var gateways []exchange.Member
 	for i := range c.Gateways {
 		s.schedulers = append(s.schedulers, placement.NewSeededScheduler(c.Seed+uint64(i)))
+		gateways = append(gateways, s.member("g", i))
+	}
+	if c.Domains > 0 {
+		s.circles = exchange.NewCircles(gateways)
+	} else {
+		s.circles = exchange.NewCircles(nil) // one circle
 	}
-	s.candidates = make([][]placement.Candidate, s.domains())
 	for i := range c.Endpoints {
 		id := "e" + strconv.Itoa(i)
-		for domain := range s.candidates {
-			near := i%s.domains() == domain
-			s.candidates[domain] = append(s.candidates[domain],
-				placement.Candidate{ID: id, SameFailureDomain: near, Near: near, Slowdown: 1})
-		}
+		s.domainOf[id] = i % s.domains()
 		s.engines[id] = &simEngine{sim: s, lastGateway: -1}
 	}
+	for range s.domains() {
+		s.departures = append(s.departures, make(map[int64]*departures))
+	}
+	s.addCandidates()
 	s.schedule(keepAliveInterval, s.publishToAll)
 	return s
 }
 
+// member returns a gateway or an endpoint as a member of a circle.
+func (s *simulation) member(prefix string, i int) exchange.Member {
+	return exchange.Member{Name: prefix + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i%s.domains())}
+}
+
+// addCandidates sets the candidates of all gateways.
+func (s *simulation) addCandidates() {
+	type group struct {
+		circle exchange.Circle
+		domain int
+	}
+	all, remaining := make(map[group][]placement.Candidate), make(map[group][]placement.Candidate)
+	for gateway := range s.Gateways {
+		g := group{s.circles.Of(s.member("g", gateway)), gateway % s.domains()}
+		s.circleOf = append(s.circleOf, g.circle)
+		if all[g] == nil {
+			for i := range s.Endpoints {
+				e := s.member("e", i)
+				c := placement.Candidate{ID: e.Name, SameFailureDomain: i%s.domains() == g.domain, Near: s.circles.Of(e) == g.circle, Slowdown: 1}
+				if s.Rule == Never && !c.SameFailureDomain {
+					continue
+				}
+				if s.Rule == Always {
+					c.SameFailureDomain, c.Near = true, true
+				}
+				all[g] = append(all[g], c)
+				if s.Absence == nil || i%s.domains() != s.Absence.Domain {
+					remaining[g] = append(remaining[g], c)
+				}
+			}
+		}
+		s.candidates, s.remaining = append(s.candidates, all[g]), append(s.remaining, remaining[g])
+	}
+}
+
+// absent reports whether a failure domain is absent at a time since the start.
+func (s *simulation) absent(at time.Duration) bool {
+	return s.Absence != nil && at >= s.Absence.From && at < s.Absence.Until
+}
+
 // domains returns the number of failure domains, at least 1.
 func (s *simulation) domains() int { return max(s.Domains, 1) }
 
-// randomGateway returns the gateway of a new request.
+// arrivalGateway returns the gateway of a request that arrives at a time since the start.
+func (s *simulation) arrivalGateway(at time.Duration) int {
+	for {
+		gateway := s.randomGateway()
+		if !s.absent(at) || !s.Absence.Lost || gateway%s.domains() != s.Absence.Domain {
+			return gateway
+		}
+	}
+}
+
 func (s *simulation) randomGateway() int {
 	if len(s.DomainTraffic) == 0 {
 		return s.rng.IntN(s.Gateways)
@@ -155,6 +260,7 @@
 	for x -= s.DomainTraffic[0]; x > 0 && domain < s.domains()-1; x -= s.DomainTraffic[domain] {
 		domain++
 	}
+	domain = min(domain, s.Gateways-1)
 	inDomain := (s.Gateways - domain + s.domains() - 1) / s.domains()
 	return domain + s.rng.IntN(inDomain)*s.domains()
 }
@@ -178,7 +284,7 @@
 	for at := w.Start + time.Duration(s.rng.ExpFloat64()*meanGap); at < end; at += time.Duration(s.rng.ExpFloat64() * meanGap) {
 		relativeLength := math.Exp(s.rng.NormFloat64()*w.PromptLogStddev - w.PromptLogStddev*w.PromptLogStddev/2)
 		r := &request{
-			sim: s, workload: w, outcome: s.outcomes[w.Name], gateway: s.randomGateway(), arrivedAt: start.Add(at),
+			sim: s, workload: w, outcome: s.outcomes[w.Name], gateway: s.arrivalGateway(at), arrivedAt: start.Add(at),
 			promptTokens: min(max(int(w.MeanPromptTokens*relativeLength), 1), w.MaxPromptTokens),
 			eventsLeft:   max(1, int(w.MeanEvents*(0.5+s.rng.Float64()))),
 		}
@@ -207,7 +313,7 @@
 				continue
 			}
 			s.send(gateway, i, scopes&placement.Fleetwide)
-			if i%s.domains() == gateway%s.domains() {
+			if s.circleOf[i] == s.circleOf[gateway] {
 				s.send(gateway, i, scopes&placement.Near)
 			}
 		}
@@ -245,10 +351,12 @@
 	workload     *Workload
 	outcome      *Outcome
 	gateway      int
+	domain       int // of the primary endpoint
 	promptTokens int
 	eventsLeft   int // of the answer
 	arrivedAt    time.Time
 	lastEventAt  time.Time // arrivedAt before the first event
+	deliveredAt  time.Time // when the latest generated event arrives at the gateway
 	placedAt     time.Time // zero: not yet
 	plan         placement.Plan
 	queueJobID   uint64 // queue entry; 0: none
@@ -262,7 +370,11 @@
 // place asks for a placement and carries it out.
 func (r *request) place() {
 	s, waited := r.sim, r.sim.now.Sub(r.arrivedAt)
-	plan, decision := r.scheduler().Choose(&s.Timing, s.candidates[r.gateway%s.domains()], placement.Request{
+	candidates := s.candidates[r.gateway]
+	if s.absent(s.now.Sub(start)) {
+		candidates = s.remaining[r.gateway]
+	}
+	plan, decision := r.scheduler().Choose(&s.Timing, candidates, placement.Request{
 		PromptTokens: r.promptTokens, OutputTokens: r.eventsLeft * s.Timing.TokensPerPass,
 		LatencyTarget: r.workload.LatencyTarget, GapTarget: r.workload.GapTarget, Waited: waited,
 		TimeLeft:   min(placement.CallerIdleTimeout(r.workload.LatencyTarget, r.workload.GapTarget), r.workload.CallerTimeout) - waited,
@@ -288,12 +400,92 @@
 	if s.engines[plan.Endpoints[0]].recordRequest(r.gateway) {
 		s.herdedCount++
 	}
-	for i, id := range plan.Endpoints {
-		s.engines[id].add(&promptPart{request: r, primary: i == 0})
-	}
+	r.transmit()
 	r.startTimeout()
 }
 
+// transmit sends the prompt to the primary endpoint and the parts to the others.
+func (r *request) transmit() {
+	s, home, primary := r.sim, r.gateway%r.sim.domains(), r.sim.domainOf[r.plan.Endpoints[0]]
+	r.domain = primary
+	s.recordDeparture(home, primary != home)
+	toPrimary := r.cross(home, primary, r.promptTokens*placement.TextBytesPerToken)
+	for i, id := range r.plan.Endpoints {
+		delay := toPrimary
+		if i > 0 {
+			delay += r.cross(primary, s.domainOf[id], placement.PartBytes(r.promptTokens, len(r.plan.Endpoints)))
+		}
+		part := &promptPart{request: r, primary: i == 0}
+		if delay == 0 {
+			s.engines[id].add(part)
+		} else {
+			s.schedule(delay, func() { s.engines[id].add(part) })
+		}
+	}
+}
+
+// cross counts bytes of a request that are sent between failure domains and returns the time that they take.
+func (r *request) cross(from, to, bytes int) time.Duration {
+	if from == to {
+		return 0
+	}
+	r.outcome.CrossedBytes += bytes
+	if r.sim.Path == nil {
+		return 0
+	}
+	return r.sim.transmissionTime(from, to, bytes)
+}
+
+// transmissionTime returns the time that bytes take between two failure domains after those sent before.
+func (s *simulation) transmissionTime(from, to, bytes int) time.Duration {
+	path, delay := s.Path(from, to), time.Duration(0)
+	if path.BytesPerSecond > 0 {
+		freeAt := s.pathFreeAt[[2]int{from, to}]
+		if freeAt.Before(s.now) {
+			freeAt = s.now
+		}
+		freeAt = freeAt.Add(time.Duration(float64(bytes) / path.BytesPerSecond * float64(time.Second)))
+		s.pathFreeAt[[2]int{from, to}] = freeAt
+		delay = freeAt.Sub(s.now)
+	}
+	if path.Loss > 0 && s.rng.Float64() < path.Loss {
+		delay += retransmissionDelay
+	}
+	return delay + path.Delay
+}
+
+// departures counts the requests of a failure domain in an interval.
+type departures struct{ placed, left int }
+
+func (s *simulation) recordDeparture(domain int, left bool) {
+	interval := int64(s.now.Sub(start) / oscillationInterval)
+	d := s.departures[domain][interval]
+	if d == nil {
+		d = new(departures)
+		s.departures[domain][interval] = d
+	}
+	d.placed++
+	if left {
+		d.left++
+	}
+}
+
+// oscillation returns the mean difference between the shares of requests that left their domain in successive intervals.
+func (s *simulation) oscillation() float64 {
+	sum, count := 0.0, 0
+	for _, intervals := range s.departures {
+		for i := int64(1); i < int64(s.Duration/oscillationInterval); i++ {
+			before, after := intervals[i-1], intervals[i]
+			if before == nil || after == nil {
+				continue
+			}
+			sum += math.Abs(float64(after.left)/float64(after.placed) - float64(before.left)/float64(before.placed))
+			count++
+		}
+	}
+	return sum / float64(max(count, 1))
+}
+
 // startTimeout schedules the end of the request for the time at which its caller gives up if no event arrives before.
 func (r *request) startTimeout() {
 	abandonsAt := r.lastEventAt.Add(placement.CallerIdleTimeout(r.workload.LatencyTarget, r.workload.GapTarget))
@@ -340,8 +532,25 @@
 	r.sim.publishJobs(r.gateway)
 }
 
+// sendEvent sends a generated event to the gateway. Events do not overtake each other.
+func (r *request) sendEvent(first bool) {
+	s := r.sim
+	at := s.now.Add(r.cross(r.domain, r.gateway%s.domains(), s.Timing.TokensPerPass*placement.TextBytesPerToken))
+	if at.Before(r.deliveredAt) {
+		at = r.deliveredAt
+	}
+	if r.deliveredAt = at; at.Equal(s.now) {
+		r.deliverEvent(first)
+		return
+	}
+	s.schedule(at.Sub(s.now), func() { r.deliverEvent(first) })
+}
+
 // deliverEvent delivers one event of the answer to the caller. first marks the first event.
 func (r *request) deliverEvent(first bool) {
+	if r.ended {
+		return
+	}
 	target := r.workload.GapTarget
 	if first {
 		target = r.workload.LatencyTarget
@@ -441,7 +650,7 @@
 	e.sim.schedule(e.sim.Timing.DecodePassTime(len(decoding), contextTokens), func() {
 		for _, p := range decoding {
 			if !p.request.ended {
-				p.request.deliverEvent(!p.decoding)
+				p.request.sendEvent(!p.decoding)
 				p.decoding = true
 			}
 		}
