placement: a decision of its own for traffic between failure domains

Free slots alone decided which short prompts left a domain. Bytes, delay, losses and the age of the views did not count.

Parts of long prompts and plain calls pay for bytes and delay beside their former cost. Gateways measure paths by the handshakes of new connections, and count crossings by pair of domains and reason.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -386,7 +386,7 @@
 			failureRate, slowdown := s.gw.opts.Registry.Health(e)
 			byID[e.ID] = e
 			candidates = append(candidates, placement.Candidate{
-				ID: e.ID, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, Near: s.gw.opts.Near(e), FailureRate: failureRate,
+				ID: e.ID, Domain: e.Zone, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, Near: s.gw.opts.Near(e), FailureRate: failureRate,
 				Slowdown: slowdown, HelperOnly: !s.belowLimit(e),
 			})
 		}
@@ -452,6 +452,7 @@
 	watch := s.startWatchdog(primary, cancel)
 	defer watch.stop()
 	defer reservations.onLost(func() { watch.expire() })()
+	s.gw.opts.Metrics.observeCrossings(s.gw.opts.FailureDomain, s.req, plan)
 	sentAt := s.gw.opts.Now()
 	response, err := s.gw.opts.Backend.Send(ctx, &EndpointRequest{
 		Request: s.req, Endpoint: primary, TimeLeft: deadlineOf(s.req).Sub(sentAt), Helpers: helpers(plan, reservations),
@@ -537,6 +538,9 @@
 ) (failure, bool) {
 	primary := plan.endpoints[0]
 	s.reportFault(plan, resp)
+	if resp.ConnectTime > 0 && primary.Zone != s.gw.opts.FailureDomain {
+		s.gw.opts.Scheduler.ObservePath(primary.Zone, resp.ConnectTime/2, s.gw.opts.Now())
+	}
 	if resp.Leaving && s.gw.opts.Registry.MarkDraining(primary) {
 		s.logEntry("endpoint_left").WithField("at", primary.ID).Info("endpoint states that it shuts down")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bilberrylink/bilberrylink/placement"
 )
 
 // Metrics holds the Prometheus metrics of a gateway.
@@ -12,6 +14,8 @@
 	retries    *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	broken     *prometheus.CounterVec
+	crossings  *prometheus.CounterVec
+	crossBytes *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
 }
@@ -28,6 +32,13 @@
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bilberry_gateway_broken_attempts_total", Help: "Attempts that endpoints broke off, by the part of the answer that had arrived.",
 		}, []string{"progress"}),
+		crossings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_crossings_total", Help: "Attempts sent to another failure domain, by reason.",
+		}, []string{"from", "to", "reason"}),
+		crossBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberry_gateway_crossing_bytes_total",
+			Help: "Estimated bytes between failure domains: prompts with expected answers, and parts of split prompts with their context.",
+		}, []string{"from", "to", "reason"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bilberry_gateway_request_seconds", Help: "Time from the arrival of a request to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
@@ -36,11 +47,30 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12)}, []string{"kind"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.requests, m.retries, m.refusals, m.broken, m.duration, m.firstEvent)
+		reg.MustRegister(m.requests, m.retries, m.refusals, m.broken, m.crossings, m.crossBytes, m.duration, m.firstEvent)
 	}
 	return m
 }
 
+// splitPrompt is the reason why the parts of a split prompt cross failure domains.
+const splitPrompt = "split_prompt"
+
+// observeCrossings counts what an attempt sends between failure domains: the request to its primary endpoint, whose plan gives the reason,
+// and the parts from there to the others.
+func (m *Metrics) observeCrossings(own string, r *Request, plan *resolvedPlan) {
+	count := func(from, to, reason string, bytes int) {
+		if from != to {
+			m.crossings.WithLabelValues(from, to, reason).Inc()
+			m.crossBytes.WithLabelValues(from, to, reason).Add(float64(bytes))
+		}
+	}
+	primary := plan.endpoints[0].Zone
+	count(own, primary, plan.Leaving, (r.PromptTokens+r.OutputTokens)*placement.TextBytesPerToken)
+	for _, e := range plan.endpoints[1:] {
+		count(primary, e.Zone, splitPrompt, placement.PartBytes(r.PromptTokens, len(plan.endpoints)))
+	}
+}
+
 // observeBroken counts an attempt that an endpoint broke off after a number of events.
 func (m *Metrics) observeBroken(events int) {
 	progress := "later"
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -58,9 +58,10 @@
 	Leaving          bool          // the endpoint states that it shuts down
 	RetryAfter       time.Duration // for which the endpoint, which refuses the request, wants no others of this gateway; 0: not given
 	Limit            throttle.Statement
-	FaultyEndpoint   string // ID or address of the endpoint that caused the error; empty: the one that responded
-	ContentLength    int64  // -1: not given
-	Message          any    // protocol message, for the ResponseWriter
+	ConnectTime      time.Duration // that the handshake of a new connection took, a round trip; 0: an open one was used
+	FaultyEndpoint   string        // ID or address of the endpoint that caused the error; empty: the one that responded
+	ContentLength    int64         // -1: not given
+	Message          any           // protocol message, for the ResponseWriter
 	Body             io.ReadCloser
 }
 
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -213,7 +213,7 @@
 		if all[g] == nil {
 			for i := range s.Endpoints {
 				e := s.member("e", i)
-				c := placement.Candidate{ID: e.Name, SameFailureDomain: i%s.domains() == g.domain, Near: s.circles.Of(e) == g.circle, Slowdown: 1}
+				c := placement.Candidate{ID: e.Name, Domain: e.FailureDomain, SameFailureDomain: i%s.domains() == g.domain, Near: s.circles.Of(e) == g.circle, Slowdown: 1}
 				if s.Rule == Never && !c.SameFailureDomain {
 					continue
 				}
@@ -409,6 +409,9 @@
 	s, home, primary := r.sim, r.gateway%r.sim.domains(), r.sim.domainOf[r.plan.Endpoints[0]]
 	r.domain = primary
 	s.recordDeparture(home, primary != home)
+	if s.Path != nil && primary != home && s.rng.IntN(requestsPerConnection) == 0 {
+		r.scheduler().ObservePath("d"+strconv.Itoa(primary), s.transmissionTime(home, primary, 0), s.now)
+	}
 	toPrimary := r.cross(home, primary, r.promptTokens*placement.TextBytesPerToken)
 	for i, id := range r.plan.Endpoints {
 		delay := toPrimary
@@ -424,6 +427,9 @@
 	}
 }
 
+// requestsPerConnection is the number of requests per connection to another failure domain. A gateway measures the path when it connects.
+const requestsPerConnection = 10
+
 // cross counts bytes of a request that are sent between failure domains and returns the time that they take.
 func (r *request) cross(from, to, bytes int) time.Duration {
 	if from == to {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -116,6 +116,7 @@
 		opts: opts, settings: s, log: opts.Log, metricsRegistry: prometheus.NewRegistry(), stateSync: newStateSync(opts.Log),
 		scheduler: placement.NewScheduler(), backend: platform.NewBackend(),
 	}
+	d.scheduler.SetDomainOptions(placement.DomainOptions{CostPerGigabyte: s.CrossingCostPerGB})
 	d.store = platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Registerer: d.metricsRegistry, Log: d.log})
 	d.metricsRegistry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	countGateways := func() int { return 1 + len(d.exchange.LivePeers()) }
--- a/internal/gatewayd/reload.go
+++ b/internal/gatewayd/reload.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/platform"
 )
 
@@ -43,6 +44,11 @@
 		d.retryBudget.SetLimits(next.RetryRatio, next.RetrySlack, next.RetryWindow)
 		applied = append(applied, "retry budget")
 	}
+	if next.CrossingCostPerGB != current.CrossingCostPerGB {
+		current.CrossingCostPerGB = next.CrossingCostPerGB
+		d.scheduler.SetDomainOptions(placement.DomainOptions{CostPerGigabyte: next.CrossingCostPerGB})
+		applied = append(applied, "cost between failure domains")
+	}
 	if !slices.Equal(next.SeedAddrs, current.SeedAddrs) {
 		current.SeedAddrs = next.SeedAddrs
 		applied = append(applied, "seed addresses")
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -24,16 +24,11 @@
 	backlogCostPerSecond = 1.2
 	// extraPartCost is the cost of each part beyond the first: it may fail, and occupies one more endpoint.
 	extraPartCost = 0.004
-	// crossDomainCost is the cost of an endpoint in another failure domain, which adds latency and traffic.
-	crossDomainCost = 0.01
 	// failureCostWeight is the cost of an endpoint's recent failure rate, relative to the value of the prompt: a failed request
 	// is retried elsewhere and comes late.
 	failureCostWeight = 0.8
 	// plainFailureCostWeight is the cost of the failure rate for plain services, in requests queued at the endpoint.
 	plainFailureCostWeight = 4.0
-	// plainCrossDomainCost is the cost of an endpoint in another failure domain for plain services, in requests queued at the
-	// endpoint. It is less than 1, since waiting for a whole request takes longer than the network path to another domain.
-	plainCrossDomainCost = 0.5
 	// plainRandomCost is the largest random cost, which makes gateways with the same load data choose different endpoints.
 	plainRandomCost = 0.2
 	// assumedSlotWait is the assumed wait for a free slot.
@@ -89,9 +84,11 @@
 // Candidate is an endpoint that a request may be placed on.
 type Candidate struct {
 	ID                string
+	Domain            string  // failure domain
 	SameFailureDomain bool    // in the failure domain of this gateway
 	Near              bool    // short prompts that others place on it are known here at once
 	HelperOnly        bool    // it may process parts of prompts, but accepts no request itself now
+	Cold              bool    // has started lately: slow, and does not bear many requests
 	FailureRate       float64 // recent share of failed requests
 	Slowdown          float64 // ratio of observed to predicted time, at least 1
 }
@@ -122,6 +119,7 @@
 	PredictedLatency time.Duration // until the first event
 	Cost             float64
 	DelayCost        float64 // part of Cost: the request's own wait
+	Leaving          string  // why the request leaves its failure domain; empty: it does not
 	BlockingCost     float64 // part of Cost: delay of short prompts that arrive while the endpoints are busy with prefill
 }
 
@@ -129,6 +127,7 @@
 type candidateLoad struct {
 	*Candidate
 	load *endpointLoad
+	path pathCost
 	cost float64
 }
 
@@ -167,8 +166,9 @@
 		return decideBehindQueue(m, r, work, len(candidates))
 	}
 	loads := s.candidateLoads(m, candidates, now)
+	reason := CheaperPlan
 	if !mayQueue(r) {
-		loads = s.nearOrFar(m.Slots, loads)
+		loads, reason = s.nearOrFar(m, r, loads, now)
 	}
 	if isTightGap(r.GapTarget) {
 		loads = withPrimary(sampleLoads(loads), loads)
@@ -180,6 +180,9 @@
 	if decision := decide(m, loads, p, r, now); decision != Admit {
 		return p, decision
 	}
+	if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.ID == p.Endpoints[0] && !c.SameFailureDomain }) {
+		p.Leaving = reason
+	}
 	p.JobIDs = s.addPlanJobs(p, r, now)
 	return p, Admit
 }
@@ -301,8 +304,8 @@
 	free := make([]candidateLoad, len(loads))
 	for i := range loads {
 		free[i] = candidateLoad{
-			Candidate: loads[i].Candidate,
-			load:      &endpointLoad{decodePassTime: m.DecodePassTime(0, 0), tightAnswers: loads[i].load.tightAnswers},
+			Candidate: loads[i].Candidate, path: loads[i].path,
+			load: &endpointLoad{decodePassTime: m.DecodePassTime(0, 0), tightAnswers: loads[i].load.tightAnswers},
 		}
 	}
 	return free
@@ -358,7 +361,7 @@
 			l = new(endpointLoad)
 		}
 		l.compute(m, max(candidates[i].Slowdown, 1), now)
-		loads[i] = candidateLoad{Candidate: &candidates[i], load: l}
+		loads[i] = candidateLoad{Candidate: &candidates[i], load: l, path: s.pathCostOf(&candidates[i], now)}
 	}
 	s.rng.Shuffle(len(loads), func(i, j int) { loads[i], loads[j] = loads[j], loads[i] })
 	return loads
@@ -387,7 +390,7 @@
 func planFor(m *engine.TimingModel, loads []candidateLoad, r Request, parts int, scarcity float64, now time.Time) (Plan, bool) {
 	prefill := m.PrefillTime(r.PromptTokens, parts)
 	for i := range loads {
-		loads[i].cost = partCost(m, &loads[i], r, prefill, parts > 1, now)
+		loads[i].cost = partCost(m, &loads[i], r, prefill, parts > 1, now) + loads[i].partCrossingCost(r, parts)
 		loads[i].cost += prefill.Seconds() * float64(loads[i].load.slotsUsed) * slotCostPerSecond * scarcity
 	}
 	chosen, ok := cheapestWithPrimary(loads, parts)
@@ -403,7 +406,7 @@
 		c := &chosen[i]
 		plan.Cost += c.cost
 		plan.Endpoints = append(plan.Endpoints, c.ID)
-		slowest = max(slowest, c.prefillDelay(parts > 1)+scale(prefill, c.Slowdown))
+		slowest = max(slowest, c.prefillDelay(parts > 1)+scale(prefill, c.Slowdown)+c.path.roundTrip)
 	}
 	pass := chosen[0].load.decodePassTime
 	plan.PredictedLatency = slowest + pass/2 + pass // the rest of the current pass, on average half of it, and the first decode pass
@@ -502,9 +505,6 @@
 	prefill = scale(prefill, c.Slowdown)
 	cost := c.FailureRate*failureCostWeight*requestValue(r.PromptTokens) +
 		(c.prefillDelay(split)+prefill).Seconds()*latencyCostWeight
-	if !c.SameFailureDomain {
-		cost += crossDomainCost
-	}
 	if r.LatencyTarget >= minWaitTarget {
 		cost += backlogCostPerSecond * requestValue(r.PromptTokens) * l.backlog().Seconds()
 	}
@@ -674,7 +674,7 @@
 			cost += float64(len(l.jobs))
 		}
 		if !c.SameFailureDomain {
-			cost += plainCrossDomainCost
+			cost += s.pathCostOf(&c, now).plainCost()
 		}
 		return cost
 	}
@@ -685,6 +685,9 @@
 		}
 	}
 	p := Plan{Endpoints: []string{candidates[best].ID}, Cost: lowestCost}
+	if !candidates[best].SameFailureDomain {
+		p.Leaving = FewerJobs
+	}
 	p.JobIDs = []uint64{s.add(Job{Endpoint: KeyOf(candidates[best].ID), Parts: 1, PlacedAt: now})}
 	return p
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -55,6 +55,10 @@
 	rng     *rand.Rand
 
 	changedScopes Scope // of the jobs that have changed since TakeChanged
+
+	costPerGigabyte float64         // between failure domains
+	paths           map[string]path // by failure domain
+	leaving         map[string]bool // by service: short prompts leave this failure domain
 }
 
 type peerJobs struct {
@@ -74,6 +78,8 @@
 		local:   make(map[uint64]*Job),
 		peers:   make(map[string]peerJobs),
 		changed: make(chan struct{}, 1),
+		paths:   make(map[string]path),
+		leaving: make(map[string]bool),
 		rng:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
