--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -419,7 +419,7 @@
 			byID[e.ID] = e
 			candidates = append(candidates, placement.Candidate{
 				ID: e.ID, Domain: e.Zone, SameFailureDomain: e.Zone == s.gw.opts.FailureDomain, Near: s.gw.opts.Near(e), FailureRate: failureRate,
-				Slowdown: slowdown, HelperOnly: !s.belowLimit(e),
+				Slowdown: slowdown, HelperOnly: !s.belowLimit(e), Cold: s.limitedAsCold(e),
 			})
 		}
 	}
--- a/internal/fleetsim/domains_test.go
+++ b/internal/fleetsim/domains_test.go
@@ -32,7 +32,7 @@
 	play := func(short, long float64, change func(*Config)) Config {
 		c := Config{
 			Timing: testTiming(), Gateways: gateways, Endpoints: endpoints, PeerViewDelay: 8 * time.Millisecond, Domains: domains,
-			Duration: 8 * time.Second, Path: func(int, int) Path { return Path{Delay: pathDelay} },
+			Duration: 8 * time.Second, CostPerGigabyte: 2, Path: func(int, int) Path { return Path{Delay: pathDelay} },
 			Workloads: []Workload{shortPrompts(short * float64(endpoints)), longPrompts(long * float64(endpoints))},
 		}
 		if change != nil {
--- a/internal/fleetsim/fleetsim.go
+++ b/internal/fleetsim/fleetsim.go
@@ -58,11 +58,13 @@
 	DomainTraffic []float64
 	Absence       *Absence
 	// Path returns the path between two failure domains; nil: paths take no time.
-	Path      func(from, to int) Path
-	Rule      Rule
-	Duration  time.Duration // of arrivals; the simulation itself runs until all requests have ended
-	Workloads []Workload
-	Seed      uint64
+	Path func(from, to int) Path
+	Rule Rule
+	// CostPerGigabyte is the cost of traffic between failure domains that the operator states; 0: none.
+	CostPerGigabyte float64
+	Duration        time.Duration // of arrivals; the simulation itself runs until all requests have ended
+	Workloads       []Workload
+	Seed            uint64
 }
 
 // Absence is the time for which a failure domain takes no new requests. Those under way are completed.
@@ -174,7 +176,9 @@
 	}
 	var gateways []exchange.Member
 	for i := range c.Gateways {
-		s.schedulers = append(s.schedulers, placement.NewSeededScheduler(c.Seed+uint64(i)))
+		scheduler := placement.NewSeededScheduler(c.Seed + uint64(i))
+		scheduler.SetDomainOptions(placement.DomainOptions{CostPerGigabyte: c.CostPerGigabyte})
+		s.schedulers = append(s.schedulers, scheduler)
 		gateways = append(gateways, s.member("g", i))
 	}
 	if c.Domains > 0 {
--- a/placement/domains.go
+++ b/placement/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bilberrylink/bilberrylink/engine"
@@ -22,14 +23,12 @@
 
 // DomainOptions sets how traffic between failure domains is weighed.
 type DomainOptions struct {
-	// CostPerGigabyte is the cost of the traffic in the unit of the cost model: short requests that miss their target.
-	// 0: defaultCostPerGigabyte.
+	// CostPerGigabyte is the cost of the traffic in the unit of the cost model: short requests that miss their target. 0: it is not
+	// stated, and bytes, delays, and the age of views are not weighed.
 	CostPerGigabyte float64
 }
 
 const (
-	// defaultCostPerGigabyte applies if the operator states no cost.
-	defaultCostPerGigabyte = 2.0
 	// defaultPathDelay is the assumed one-way delay of a path that has not been measured, that of the longer paths between failure
 	// domains of one region.
 	defaultPathDelay = 1400 * time.Microsecond
@@ -100,14 +99,11 @@
 	return path{delay: defaultPathDelay}
 }
 
+// weighsCrossings reports whether the operator has stated what traffic between failure domains costs.
+func (s *Scheduler) weighsCrossings() bool { return s.costPerGigabyte > 0 }
+
 // costOfBytes returns the cost of bytes that move between failure domains.
-func (s *Scheduler) costOfBytes(bytes int) float64 {
-	cost := s.costPerGigabyte
-	if cost <= 0 {
-		cost = defaultCostPerGigabyte
-	}
-	return float64(bytes) / 1e9 * cost
-}
+func (s *Scheduler) costOfBytes(bytes int) float64 { return float64(bytes) / 1e9 * s.costPerGigabyte }
 
 // headroom is the room for short prompts of a group of endpoints.
 type headroom struct {
@@ -137,13 +133,21 @@
 	g.room.freeSlots += l.freeSlots(slots, viewAge)
 }
 
+// knownFreeSlots returns the free slots of an endpoint as far as its load is known.
+func (c *candidateLoad) knownFreeSlots(slots int) float64 {
+	if c.load.backlog() >= toleratedBacklog {
+		return 0
+	}
+	return float64(max(slots-c.load.slotsUsed, 0))
+}
+
 // freeSlots returns the slots that are likely to be still free at an endpoint whose load is known with a delay.
 func (c *candidateLoad) freeSlots(slots int, viewAge time.Duration) float64 {
-	if c.load.backlog() >= toleratedBacklog || c.Cold {
+	if c.Cold {
 		return 0
 	}
 	unseen := float64(c.load.slotsUsed) / tightAnswerSeconds * viewAge.Seconds()
-	return max(float64(slots-c.load.slotsUsed)-roomDeviations*math.Sqrt(2*unseen), 0) / max(c.Slowdown, 1) * (1 - c.FailureRate)
+	return max(c.knownFreeSlots(slots)-roomDeviations*math.Sqrt(2*unseen), 0) / max(c.Slowdown, 1) * (1 - c.FailureRate)
 }
 
 // leavingShare returns the share of short prompts that leave a group of endpoints for another one. It is zero while the group has at least
@@ -189,11 +193,10 @@
 
 // surroundings groups the endpoints that a short prompt may be placed on by their path from the gateway.
 type surroundings struct {
-	near     group
-	far      []*group // by failure domain; that of the gateway as well, for the endpoints of other circles there
-	farRoom  headroom
-	farAge   time.Duration
-	hasLocal bool // an endpoint in the failure domain of the gateway accepts requests
+	near    group
+	far     []*group // by failure domain; that of the gateway as well, for the endpoints of other circles there
+	farRoom headroom
+	farAge  time.Duration
 }
 
 // look groups the candidates. The room at the end of a path counts by the share of responses that it is likely to deliver in time.
@@ -201,7 +204,6 @@
 	v := &surroundings{farAge: s.farViewAge(now)}
 	byDomain := make(map[string]*group)
 	for _, l := range loads {
-		v.hasLocal = v.hasLocal || l.SameFailureDomain && acceptsRequest(l)
 		if l.Near {
 			v.near.add(l, m.Slots, peerViewDelay)
 			continue
@@ -226,15 +228,42 @@
 // nearOrFar returns the loads of the endpoints that a short prompt may be placed on: those near the gateway or, for a share of the
 // prompts, those elsewhere. reason applies if these are in another failure domain.
 func (s *Scheduler) nearOrFar(m *engine.TimingModel, r Request, loads []candidateLoad, now time.Time) (chosen []candidateLoad, reason string) {
+	if !s.weighsCrossings() {
+		return s.nearOrAnyFar(m.Slots, loads)
+	}
 	v := s.look(m, r, loads, now)
 	if s.rng.Float64() >= s.shareOf(v, r) {
 		return v.near.loads, CheaperPlan
 	}
-	reason = ShortOfRoom
-	if !v.hasLocal {
-		reason = NoEndpoint
+	return v.randomFar(s.rng.Float64()).withRoom(m.Slots, v.farAge), reasonToLeave(loads)
+}
+
+// reasonToLeave returns the reason why a short prompt is placed far from the gateway.
+func reasonToLeave(loads []candidateLoad) string {
+	isLocal := func(c candidateLoad) bool { return c.SameFailureDomain && acceptsRequest(c) }
+	if slices.ContainsFunc(loads, isLocal) {
+		return ShortOfRoom
 	}
-	return v.randomFar(s.rng.Float64()).withRoom(m.Slots, v.farAge), reason
+	return NoEndpoint
+}
+
+// nearOrAnyFar is nearOrFar without regard to paths, bytes and the age of views.
+func (s *Scheduler) nearOrAnyFar(slots int, loads []candidateLoad) (chosen []candidateLoad, reason string) {
+	var near, far group
+	for _, l := range loads {
+		g := &far
+		if l.Near {
+			g = &near
+		}
+		g.loads = append(g.loads, l)
+		if acceptsRequest(l) {
+			g.room.add(headroom{freeSlots: l.knownFreeSlots(slots), endpoints: 1})
+		}
+	}
+	if p := leavingShare(near.room, far.room); p > 0 && s.rng.Float64() < p {
+		return far.loads, reasonToLeave(loads)
+	}
+	return near.loads, CheaperPlan
 }
 
 // shareOf returns the share of short prompts that leave the endpoints near the gateway. The benefit, the additional share of callers served
@@ -287,7 +316,7 @@
 }
 
 func (s *Scheduler) pathCostOf(c *Candidate, now time.Time) pathCost {
-	if c.SameFailureDomain {
+	if c.SameFailureDomain || !s.weighsCrossings() {
 		return pathCost{}
 	}
 	return pathCost{roundTrip: s.pathTo(c.Domain, now).roundTrip(), perByte: s.costOfBytes(1)}
--- a/placement/domains_test.go
+++ b/placement/domains_test.go
@@ -12,6 +12,7 @@
 // and its scheduler.
 func crowdedFleet(freeSlots ...int) (*Scheduler, []Candidate) {
 	s := NewSeededScheduler(1)
+	s.SetDomainOptions(DomainOptions{CostPerGigabyte: 2})
 	var cands []Candidate
 	for i := range 30 {
 		domain := i % 3
@@ -67,6 +68,7 @@
 // A share that varies around the point at which prompts begin to leave must not start and stop with each request.
 func TestLeavingHasHysteresis(t *testing.T) {
 	s := NewSeededScheduler(1)
+	s.SetDomainOptions(DomainOptions{CostPerGigabyte: 2})
 	shareWith := func(free float64) float64 {
 		v := &surroundings{near: group{room: headroom{freeSlots: free, endpoints: 10}}, farRoom: headroom{freeSlots: 200, endpoints: 20}}
 		return s.shareOf(v, shortRequest(1000))
