--- a/gateway/domains_test.go
+++ b/gateway/domains_test.go
@@ -23,6 +23,7 @@
 	reg := prometheus.NewRegistry()
 	tg.gateway.opts.FailureDomain, tg.gateway.opts.Metrics = "d1", NewMetrics(reg)
 	tg.gateway.opts.Near = func(e *registry.Endpoint) bool { return e.Zone == "d1" }
+	tg.scheduler.SetDomainOptions(placement.DomainOptions{CostPerGigabyte: 2})
 	for _, id := range []string{"ma", "mb", "mc"} {
 		tg.registry.Remove(0, id)
 	}
