--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -315,8 +315,8 @@
 // Waiting requests of this gateway ask for a plan at intervals of minPlanInterval, or planTimeFactor times what a plan takes, which grows with
 // the number of endpoints. In a burst, requests that each asked every 25 ms took the processor time of all other work.
 const (
-	minPlanInterval = 4 * time.Millisecond
-	planTimeFactor  = 20
+	minPlanInterval = time.Millisecond
+	planTimeFactor  = 8
 	// planTimeWeight is the weight of the latest plan in the moving average of the time that one takes.
 	planTimeWeight = 0.1
 )
