--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -18,7 +18,7 @@
 func TestWaitingRequestsAskForFewPlans(t *testing.T) {
 	const (
 		plansPerSecond = 1050 // a tenth of a core, at 0.1 ms for each
-		burst          = 400 // requests, of which the endpoints run 48
+		burst          = 400  // requests, of which the endpoints run 48
 	)
 	synctest.Test(t, func(t *testing.T) {
 		tg := newTestGateway(func(ctx context.Context, _ int, _ *EndpointRequest) (*Response, error) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -78,7 +78,7 @@
 	mu               sync.Mutex
 	epoch            int64     // of the configuration; each adds a route and withdraws the key that the one before added
 	changedAt        time.Time // of the latest change of the configuration
-	evacuated        bool // otherDomain
+	evacuated        bool      // otherDomain
 	storeAway        bool
 	storeDisturbedAt time.Time
 }
