exchange: large fleets hear of short prompts with keep-alives only

From 125 gateways on, the state for other circles was due at the same moment as the next keep-alive and was sent besides it.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -229,8 +229,8 @@
 		changed := e.opts.Scheduler.TakeChanged()
 		if changed&placement.Near != 0 {
 			e.sendState(placement.Near, ownCircle)
-			if farDue == nil {
-				farDue = time.After(e.farDelay())
+			if delay := e.farDelay(); farDue == nil && delay < keepAliveInterval { // otherwise the next keep-alive is as early
+				farDue = time.After(delay)
 			}
 		}
 		if changed&placement.Fleetwide != 0 {
