--- a/review/standins-2/endless.go
+++ b/review/standins-2/endless.go
@@ -47,6 +47,7 @@
 		return false, err
 	}
 	go g.enforceMemory()
+	headLines()
 	troubled.Store(trouble)
 	var wg sync.WaitGroup
 	var answered, failed atomic.Int64
@@ -75,19 +76,28 @@
 	return answerStream(c, req, 33, 43*time.Millisecond)
 }
 
+// headLines returns lines of a head, each with a new name, in pieces that are written one after the other. They are more than a gateway reads.
+var headLines = sync.OnceValue(func() (pieces [][]byte) {
+	const lineCount = 400_000
+	var piece strings.Builder
+	for i := range lineCount {
+		piece.WriteString(fieldName(i) + ":\r\n")
+		if piece.Len() >= pieceBytes {
+			pieces = append(pieces, []byte(piece.String()))
+			piece.Reset()
+		}
+	}
+	return pieces
+})
+
 // writeEndlessHead writes lines of a head until the caller closes.
 func writeEndlessHead(wk *worker, c net.Conn) bool {
 	if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\n")); err != nil {
 		return false
 	}
 	written := 0
-	for i := 0; ; {
-		var piece strings.Builder
-		for piece.Len() < pieceBytes {
-			piece.WriteString(fieldName(i) + ":\r\n")
-			i++
-		}
-		n, err := c.Write([]byte(piece.String()))
+	for i := 0; ; i++ {
+		n, err := c.Write(headLines()[i%len(headLines())])
 		if written += n; err != nil {
 			wk.world.note("worker %s wrote %d bytes of a head until the caller closed", wk.id, written)
 			return false
--- a/review/standins-2/parts.go
+++ b/review/standins-2/parts.go
@@ -127,10 +127,11 @@
 	}
 	if hasPart && r.trouble {
 		time.Sleep(60 * time.Millisecond) // reads the prompt; crashes as it begins to write
-		r.mu.Lock()
-		r.crashes = append(r.crashes, time.Now())
-		r.mu.Unlock()
-		wk.crash(workerDownFor, entryExpiry)
+		if wk.crash(workerDownFor, entryExpiry) {
+			r.mu.Lock()
+			r.crashes = append(r.crashes, time.Now())
+			r.mu.Unlock()
+		}
 		return false
 	}
 	return answerStream(c, req, 8, 40*time.Millisecond)
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -106,12 +106,13 @@
 	}
 }
 
-// crash ends the worker: all its connections are reset. It is back under a new ID after some time, and the row of the old one expires.
-func (wk *worker) crash(downFor, expiresAfter time.Duration) {
+// crash ends the worker: all its connections are reset. It is back under a new ID after some time, and the row of the old one expires. It
+// reports whether the worker was up.
+func (wk *worker) crash(downFor, expiresAfter time.Duration) bool {
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
 	if wk.listener == nil {
-		return
+		return false
 	}
 	id := wk.id
 	_ = wk.listener.Close()
@@ -129,6 +130,7 @@
 			wk.world.note("worker at %s cannot start again: %v", wk.addr, err)
 		}
 	})
+	return true
 }
 
 // answerHead returns the beginning of a signed answer.
