--- a/review/standins-2/caller.go
+++ b/review/standins-2/caller.go
@@ -24,11 +24,12 @@
 	status  int // 0: none
 	signed  bool
 	body    string
+	closes  bool  // the connection is not kept
 	err     error // the answer is not complete
 	elapsed time.Duration
 }
 
-// send sends a request to a gateway and reads its whole answer.
+// send sends a request to a gateway on a new connection and reads its whole answer.
 func send(addr string, r request) (a answer) {
 	began := time.Now()
 	defer func() { a.elapsed = time.Since(began) }()
@@ -38,6 +39,11 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(began.Add(time.Duration(r.deadlineMs) * time.Millisecond)) // fails only on a closed connection
+	return exchange(c, bufio.NewReader(c), r)
+}
+
+// exchange sends a request on a connection and reads its whole answer.
+func exchange(c net.Conn, reader *bufio.Reader, r request) answer {
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Bilberrylink-Deadline-Ms: %d\r\nX-Bilberrylink-Key: %s\r\n",
 		r.method, r.path, callerHost, headerAttempt, r.id, r.deadlineMs, apiKey)
 	if r.method == http.MethodPost {
@@ -49,10 +55,10 @@
 	if _, err := io.WriteString(c, head+"\r\n"+r.body); err != nil {
 		return answer{err: err}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: r.method})
+	resp, err := http.ReadResponse(reader, &http.Request{Method: r.method})
 	if err != nil {
 		return answer{err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, signed: resp.Header.Get(headerSignature) != "", body: string(body), err: err}
+	return answer{status: resp.StatusCode, signed: resp.Header.Get(headerSignature) != "", body: string(body), closes: resp.Close, err: err}
 }
--- a/review/standins-2/config.go
+++ b/review/standins-2/config.go
@@ -2,15 +2,16 @@
 
 // Names of the cases' deployment.
 const (
-	callerHost = "ficu95.example"
-	draftPath  = "/lohu930/"
-	ledgerPath = "/ruxi77/"
-	lookupPath = "/pufi791/"
-	orderPath  = "/puxa403/"
-	model      = "model-bench"
-	desk       = "order-desk"
-	apiKey     = "n2ctnfzs989anu6wsjnb"
-	tenant     = "hule930"
+	callerHost  = "ficu95.example"
+	draftPath   = "/lohu930/"
+	summaryPath = "/heko52/"
+	ledgerPath  = "/ruxi77/"
+	lookupPath  = "/pufi791/"
+	orderPath   = "/puxa403/"
+	model       = "model-bench"
+	desk        = "order-desk"
+	apiKey      = "n2ctnfzs989anu6wsjnb"
+	tenant      = "hule930"
 )
 
 // configuration returns the operator's configuration of a small deployment: a model service and a plain one.
@@ -24,6 +25,7 @@
 		"Version": 7,
 		"Routes": []any{
 			route("r-draft", draftPath, "streaming", model, 2, 10000, 300, 250),
+			route("r-summary", summaryPath, "streaming", model, 2, 10000, 1500, 600),
 			route("r-ledger", ledgerPath, "streaming", model, 2, 15000, 3000, 1000),
 			route("r-lookup", lookupPath, "idempotent", desk, 2, 800, 100, 0),
 			route("r-order", orderPath, "non_idempotent", desk, 1, 800, 100, 0),
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -46,6 +46,9 @@
 	gateways []*gateway
 	closers  []io.Closer
 	ids      atomic.Int64
+
+	starting sync.Mutex // held while a process is started again
+	closed   bool
 }
 
 const portsPerGateway = 6
@@ -124,6 +127,9 @@
 
 // close ends all processes and listeners.
 func (w *world) close() {
+	w.starting.Lock()
+	w.closed = true
+	w.starting.Unlock()
 	w.mu.Lock()
 	gateways, closers := w.gateways, w.closers
 	w.gateways, w.closers = nil, nil
@@ -143,6 +149,7 @@
 	name  string
 	ip    string
 	store *storeAccess
+	index int
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -160,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{world: w, name: fmt.Sprintf("edge-%s-%d", zone, i+1), ip: gatewayIP(i), store: access}
+	g := &gateway{world: w, name: fmt.Sprintf("edge-%s-%d", zone, i+1), ip: gatewayIP(i), store: access, index: i}
 	var seedList strings.Builder
 	for s := range seeds {
 		fmt.Fprintf(&seedList, "  - %q\n", w.addrOf(s, 2))
@@ -213,10 +220,18 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	return g, g.start(path, i)
+	if err := g.start(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.gateways = append(w.gateways, g)
+	w.mu.Unlock()
+	return g, nil
 }
 
-func (g *gateway) start(settings string, i int) error {
+// start starts the process of the gateway.
+func (g *gateway) start() error {
+	settings := filepath.Join(g.world.dir, g.name+".yaml")
 	log, err := os.Create(filepath.Join(g.world.dir, g.name+".log"))
 	if err != nil {
 		return err
@@ -229,10 +244,7 @@
 	if err := g.cmd.Start(); err != nil {
 		return fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	g.world.mu.Lock()
-	g.world.gateways = append(g.world.gateways, g)
-	g.world.mu.Unlock()
-	g.world.note("%s starts at %s", g.name, g.world.addrOf(i, 0))
+	g.world.note("%s starts at %s", g.name, g.world.addrOf(g.index, 0))
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		err := cmd.Wait()
 		g.world.note("%s has ended: %v", g.name, err)
@@ -278,6 +290,16 @@
 	}
 }
 
+// restart starts the process again after its end, unless the case has ended.
+func (g *gateway) restart() error {
+	g.world.starting.Lock()
+	defer g.world.starting.Unlock()
+	if g.world.closed {
+		return errCannotRun
+	}
+	return g.start()
+}
+
 func (g *gateway) signal(s syscall.Signal) {
 	g.world.note("%s gets %v", g.name, s)
 	_ = g.cmd.Process.Signal(s) // fails only if the process has ended
