http1: a response with an invalid status line is no answer

Callers saw: at the agent's client, answers with the status 000 (and 007, 099, +20, 600, 999, HTTP/2.0, control bytes in the reason phrase); at the gateway those from 600 on and with control bytes, and what stood behind the head of a 000 as the answer.

Cause: http.ReadResponse takes any three characters that parse as a number of 0 or more. The gateway skipped each response below 200 as an interim one, and so read on behind a 000.

Change: internal/http1 follows the bytes of a connection and receives none from the first line on that RFC 9112, section 4, and RFC 9110, section 15, do not allow. It judges bytes, since net/http normalizes what it has read. The gateway's connections to endpoints and all clients of transport.NewHTTPClient, RepeatLate, WithoutKeepAlives and endpointhttp use it: calls, streams, orders, reservations, health checks, reports, peers, and the calls between entry and agent. The entry refuses recorded answers with such a status, too. golang.org/x/net/http/httpguts tells which bytes a reason phrase may have.

--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/endpoint"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
@@ -43,9 +44,7 @@
 }
 
 func newClient(baseURL string, httpClient *http.Client) client {
-	if httpClient == nil {
-		httpClient = http.DefaultClient
-	}
+	httpClient = http1.Client(httpClient)
 	return client{baseURL: strings.TrimRight(baseURL, "/"), shared: httpClient, work: transport.WithoutKeepAlives(httpClient),
 		limit: new(atomic.Pointer[endpoint.Limit])}
 }
@@ -117,7 +116,7 @@
 
 type engine struct{ client }
 
-// NewEngine returns a client of the engine at a base URL. If c is nil, it uses http.DefaultClient.
+// NewEngine returns a client of the engine at a base URL. If c is nil, it uses one like http.DefaultClient.
 func NewEngine(base string, c *http.Client) endpoint.Engine { return engine{newClient(base, c)} }
 
 // Generate implements endpoint.Engine.
@@ -270,7 +269,7 @@
 
 type service struct{ client }
 
-// NewService returns a client of the plain service at a base URL. If c is nil, it uses http.DefaultClient.
+// NewService returns a client of the plain service at a base URL. If c is nil, it uses one like http.DefaultClient.
 func NewService(base string, c *http.Client) endpoint.Service { return service{newClient(base, c)} }
 
 // nonRewindableReader hides the type of its reader from net/http, which prevents retries by the transport. If the
--- a/internal/entry/agent_client.go
+++ b/internal/entry/agent_client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
@@ -50,7 +51,7 @@
 
 func newAgentHTTPClient(dial transport.DialFunc, config *tls.Config, disableKeepAlives bool) *http.Client {
 	client := transport.NewHTTPClient(config, dial)
-	httpTransport := client.Transport.(*http.Transport) // transport.NewHTTPClient makes no other kind
+	httpTransport := client.Transport.(*http1.Transport) // transport.NewHTTPClient makes no other kind
 	httpTransport.DialContext = wrapDialErrors(httpTransport.DialContext)
 	if config != nil {
 		httpTransport.DialTLSContext = wrapDialErrors(httpTransport.DialTLSContext)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -16,6 +16,7 @@
 	"github.com/bilberrylink/bilberrylink/errkind"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/intake"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/wire"
 )
 
@@ -179,7 +180,7 @@
 		w.Header().Set("Idempotency-Replayed", "true")
 	}
 	status := int(resp.GetStatus())
-	if status < http.StatusOK || status > 999 {
+	if status < http.StatusOK || !http1.IsStatus(status) {
 		return errkind.New(errkind.StreamBroken, "service answered with an invalid status")
 	}
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/http1/http1test/responses.go
@@ -0,0 +1,82 @@
+// Package http1test has valid and invalid responses for tests of the clients that read them.
+package http1test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Response is the text of a response to a GET or POST request.
+type Response struct {
+	StatusLine, Fields string // with the ends of their lines
+	Rest               string // behind the head
+	Status             int    // of a valid response
+}
+
+// Text returns the response with more fields, which come first.
+func (r Response) Text(fields string) string {
+	return r.StatusLine + fields + r.Fields + "\r\n" + r.Rest
+}
+
+// Body is the content of all valid responses that have content.
+const Body = "text"
+
+const (
+	okLine      = "HTTP/1.1 200 OK\r\n"
+	lengthField = "Content-Length: 4\r\n"
+)
+
+// InvalidStatusLines returns responses with a status line that RFC 9112, section 4, does not allow.
+func InvalidStatusLines() map[string]Response {
+	responses := make(map[string]Response)
+	for _, line := range []string{
+		"HTTP/1.1 000 x", "HTTP/1.1 007 x", "HTTP/1.1 099 x", "HTTP/1.1 600 x", "HTTP/1.1 999 x", "HTTP/1.1 20 x", "HTTP/1.1 2000 x", "HTTP/1.1 2x0 x",
+		"HTTP/1.1 -20 x", "HTTP/1.1 +20 x", "HTTP/1.1 ", "HTTP/1.1", "HTTP/1.1  200 x", "HTTP/1.1\t200 x", " HTTP/1.1 200 x", "HTTP/1.1 200x",
+		"HTTP/1.1 200\tx", "HTTP/2.0 200 x", "HTTP/0.9 200 x", "HTTP/1.10 200 x", "HTTP/1 200 x", "http/1.1 200 x", "ICY 200 x", "200 x",
+		"HTTP/1.1 200 \x00", "HTTP/1.1 200 a\x7f", "HTTP/1.1 200 a\rb", "\r\nHTTP/1.1 200 x",
+	} {
+		responses[line] = Response{StatusLine: line + "\r\n", Fields: lengthField, Rest: Body}
+		responses[line+", no content"] = Response{StatusLine: line + "\r\n"}
+	}
+	return responses
+}
+
+// Valid returns responses that clients must accept.
+func Valid() map[string]Response {
+	return map[string]Response{
+		"length":                  {okLine, lengthField, Body, 200},
+		"no reason phrase":        {"HTTP/1.1 200 \r\n", lengthField, Body, 200},
+		"no reason phrase, space": {"HTTP/1.1 200\r\n", lengthField, Body, 200},
+		"odd reason phrase":       {"HTTP/1.1 200 \t\xfc: a \r\n", lengthField, Body, 200},
+		"HTTP/1.0":                {"HTTP/1.0 200 OK\r\n", lengthField, Body, 200},
+		"later minor version":     {"HTTP/1.2 200 OK\r\n", lengthField, Body, 200},
+		"unregistered status":     {"HTTP/1.1 299 x\r\n", lengthField, Body, 299},
+		"not found":               {"HTTP/1.1 404 Not Found\r\n", lengthField, Body, 404},
+		"highest status":          {"HTTP/1.1 599 x\r\n", lengthField, Body, 599},
+		"line feeds":              {"HTTP/1.1 200 OK\n", "Content-Length: 4\n", Body, 200},
+		"no length":               {okLine, "", Body, 200},
+		"chunks":                  {okLine, "Transfer-Encoding: Chunked\r\n", "1\r\nt\r\n00003;a=\"b\"\r\next\r\n0\r\n\r\n", 200},
+		"trailer":                 {okLine, "Transfer-Encoding: chunked\r\n", "4\r\ntext\r\n0\r\nX-Any: 1\r\n\r\n", 200},
+		"odd fields":              {okLine, lengthField + "!#$%&'*+-.^_`|~0: \xfc\t\"\\\r\nEmpty:\r\nX-Any:1\r\nX-Any: \t 2 \t\r\n", Body, 200},
+	}
+}
+
+// Server starts a server that reads each request with its content and sends a text, then what follows, on a connection that it closes.
+func Server(t testing.TB, text string) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // a close with unread data resets the connection
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text) // fails only if the client has closed the connection
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 )
 
 // Timeouts and limits of internal connections. There is neither a total request timeout nor one for the response header,
@@ -46,17 +48,13 @@
 	if config != nil {
 		transport.DialTLSContext = dialTLS(config, dial)
 	}
-	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	return &http.Client{Transport: http1.NewTransport(transport), CheckRedirect: returnRedirect}
 }
 
-// WithoutKeepAlives returns a client like c that opens a connection for each request.
+// WithoutKeepAlives returns a client like c that opens a connection for each request and accepts valid responses only.
 func WithoutKeepAlives(c *http.Client) *http.Client {
-	roundTripper := c.Transport
-	if roundTripper == nil {
-		roundTripper = http.DefaultTransport
-	}
-	single := *c
-	if t, ok := roundTripper.(*http.Transport); ok {
+	single := *http1.Client(c)
+	if t, ok := single.Transport.(*http1.Transport); ok {
 		t = t.Clone()
 		t.DisableKeepAlives = true
 		single.Transport = t
--- a/internal/transport/late.go
+++ b/internal/transport/late.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/hedge"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 )
 
 const (
@@ -20,18 +21,15 @@
 )
 
 // RepeatLate returns a client like c that makes calls whose response is late once more on a new connection. Calls that are not repeatable are made
-// once. The idle connections are closed when a call has shown that one is silent. repeatable calls must not stream their responses. A client
+// once. The client accepts valid responses only. The idle connections are closed when a call has shown that one is silent. repeatable calls must not stream their responses. A client
 // with a transport of another kind than that of net/http is returned as it is.
 func RepeatLate(c *http.Client, repeatable func(*http.Request) bool) *http.Client {
-	pooled, ok := c.Transport.(*http.Transport)
-	if c.Transport == nil {
-		pooled, ok = http.DefaultTransport.(*http.Transport)
-	}
+	repeating := *http1.Client(c)
+	pooled, ok := repeating.Transport.(*http1.Transport)
 	if !ok {
 		return c
 	}
-	repeating := *c
-	repeating.Transport = &lateTransport{pooled: pooled, single: WithoutKeepAlives(c).Transport, repeatable: repeatable}
+	repeating.Transport = &lateTransport{pooled: pooled, single: WithoutKeepAlives(&repeating).Transport, repeatable: repeatable}
 	return &repeating
 }
 
@@ -44,7 +42,7 @@
 }
 
 type lateTransport struct {
-	pooled     *http.Transport
+	pooled     *http1.Transport
 	single     http.RoundTripper // opens a connection for each call
 	repeatable func(*http.Request) bool
 }
