http1: a response with an invalid field is no answer

Callers saw: answers with fields whose names held blanks, passed on at both doors; with "Content-Length :" or "Transfer-Encoding :" the content lost its length, so that callers got other bytes than those that the endpoint meant. Names with control bytes did not pass.

Cause: net/textproto keeps names with blanks as they are, joins folded lines, and takes a blank at the begin of a line that follows a field for such a fold.

Change: the validator accepts a field only if its name is a token and its value has no control bytes (RFC 9110, section 5), in heads, heads of interim responses and trailers. Folded lines are refused, as RFC 9112, section 5.2, lets a proxy do.

--- a/endpoint/endpointhttp/invalid_test.go
+++ b/endpoint/endpointhttp/invalid_test.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// A response with a field that is not one must not be taken for an answer.
+func TestInvalidFieldsAreNoAnswers(t *testing.T) {
+	for name, response := range http1test.InvalidFields() {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, response) })
+	}
+}
+
 // Guards against refusing responses that RFC 9112 allows, and against changing them.
 func TestValidResponsesAreAnswers(t *testing.T) {
 	for name, response := range http1test.Valid() {
--- a/internal/http1/http1test/responses.go
+++ b/internal/http1/http1test/responses.go
@@ -25,8 +25,9 @@
 const Body = "text"
 
 const (
-	okLine      = "HTTP/1.1 200 OK\r\n"
-	lengthField = "Content-Length: 4\r\n"
+	okLine       = "HTTP/1.1 200 OK\r\n"
+	lengthField  = "Content-Length: 4\r\n"
+	chunkedField = "Transfer-Encoding: chunked\r\n"
 )
 
 // InvalidStatusLines returns responses with a status line that RFC 9112, section 4, does not allow.
@@ -44,6 +45,25 @@
 	return responses
 }
 
+// InvalidFields returns responses with a field that RFC 9110, section 5, or RFC 9112, section 5, does not allow: in their head, in that of an interim
+// response or in a trailer.
+func InvalidFields() map[string]Response {
+	responses := make(map[string]Response)
+	for _, line := range []string{
+		"X Any: 1", "X-Any : 1", "X-Any\t: 1", " X-Any: 1", "\tX-Any: 1", "X\x00Any: 1", "X-Any\x01: 1", "X\x1fAny: 1", "X-Any\x7f: 1", "X\rAny: 1",
+		": 1", " : 1", "X-Any", "X(Any): 1", "X,Any: 1", "X\"Any\": 1", "X-\xfcml: 1", "X-Any: a\x00b", "X-Any: \x01", "X-Any: a\rb", "X-Any: a\x7f",
+		"X-Any: 1\r\n folded", "X-Any: 1\r\n\tX-Any: 2", "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked",
+	} {
+		field := line + "\r\n"
+		responses[line] = Response{StatusLine: okLine, Fields: field + lengthField, Rest: Body}
+		responses[line+", last"] = Response{StatusLine: okLine, Fields: lengthField + field, Rest: Body}
+		responses[line+", no length"] = Response{StatusLine: okLine, Fields: field, Rest: Body}
+		responses[line+", interim"] = Response{StatusLine: "HTTP/1.1 103 x\r\n" + field + "\r\n" + okLine, Fields: lengthField, Rest: Body}
+		responses[line+", trailer"] = Response{StatusLine: okLine, Fields: chunkedField, Rest: "4\r\ntext\r\n0\r\n" + field + "\r\n"}
+	}
+	return responses
+}
+
 // Valid returns responses that clients must accept.
 func Valid() map[string]Response {
 	return map[string]Response{
@@ -59,7 +79,7 @@
 		"line feeds":              {"HTTP/1.1 200 OK\n", "Content-Length: 4\n", Body, 200},
 		"no length":               {okLine, "", Body, 200},
 		"chunks":                  {okLine, "Transfer-Encoding: Chunked\r\n", "1\r\nt\r\n00003;a=\"b\"\r\next\r\n0\r\n\r\n", 200},
-		"trailer":                 {okLine, "Transfer-Encoding: chunked\r\n", "4\r\ntext\r\n0\r\nX-Any: 1\r\n\r\n", 200},
+		"trailer":                 {okLine, chunkedField, "4\r\ntext\r\n0\r\nX-Any: 1\r\n\r\n", 200},
 		"odd fields":              {okLine, lengthField + "!#$%&'*+-.^_`|~0: \xfc\t\"\\\r\nEmpty:\r\nX-Any:1\r\nX-Any: \t 2 \t\r\n", Body, 200},
 	}
 }
--- a/internal/http1/validator.go
+++ b/internal/http1/validator.go
@@ -191,10 +191,14 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// endField validates a field of a head or a trailer.
+// endField validates a field of a head or a trailer: field-name ":" OWS field-value OWS. Folded lines, which RFC 9112, section 5.2, lets a proxy
+// refuse, begin with a blank, and so with no name.
 func (v *validator) endField(line []byte) error {
 	v.head.fields++
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return invalid("field", line)
+	}
 	if v.state == trailerLine {
 		return nil
 	}
--- a/internal/http1/validator_test.go
+++ b/internal/http1/validator_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"maps"
 	"net/http"
 	"testing"
 
@@ -27,6 +28,8 @@
 
 // A response must be judged alike however the network cuts it into pieces.
 func TestResponsesInPieces(t *testing.T) {
+	invalid := http1test.InvalidStatusLines()
+	maps.Copy(invalid, http1test.InvalidFields())
 	for _, piece := range []int{1, 2, 3, 7, 1 << 20} {
 		for name, response := range http1test.Valid() {
 			v := &validator{method: http.MethodGet}
@@ -38,7 +41,7 @@
 			}
 			require.Contains(t, []state{statusLine, untilClose}, v.state, name)
 		}
-		for name, response := range http1test.InvalidStatusLines() {
+		for name, response := range invalid {
 			_, err := feed(new(validator), response.Text(""), piece)
 			require.ErrorIs(t, err, ErrInvalid, name)
 		}
