http1: an interim response with content or an end told twice is no answer

Callers saw: at both doors, answers behind an interim response that stated a length or switched protocols, and answers with the same length twice, a length beside chunks, chunks in HTTP/1.0, and a 204 that stated content, which was left on the connection. The agent passed on a 101 as the answer.

Cause: net/http resolves such contradictions in favour of one of the two.

Change: the validator refuses a head whose framing RFC 9112, section 6, and RFC 9110, sections 8.6, 15.2 and 15.3.5, do not allow.

--- a/endpoint/endpointhttp/invalid_test.go
+++ b/endpoint/endpointhttp/invalid_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// An interim response that is not one, or content whose end is not told or told twice, must not be taken for an answer.
+func TestInvalidFramingIsNoAnswer(t *testing.T) {
+	for name, response := range http1test.InvalidFraming() {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, response) })
+	}
+}
+
 // Guards against refusing responses that RFC 9112 allows, and against changing them.
 func TestValidResponsesAreAnswers(t *testing.T) {
 	for name, response := range http1test.Valid() {
--- a/internal/http1/http1test/responses.go
+++ b/internal/http1/http1test/responses.go
@@ -64,6 +64,46 @@
 	return responses
 }
 
+// InvalidFraming returns responses that RFC 9112, sections 6 and 7, or RFC 9110, sections 8.6 and 15.2, do not allow: interim ones that are not, and
+// content whose end is not told or told twice.
+func InvalidFraming() map[string]Response {
+	responses := make(map[string]Response)
+	for _, fields := range []string{
+		"Content-Length: 4\r\nContent-Length: 5\r\n", "Content-Length: 4\r\nContent-Length: 4\r\n", "Content-Length: 4, 4\r\n", "Content-Length: +4\r\n",
+		"Content-Length: -4\r\n", "Content-Length: 0x4\r\n", "Content-Length: 4 4\r\n", "Content-Length:\r\n", "Content-Length: 4;\r\n",
+		"Content-Length: 99999999999999999999\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+	} {
+		responses[fields] = Response{StatusLine: okLine, Fields: fields, Rest: Body}
+	}
+	const chunks = "4\r\ntext\r\n0\r\n\r\n"
+	for _, fields := range []string{
+		"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: chunked;q=1\r\n", chunkedField + chunkedField,
+		chunkedField + lengthField, lengthField + chunkedField, chunkedField + "Transfer-Encoding: identity\r\n",
+	} {
+		responses[fields] = Response{StatusLine: okLine, Fields: fields, Rest: chunks}
+	}
+	for _, text := range []string{
+		"g\r\ntext\r\n0\r\n\r\n", "4 \r\ntext\r\n0\r\n\r\n", " 4\r\ntext\r\n0\r\n\r\n", "0x4\r\ntext\r\n0\r\n\r\n", "-4\r\ntext\r\n0\r\n\r\n",
+		"+4\r\ntext\r\n0\r\n\r\n", "\r\n4\r\ntext\r\n0\r\n\r\n", "4\ntext\r\n0\r\n\r\n", "4\r\ntext\n0\r\n\r\n", "4\r\ntextx\r\n0\r\n\r\n", "4\r\ntext0\r\n\r\n",
+		"00000000000000004\r\ntext\r\n0\r\n\r\n", "4;a=\x00\r\ntext\r\n0\r\n\r\n", "4,a\r\ntext\r\n0\r\n\r\n", "4\r\ntext\r\n0\r\n", "4\r\ntext\r\n",
+	} {
+		responses[text] = Response{StatusLine: okLine, Fields: chunkedField, Rest: text}
+	}
+	for name, text := range map[string]string{
+		"interim with a length": "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n",
+		"interim with content":  "HTTP/1.1 103 x\r\nContent-Length: 1\r\n\r\nx",
+		"interim in chunks":     "HTTP/1.1 103 x\r\n" + chunkedField + "\r\n0\r\n\r\n",
+		"switch of protocols":   "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+	} {
+		responses[name] = Response{StatusLine: text + okLine, Fields: lengthField, Rest: Body}
+	}
+	responses["switch of protocols, alone"] = Response{StatusLine: "HTTP/1.1 101 x\r\n", Fields: "Connection: upgrade\r\nUpgrade: x\r\n", Rest: Body}
+	responses["chunks in HTTP/1.0"] = Response{StatusLine: "HTTP/1.0 200 OK\r\n", Fields: chunkedField, Rest: chunks}
+	responses["no content with a length"] = Response{StatusLine: "HTTP/1.1 204 x\r\n", Fields: lengthField, Rest: Body}
+	responses["no content in chunks"] = Response{StatusLine: "HTTP/1.1 204 x\r\n", Fields: chunkedField, Rest: chunks}
+	return responses
+}
+
 // Valid returns responses that clients must accept.
 func Valid() map[string]Response {
 	return map[string]Response{
@@ -80,7 +120,10 @@
 		"no length":               {okLine, "", Body, 200},
 		"chunks":                  {okLine, "Transfer-Encoding: Chunked\r\n", "1\r\nt\r\n00003;a=\"b\"\r\next\r\n0\r\n\r\n", 200},
 		"trailer":                 {okLine, chunkedField, "4\r\ntext\r\n0\r\nX-Any: 1\r\n\r\n", 200},
-		"odd fields":              {okLine, lengthField + "!#$%&'*+-.^_`|~0: \xfc\t\"\\\r\nEmpty:\r\nX-Any:1\r\nX-Any: \t 2 \t\r\n", Body, 200},
+		"length with zeros":       {okLine, "content-length: \t0004 \r\n", Body, 200},
+		"interim responses": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 x\r\n\r\n" +
+			"HTTP/1.1 102 x\r\n\r\n" + okLine, lengthField, Body, 200},
+		"odd fields": {okLine, lengthField + "!#$%&'*+-.^_`|~0: \xfc\t\"\\\r\nEmpty:\r\nX-Any:1\r\nX-Any: \t 2 \t\r\n", Body, 200},
 	}
 }
 
--- a/internal/http1/validator.go
+++ b/internal/http1/validator.go
@@ -70,6 +70,9 @@
 	chunked       bool
 }
 
+// hasFraming reports whether the head states how its content ends.
+func (h *head) hasFraming() bool { return h.contentLength >= 0 || h.chunked }
+
 // consume validates the next bytes of a connection and returns how many of them are valid. A line is validated when its end is received, which
 // is not valid unless the line is.
 func (v *validator) consume(p []byte) (valid int, err error) {
@@ -206,25 +209,35 @@
 	case "content-length":
 		return v.setContentLength(text, line)
 	case "transfer-encoding":
+		// Servers may use other codings only if the request has a TE field, which no client here sends.
+		if !strings.EqualFold(text, "chunked") || v.head.hasFraming() {
+			return invalid("transfer coding", line)
+		}
 		v.head.chunked = true
 	}
 	return nil
 }
 
-// setContentLength takes over the stated length of the content.
+// setContentLength takes over the stated length of the content. A second one is refused even if it is the same, as RFC 9110, section 8.6, allows.
 func (v *validator) setContentLength(value string, line []byte) error {
 	length, err := strconv.ParseUint(value, 10, 63)
-	if err != nil {
+	if err != nil || v.head.hasFraming() {
 		return invalid("length", line)
 	}
 	v.head.contentLength = int64(length)
 	return nil
 }
 
-// endHead determines what follows a head.
+// endHead determines what follows a head by RFC 9112, section 6.
 func (v *validator) endHead() error {
 	h := &v.head
 	switch {
+	case h.chunked && h.minorVersion == 0:
+		return errors.Wrap(ErrInvalid, "HTTP/1.0 has no transfer codings")
+	case h.status == http.StatusSwitchingProtocols:
+		return errors.Wrap(ErrInvalid, "protocol was switched without a request")
+	case h.status < http.StatusOK && h.hasFraming(), h.status == http.StatusNoContent && (h.chunked || h.contentLength > 0):
+		return errors.Wrapf(ErrInvalid, "status %d with content", h.status)
 	case h.status < http.StatusOK:
 		v.endResponse()
 	case v.method == http.MethodHead, h.status == http.StatusNoContent, h.status == http.StatusNotModified:
