http1: a reset that a write was told of does not end a response

Callers saw: the part of a response without a length that had arrived before its connection was reset, as a complete answer, if the request was still being sent; at both doors.

Cause: the kernel reports a reset once. If the write of the request gets ECONNRESET, the next read finds the end of the stream, which ends a response without a length.

Change: when a read finds the end of such a response, the connection stops its write and looks at what that was told. ECONNRESET and any other failure make the response incomplete; EPIPE tells that the server had closed its side first, which completes it. A write that is only waiting is ended, as the response is over.

--- a/endpoint/endpointhttp/invalid_test.go
+++ b/endpoint/endpointhttp/invalid_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// An endpoint may answer a call whose content is still being sent. Content without a length that was cut off by a reset must not be taken for a
+// complete answer, whichever of the writer and the reader the system tells of it, and content that ended before is one.
+func TestAnswerThatIsResetDuringAnUpload(t *testing.T) {
+	for name, end := range http1test.EarlyEnds() {
+		t.Run(name, func(t *testing.T) {
+			server := http1test.EarlyServer(t, "HTTP/1.1 200 OK\r\n\r\n"+http1test.Body, end)
+			for range 20 {
+				answer, err := endpointhttp.NewService(server.URL, nil).Do(t.Context(), endpoint.Call{Method: http.MethodPost, Path: "/orders",
+					Body: make([]byte, http1test.LongContent)})
+				if end.Complete {
+					require.NoError(t, err)
+					require.Equal(t, http1test.Body, string(answer.Body))
+					continue
+				}
+				require.ErrorIs(t, err, endpoint.ErrDown, "%+v", answer)
+			}
+		})
+	}
+}
+
 // Guards against refusing responses that RFC 9112 allows, and against changing them.
 func TestValidResponsesAreAnswers(t *testing.T) {
 	for name, response := range http1test.Valid() {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,10 +1,14 @@
 package http1
 
 import (
+	"cmp"
 	"crypto/tls"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -17,6 +21,9 @@
 	active    bool
 	validator validator
 	failure   error // of the first invalid byte; ends the connection
+
+	writeMu  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed
 }
 
 // NewConn returns the Conn of a network connection.
@@ -54,9 +61,40 @@
 	if failure != nil {
 		return valid, nil // the next call returns the failure
 	}
+	if err == io.EOF && c.validator.state == untilClose {
+		c.failure = c.resetError()
+		return n, cmp.Or(c.failure, err)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
+// resetError returns an error if a connection whose end has been read did not end in order. The system reports a reset once: if a write gets the
+// error, reads find an end like any other. What remains of the request is not sent, as the response is over.
+func (c *Conn) resetError() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress; fails only on a closed connection
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	switch err := c.writeErr; {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		return nil
+	case errors.Is(err, syscall.EPIPE): // the server had closed its side before
+		return nil
+	default:
+		return errors.Wrap(err, "connection failed during the response")
+	}
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
--- a/internal/http1/http1test/responses.go
+++ b/internal/http1/http1test/responses.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 )
 
 // Response is the text of a response to a GET or POST request.
@@ -127,6 +128,55 @@
 	}
 }
 
+// End is how a server ends a connection on which it has answered a request that is still being sent.
+type End struct {
+	Complete bool // the response is complete
+	End      func(*net.TCPConn)
+}
+
+// resetDelay lets the client read the response before the connection is reset.
+const resetDelay = 30 * time.Millisecond
+
+// EarlyEnds returns ways to end a connection after a response without a length. It is complete if the connection ends before it is reset.
+func EarlyEnds() map[string]End {
+	reset := func(c *net.TCPConn) {
+		time.Sleep(resetDelay)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	closeWrite := func(c *net.TCPConn) { _ = c.CloseWrite() } // fails only if the client has closed the connection, which a test finds
+	return map[string]End{
+		"reset":        {false, reset},
+		"end, reset":   {true, func(c *net.TCPConn) { closeWrite(c); reset(c) }},
+		"end, reading": {true, func(c *net.TCPConn) { closeWrite(c); _, _ = io.Copy(io.Discard, c); _ = c.Close() }},
+		"end, waiting": {true, func(c *net.TCPConn) { closeWrite(c); time.Sleep(10 * resetDelay); _ = c.Close() }},
+	}
+}
+
+// EarlyServer starts a server that reads the head of each request, sends a text and ends the connection, which does not hold the content of a
+// request of LongContent bytes.
+func EarlyServer(t testing.TB, text string, end End) *httptest.Server {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text) // as in Server
+		end.End(c.(*net.TCPConn))
+	}))
+	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			_ = c.(*net.TCPConn).SetReadBuffer(1 << 10) // fails only on a closed connection
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// LongContent is a number of bytes that no connection holds.
+const LongContent = 16 << 20
+
 // Server starts a server that reads each request with its content and sends a text, then what follows, on a connection that it closes.
 func Server(t testing.TB, text string) *httptest.Server {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
