http1: heads of responses share a memory budget of the process

Callers saw: requests of kept connections at sound workers ended without an answer, as the gateway exceeded the memory of its machine and was killed (LOST), while other workers answered with heads without end.

Cause: a head was bounded by 1 MB of bytes. 1 MB of short fields takes some 25 MB in net/http's maps, and nothing bounded the sum over connections.

Change: a connection charges what its head takes (4 bytes a byte, 256 bytes a field) before net/http reads it. The first 16 KB are free, so that usual heads never depend on others; the rest draws on a budget of a sixteenth of the machine's memory, a quarter of which large heads leave to small ones. A head that finds no room fails like an invalid one, and its endpoint is avoided. The charge ends when the connection is used again or closed. One head may cost 8 MB at most.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -17,6 +17,7 @@
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
 	"github.com/bilberrylink/bilberrylink/intake"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/invariant"
@@ -192,6 +193,7 @@
 		BaseContext: func(net.Listener) context.Context { return d.requests },
 	}
 	transport.LimitGoMemory(d.opts.MemoryBytes)
+	http1.LimitHeads(d.opts.MemoryBytes)
 	go d.serve(d.callerServer, transport.Guard(d.callerServer, listener, d.intake), "callers")
 	d.startBackgroundJobs()
 	d.opts.Log.WithField("callers", listener.Addr().String()).WithField("node", d.opts.Node.Name).Info("entry started")
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -26,6 +26,7 @@
 	"github.com/bilberrylink/bilberrylink/exchange"
 	"github.com/bilberrylink/bilberrylink/gateway"
 	"github.com/bilberrylink/bilberrylink/intake"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/placement"
@@ -185,6 +186,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	transport.LimitGoMemory(d.settings.MemoryBytes)
+	http1.LimitHeads(d.settings.MemoryBytes)
 	d.startTasks(ctx, d.exchange.Run, d.backend.Run, d.maintainPeerList, d.follower.run, d.storage.run, d.reloadSettingsOnHangup)
 	for _, w := range d.watchers() {
 		d.startTasks(ctx, w.Run)
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -61,7 +61,7 @@
 }
 
 // gateway is a gateway process with one endpoint. Requests to /hold/ are answered when the crowd has left, those to /long/ at length and those to
-// /stream/ without end.
+// /stream/ and /endless without end.
 type gateway struct {
 	t       *testing.T
 	addr    string
@@ -86,7 +86,7 @@
 	}
 	store.SetConfig(platformtest.Config{Epoch: 1, Services: []string{"shop"}, APIKeys: []string{apiKey},
 		Routes: []platformtest.Route{route("idempotent", "/hold/"), route("idempotent", "/long/"), route("idempotent", "/short/"),
-			route("streaming", "/stream/")},
+			route("idempotent", "/endless/"), route("streaming", "/endless-stream/"), route("streaming", "/stream/")},
 		Limits: platformtest.Limits{MaxHeaderBytes: maxHeadBytes, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	}.Encode())
 	store.SetEndpoint("i-1", platformtest.Endpoint{Service: "shop", Addr: g.backend, StartedAt: time.Now()})
@@ -119,6 +119,9 @@
 	_, _ = io.Copy(io.Discard, req.Body) // fails only if the gateway has disconnected
 	size := 2
 	switch {
+	case strings.HasPrefix(req.URL.Path, "/endless"):
+		writeEndlessly(w, req)
+		return
 	case strings.HasPrefix(req.URL.Path, "/hold/"):
 		select {
 		case <-g.release:
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -21,6 +21,8 @@
 	active    bool
 	validator validator
 	failure   error // of the first invalid byte; ends the connection
+	headCost  int64 // charged to the budget of the process
+	closed    bool
 
 	writeMu  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed
@@ -34,6 +36,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.validator.method = true, method
+	c.release()
+}
+
+// End tells that the head of the latest response is no longer used.
+func (c *Conn) End() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.release()
+	return err
+}
+
+// release takes back the charge for heads. c.mu must be held.
+func (c *Conn) release() {
+	heads.change(c.headCost, 0)
+	c.headCost = 0
+}
+
+// charge charges the head that is being received. It keeps the charge for the largest head, as earlier ones may still be in use. c.mu must be held.
+func (c *Conn) charge() error {
+	cost := headCost(c.validator.head.size, c.validator.head.fields)
+	switch {
+	case cost <= c.headCost:
+		return nil
+	case cost > maxHeadCost:
+		return errors.Wrap(ErrInvalid, "head is too large")
+	case !heads.change(c.headCost, cost):
+		return ErrShort
+	}
+	c.headCost = cost
+	return nil
 }
 
 // Failure returns the error that a response was invalid with, or nil. What followed it was not received.
@@ -51,10 +92,16 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.active {
+	switch {
+	case !c.active:
 		return n, err
+	case c.closed:
+		return 0, net.ErrClosed // nothing more must be charged
 	}
 	valid, failure := c.validator.consume(p[:n])
+	if shortage := c.charge(); shortage != nil {
+		valid, failure = 0, shortage
+	}
 	if c.failure = failure; failure != nil && valid == 0 {
 		return 0, failure
 	}
