http1: the store, peers, the platform's table and the load tool accept valid responses only

Seen in tests, not by callers: a gateway took an invalid response of the store for a confirmed write or for a table without rows, and one of a peer for its state; bilberry-load counted an invalid answer as a success. Replies to the entry's unary calls to agents and answers to the load tool and bilberryctl were read without a bound.

Cause: these clients used http.Transport as it is; io.ReadAll.

Change: they use the validating transport of internal/http1, also when a test gives them a transport of net/http. BoundBodies makes bodies fail behind a number of bytes: 1 MB for unary calls, 64 MB for the tools.

--- a/cmd/bilberryctl/main.go
+++ b/cmd/bilberryctl/main.go
@@ -4,17 +4,21 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 
 	"github.com/bilberrylink/bilberrylink/internal/ctl"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
+// maxAnswerBytes is far above the length of any answer of an entry.
+const maxAnswerBytes = 64 << 20
+
 func main() {
 	var cli ctl.CLI
 	kctx := settings.Parse(&cli, "bilberryctl", "Checks, compares and applies configuration texts, evacuates failure domains, and shows the fleet status and the audit trail.")
-	err := kctx.Run(&ctl.Context{CLI: &cli, Out: os.Stdout, Client: http.DefaultClient})
+	err := kctx.Run(&ctl.Context{CLI: &cli, Out: os.Stdout, Client: transport.BoundBodies(http1.Client(nil), maxAnswerBytes)})
 	if err == nil {
 		return
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bilberrylink/bilberrylink/evacuation"
+	"github.com/bilberrylink/bilberrylink/internal/http1/http1test"
 	"github.com/bilberrylink/bilberrylink/placement"
 	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
@@ -171,3 +172,18 @@
 	require.NoError(t, resp.Body.Close())
 	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
 }
+
+// An invalid response of a peer must not be taken for its state.
+func TestInvalidResponsesOfPeers(t *testing.T) {
+	for _, responses := range []map[string]http1test.Response{http1test.InvalidStatusLines(), http1test.InvalidFields(), http1test.InvalidFraming()} {
+		for name, response := range responses {
+			text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
+			addr := http1test.Server(t, text).Listener.Addr().String()
+			_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
+			require.Error(t, err, name)
+		}
+	}
+	addr := http1test.Server(t, "HTTP/1.1 200 OK\r\n\r\nnull").Listener.Addr().String()
+	_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
+	require.NoError(t, err)
+}
--- a/exchange/state.go
+++ b/exchange/state.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/hedge"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/transport"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
@@ -68,7 +69,7 @@
 	if roundTripper == nil {
 		roundTripper = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	}
-	pooled := &http.Client{Transport: roundTripper}
+	pooled := http1.Client(&http.Client{Transport: roundTripper})
 	return &StateClient{pooled: pooled, single: transport.WithoutKeepAlives(pooled)}
 }
 
--- a/internal/entry/agent_client.go
+++ b/internal/entry/agent_client.go
@@ -27,6 +27,9 @@
 // maxErrorBodyBytes bounds how much of an agent's HTTP error response is read.
 const maxErrorBodyBytes = 64 << 10
 
+// maxUnaryBodyBytes bounds the response to a unary call, which is read whole.
+const maxUnaryBodyBytes = 1 << 20
+
 // errNotSent means that no connection could be made, so that the request did not leave this process.
 var errNotSent = errors.New("no connection to the agent")
 
@@ -126,7 +129,7 @@
 
 // unary returns the client of the agent's unary calls. It opens a connection per call, because a pooled one may be dead.
 func (c *agentsClient) unary(addr string) wire.Agent {
-	return wire.NewAgentProtobufClient(c.scheme+"://"+addr, c.unpooledHTTP)
+	return wire.NewAgentProtobufClient(c.scheme+"://"+addr, transport.BoundBodies(c.unpooledHTTP, maxUnaryBodyBytes))
 }
 
 // closeIdleConnections closes idle pooled connections. After one connection to a host went silent, the others may be dead
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -14,6 +14,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
 // Outcomes that the client itself determines, besides the error kinds that an entry returns.
@@ -57,14 +59,17 @@
 // short requests.
 const maxIdleConnsPerEntry = 1024
 
+// maxAnswerBytes is far above the length of any answer. An entry or a stand-in in trouble may send bytes without end.
+const maxAnswerBytes = 64 << 20
+
 // NewClient returns a Client that sends requests to entries and divides deadlines by deadlineScale.
 func NewClient(entries []string, deadlineScale float64) *Client {
-	transport := &http.Transport{
+	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerEntry,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
-	}
-	return &Client{HTTP: &http.Client{Transport: transport}, Entries: entries, DeadlineScale: deadlineScale}
+	}}
+	return &Client{HTTP: transport.BoundBodies(http1.Client(client), maxAnswerBytes), Entries: entries, DeadlineScale: deadlineScale}
 }
 
 // Send implements Sender.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bilberrylink/bilberrylink/internal/http1"
+	"github.com/bilberrylink/bilberrylink/internal/transport"
 )
 
 // Defaults of Options, and the wait for an answer to a request without a deadline.
@@ -169,7 +171,7 @@
 func (r *runner) checkCounters(report *Report) error {
 	ctx, cancel := context.WithTimeout(context.Background(), countersTimeout)
 	defer cancel()
-	executions, err := ReadExecutions(ctx, http.DefaultClient, r.opts.Standin)
+	executions, err := ReadExecutions(ctx, transport.BoundBodies(http1.Client(nil), maxAnswerBytes), r.opts.Standin)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -11,17 +11,20 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"io"
+	"maps"
 	"math/big"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/internal/http1/http1test"
 	"github.com/bilberrylink/bilberrylink/internal/settings"
 )
 
@@ -123,6 +126,68 @@
 	require.EqualValues(t, tls.VersionTLS13, state.Version)
 }
 
+// Every client of the system's own processes must accept valid responses and no others, over TLS, too.
+func TestClientsAcceptValidResponsesOnly(t *testing.T) {
+	invalid := http1test.InvalidStatusLines()
+	maps.Copy(invalid, http1test.InvalidFields())
+	maps.Copy(invalid, http1test.InvalidFraming())
+	clients := map[string]*http.Client{
+		"pooled": NewHTTPClient(nil, nil), "unpooled": WithoutKeepAlives(NewHTTPClient(nil, nil)), "repeating": RepeatLate(NewHTTPClient(nil, nil), Any),
+		"like the default": WithoutKeepAlives(http.DefaultClient), "repeating like the default": RepeatLate(http.DefaultClient, Any),
+		"bounded": BoundBodies(NewHTTPClient(nil, nil), 1<<10),
+	}
+	for kind, client := range clients {
+		for name, response := range invalid {
+			body, _, err := get(client, http1test.Server(t, response.Text("")).URL)
+			require.Error(t, err, "%s, %s: %q", kind, name, body)
+		}
+		for name, response := range http1test.Valid() {
+			body, _, err := get(client, http1test.Server(t, response.Text("")).URL)
+			require.NoError(t, err, "%s, %s", kind, name)
+			require.Equal(t, http1test.Body, body, "%s, %s", kind, name)
+		}
+	}
+	ca := newAuthority(t, "ca")
+	client := newClient(t, ca.issue(t, t.TempDir(), "client", "127.0.0.1", ca))
+	for text, valid := range map[string]bool{"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n": false, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n": true} {
+		url := startRawServer(t, ca.issue(t, t.TempDir(), "server", "127.0.0.1", ca), text)
+		_, _, err := get(client, url)
+		require.Equal(t, valid, err == nil, "%q over TLS: %v", text, err)
+	}
+}
+
+// startRawServer starts a server with TLS that answers each request with a text.
+func startRawServer(t *testing.T, files settings.TLS, text string) string {
+	config, err := ServerTLSConfig(files)
+	require.NoError(t, err)
+	l, err := tls.Listen("tcp", "127.0.0.1:0", config)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4<<10)) // the request
+			_, _ = io.WriteString(c, text)     // the client may have closed the connection
+			_ = c.Close()
+		}
+	}()
+	return "https://" + l.Addr().String()
+}
+
+// A body without end must not be read without end, nor one that was cut off be taken for a whole one.
+func TestBodiesAreBounded(t *testing.T) {
+	const limit = 1 << 10
+	for size, whole := range map[int]bool{limit: true, limit + 1: false, 100 * limit: false} {
+		server := http1test.Server(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", size))
+		body, _, err := get(BoundBodies(http.DefaultClient, limit), server.URL)
+		require.Equal(t, whole, err == nil, "%d bytes", size)
+		require.LessOrEqual(t, len(body), limit)
+	}
+}
+
 // A server must reject clients with a certificate of another authority, without a certificate, or with TLS below 1.3.
 func TestServerRejectsOtherClients(t *testing.T) {
 	ca, foreign := newAuthority(t, "ca"), newAuthority(t, "foreign")
--- a/internal/trial/fleet.go
+++ b/internal/trial/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/bilberrylink/bilberrylink/cloud/cloudhttp"
 	"github.com/bilberrylink/bilberrylink/epoch"
 	"github.com/bilberrylink/bilberrylink/fleet"
+	"github.com/bilberrylink/bilberrylink/internal/http1"
 	"github.com/bilberrylink/bilberrylink/internal/operator"
 	"github.com/bilberrylink/bilberrylink/internal/standin"
 	"github.com/bilberrylink/bilberrylink/internal/timing"
@@ -51,7 +52,7 @@
 
 func newClient(f Flags) *client {
 	// Chats use many connections at a time. With a small pool of idle connections, the client would constantly open new ones.
-	httpClient := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: requestTimeout}
+	httpClient := http1.Client(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: requestTimeout})
 	return &client{flags: f, http: httpClient, table: cloudhttp.New(strings.TrimSuffix(f.Standin, "/"), httpClient).Table}
 }
 
