endpointhttp: bodies of calls share a memory budget of the process

Seen in a test, not by callers: an agent kept up to 64 MB of each body that did not end, and nothing bounded the sum over calls, whose other requests end when the agent runs out of memory.

Cause: io.ReadAll, with a bound for one body only.

Change: a body beyond 256 KB charges three times its bytes, which a growing buffer takes, to a budget of 384 MB, before it is read on. A call without room fails as one whose outcome is not known. x/sync/semaphore, which the module had indirectly, is the budget.

--- a/endpoint/endpointhttp/client.go
+++ b/endpoint/endpointhttp/client.go
@@ -294,10 +294,7 @@
 	if resp.Header.Get(HeaderFailure) != "" {
 		return endpoint.Response{}, responseError(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
-	if err == nil && len(body) > MaxBodyBytes {
-		err = errTooLong
-	}
+	body, err := readBody(resp.Body)
 	if err != nil {
 		return endpoint.Response{}, transportError(ctx, err)
 	}
