--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -35,6 +35,9 @@
 func (c *Conn) Begin(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.active && !c.validator.isBetweenResponses() {
+		c.failure = cmp.Or(c.failure, errors.Wrap(ErrInvalid, "bytes behind the previous response"))
+	}
 	c.active, c.validator.method = true, method
 	c.release()
 }
--- a/internal/http1/validator.go
+++ b/internal/http1/validator.go
@@ -115,6 +115,9 @@
 	return n, v.endLine(line)
 }
 
+// isBetweenResponses reports whether no byte of a response has been received since the end of the latest one.
+func (v *validator) isBetweenResponses() bool { return v.state == statusLine && len(v.line) == 0 }
+
 // countLineBytes counts bytes of a line that may not be complete.
 func (v *validator) countLineBytes(n int) error {
 	switch v.state {
--- a/internal/http1/validator_test.go
+++ b/internal/http1/validator_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -61,6 +62,18 @@
 	require.Equal(t, len(response), valid)
 }
 
+// Bytes that come behind a response, before the next request is sent, must not become the beginning of the next response.
+func TestBytesBehindAResponseEndTheConnection(t *testing.T) {
+	for _, behind := range []string{"H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"} {
+		c, err := receive(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext"+behind)
+		require.NoError(t, err)
+		c.Begin(http.MethodGet)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err = c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, ErrInvalid, behind)
+	}
+}
+
 // A head without end must not be received without end.
 func TestEndlessHeadIsInvalid(t *testing.T) {
 	for _, block := range []string{"x", "HTTP/1.1 200 OK\r\nx: ", "a:\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"} {
