http1: a client that has used HTTP/2 gets HTTP/1.1 when it is made to validate

Clients like the one that callers pass in, over https: net/http adds HTTP/2 to the TLS configuration of a transport in use, and a server that took it up spoke what the validating transport cannot. No program did so; found by reading. TestClientUsesHTTP1 failed before and passes. TestResponsesWithoutContentKeepTheConnection covers HEAD, 204 and 304 at the gateway, which held before.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -60,6 +60,7 @@
 		if hostConfig.ServerName == "" {
 			hostConfig.ServerName = host
 		}
+		hostConfig.NextProtos = nil // net/http adds HTTP/2 to that of a transport in use
 		c := tls.Client(raw, hostConfig)
 		if err := c.HandshakeContext(ctx); err != nil {
 			_ = raw.Close() // the handshake error matters, not this one
