http1: the head of a response that came whole is charged, too

Seen in a test, not by callers: a head that arrived with the end of its response in one read was not charged, so that many responses of 4 KB with a thousand short fields each would have taken more than the budget.

Cause: the charge looked at the head that was being received after the read, of which there was none any more.

Change: the validator keeps the largest cost since the request was sent. A failure that Begin has found is not lost to a read that was in progress. TestHeadOfAWholeResponseIsCharged failed before and passes.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -21,7 +21,7 @@
 	active    bool
 	validator validator
 	failure   error // of the first invalid byte; ends the connection
-	headCost  int64 // charged to the budget of the process
+	headCost  int64 // as charged to the budget of the process
 	closed    bool
 
 	writeMu  sync.Mutex // held during a write
@@ -38,7 +38,7 @@
 	if c.active && !c.validator.isBetweenResponses() {
 		c.failure = cmp.Or(c.failure, errors.Wrap(ErrInvalid, "bytes behind the previous response"))
 	}
-	c.active, c.validator.method = true, method
+	c.active, c.validator.method, c.validator.headCost = true, method, 0
 	c.release()
 }
 
@@ -65,9 +65,9 @@
 	c.headCost = 0
 }
 
-// charge charges the head that is being received. It keeps the charge for the largest head, as earlier ones may still be in use. c.mu must be held.
+// charge charges the largest head since the request was sent, as earlier ones may still be in use. c.mu must be held.
 func (c *Conn) charge() error {
-	cost := headCost(c.validator.head.size, c.validator.head.fields)
+	cost := c.validator.headCost
 	switch {
 	case cost <= c.headCost:
 		return nil
@@ -100,6 +100,8 @@
 		return n, err
 	case c.closed:
 		return 0, net.ErrClosed // nothing more must be charged
+	case c.failure != nil: // of Begin
+		return 0, c.failure
 	}
 	valid, failure := c.validator.consume(p[:n])
 	if shortage := c.charge(); shortage != nil {
--- a/internal/http1/heads_test.go
+++ b/internal/http1/heads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bilberrylink/bilberrylink/intake"
 	"github.com/bilberrylink/bilberrylink/internal/http1/http1test"
 )
 
@@ -65,6 +66,19 @@
 	require.Zero(t, heads.large)
 }
 
+// A head must stay charged until its response is no longer used, also if the response has been received whole.
+func TestHeadOfAWholeResponseIsCharged(t *testing.T) {
+	earlier := heads
+	heads = &headBudget{capacity: 1 << 30}
+	defer func() { heads = earlier }()
+	const fields = 500
+	c, err := receive(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", fields)+"Content-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Greater(t, heads.held, int64(fields*intake.FieldCost-freeHeadCost))
+	c.Begin(http.MethodGet)
+	require.Zero(t, heads.held)
+}
+
 // A head of short fields must be bounded by what it takes, not by its length.
 func TestHeadOfShortFieldsIsBounded(t *testing.T) {
 	earlier := heads
--- a/internal/http1/validator.go
+++ b/internal/http1/validator.go
@@ -58,6 +58,7 @@
 	line      []byte // beginning of a line whose end has not been received
 	head      head
 	remaining int64 // bytes of content or chunkData
+	headCost  int64 // of the largest head since the request was sent, in bytes of memory
 }
 
 // head is what a head says of the framing of its response.
@@ -115,6 +116,11 @@
 	return n, v.endLine(line)
 }
 
+// recordCost records what the head costs that is being received.
+func (v *validator) recordCost() {
+	v.headCost = max(v.headCost, headCost(v.head.size, v.head.fields))
+}
+
 // isBetweenResponses reports whether no byte of a response has been received since the end of the latest one.
 func (v *validator) isBetweenResponses() bool { return v.state == statusLine && len(v.line) == 0 }
 
@@ -129,6 +135,7 @@
 		if v.head.size += int64(n); v.head.size > maxHeadBytes {
 			return errors.Wrap(ErrInvalid, "head is too large")
 		}
+		v.recordCost()
 	}
 	return nil
 }
@@ -201,6 +208,7 @@
 // refuse, begin with a blank, and so with no name.
 func (v *validator) endField(line []byte) error {
 	v.head.fields++
+	v.recordCost()
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return invalid("field", line)
