--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // Transport is an http.Transport that returns valid responses only. It uses HTTP/1.1.
@@ -19,7 +20,7 @@
 		dial = new(net.Dialer).DialContext
 	}
 	if dialTLS == nil {
-		dialTLS = secure(dial, t.TLSClientConfig)
+		dialTLS = secure(dial, t.TLSClientConfig, t.TLSHandshakeTimeout)
 	}
 	t.DialContext, t.DialTLSContext = validate(dial), validate(dialTLS)
 	t.ForceAttemptHTTP2 = false
@@ -42,8 +43,8 @@
 	}
 }
 
-// secure returns a dial function that uses TLS, as an http.Transport does without one.
-func secure(dial dialFunc, config *tls.Config) dialFunc {
+// secure returns a dial function that uses TLS, as an http.Transport does without one. A timeout of 0 is none.
+func secure(dial dialFunc, config *tls.Config, handshakeTimeout time.Duration) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(addr)
 		if err != nil {
@@ -61,6 +62,11 @@
 			hostConfig.ServerName = host
 		}
 		hostConfig.NextProtos = nil // net/http adds HTTP/2 to that of a transport in use
+		if handshakeTimeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, handshakeTimeout)
+			defer cancel()
+		}
 		c := tls.Client(raw, hostConfig)
 		if err := c.HandshakeContext(ctx); err != nil {
 			_ = raw.Close() // the handshake error matters, not this one
