soak: endpoints send invalid and endless responses

Endpoints in trouble send statuses that are none, fields whose names hold blanks or control bytes, a switch of protocols, a length beside chunks, heads and bodies without end, and answer orders of 8 MB at once with a part and a reset. Callers report statuses and field names that no response may have, and content that is not their endpoint's.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -17,6 +17,7 @@
 const (
 	callerTimeout = 5 * time.Second
 	answerMargin  = 2 * time.Second // after the deadline, until an answer must have come
+	longOrders    = 10              // one order of so many has a long body
 )
 
 // caller sends requests one after the other. It keeps its connection for as long as the gateway does.
@@ -63,6 +64,9 @@
 	switch c.rng.IntN(10) {
 	case 0, 1:
 		r.kind, request.Path = "order", "/orders/"+r.attempt
+		if c.rng.IntN(longOrders) == 0 {
+			request.Body += strings.Repeat("x", longBody)
+		}
 	case 2:
 		r.kind, request.Method, request.Path = "stock", http.MethodGet, "/stock/"+r.attempt
 	default:
@@ -99,6 +103,14 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	r.status = resp.StatusCode
+	if r.status < 200 || r.status > 599 {
+		r.badResponse = fmt.Sprintf("status %03d", r.status)
+	}
+	for name := range resp.Header {
+		if strings.ContainsAny(name, " \t") {
+			r.badResponse = fmt.Sprintf("field name %q", name)
+		}
+	}
 	body, err := io.ReadAll(resp.Body)
 	r.body, r.complete = string(body), err == nil
 	if r.status == http.StatusOK {
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -45,6 +45,7 @@
 	id        string // of the current incarnation
 	limit     float64
 	garbles   bool // breaks off or adds to some answers
+	invalid   bool // sends some responses that HTTP/1.1 does not allow, or that do not end
 	leaving   bool // states in its answers that it shuts down
 	refuses   bool // refuses requests with a time to return
 	listener  *silenceableListener
@@ -151,7 +152,10 @@
 	reader := bufio.NewReader(c)
 	for {
 		req, err := platformtest.ReadEndpointRequest(reader)
-		if err != nil || !e.answer(c, req) {
+		if err != nil || e.answerInvalid(c, req) {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || !e.answer(c, req) {
 			return
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,7 @@
 		{"endpoint crash", func(float64) { w.randomEndpoint().crash() }},
 		{"limits", w.limitEndpoints},
 		{"garbled answers", w.garbleAnswers},
+		{"invalid responses", w.sendInvalidResponses},
 		{"store restored", w.restoreStore},
 		{"store restored", w.restoreStore},
 		{"configuration", func(float64) { w.changeConfiguration() }},
@@ -218,6 +219,12 @@
 	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.garbles = false }) })
 }
 
+func (w *world) sendInvalidResponses(seconds float64) {
+	e := w.randomEndpoint()
+	e.set(func(e *endpoint) { e.invalid = true })
+	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.invalid = false }) })
+}
+
 // silenceConnections silences the open connections to the store and to the endpoints, and changes the configuration right after.
 func (w *world) silenceConnections(float64) {
 	const maxChangeDelay = 300 * time.Millisecond
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -172,6 +172,7 @@
 		Epoch: w.epoch,
 		Routes: []platformtest.Route{route(chatPrefix, "streaming", modelService), route("/orders/", "non_idempotent", shopService),
 			route("/stock/", "idempotent", shopService), route(addedPrefix(w.epoch), "idempotent", shopService)},
+		Limits: platformtest.Limits{MaxBodyBytes: 2 * longBody},
 		Models: []string{modelService}, Services: []string{shopService}, APIKeys: []string{apiKey, addedKey(w.epoch)},
 	}.Encode())
 }
