--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -175,7 +175,11 @@
 	r := run{attempt: req.AttemptID, path: req.Path, endpoint: id, domain: e.domain, at: time.Now(), parts: req.Parts, leaving: leaving, refused: refuses}
 	if refuses {
 		e.world.checker.recordRefusal(r)
-		_, err := io.WriteString(c, platformtest.Refusal(req.AttemptID, refusalTime))
+		refusal := platformtest.Refusal(req.AttemptID, refusalTime)
+		if leaving {
+			refusal = strings.TrimSuffix(refusal, "\r\n") + platformtest.LeavingHeader + "\r\n"
+		}
+		_, err := io.WriteString(c, refusal)
 		return err == nil
 	}
 	e.world.checker.recordRun(r, limit)
