--- a/cloud/cloudhttp/client_test.go
+++ b/cloud/cloudhttp/client_test.go
@@ -13,14 +13,12 @@
 
 // An invalid response of the platform must be neither a row nor the confirmation of a write, which is in doubt then.
 func TestInvalidResponsesOfThePlatform(t *testing.T) {
-	for _, responses := range []map[string]http1test.Response{http1test.InvalidStatusLines(), http1test.InvalidFields(), http1test.InvalidFraming()} {
-		for name, response := range responses {
-			text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
-			table := cloudhttp.New(http1test.Server(t, text).URL, nil).Table
-			_, err := table.Get(t.Context(), "k")
-			require.ErrorIs(t, err, cloud.ErrUnavailable, name)
-			_, err = table.Commit(t.Context(), cloud.Write{Key: "k"})
-			require.ErrorIs(t, err, cloud.ErrInDoubt, name)
-		}
+	for name, response := range http1test.Invalid() {
+		text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
+		table := cloudhttp.New(http1test.Server(t, text).URL, nil).Table
+		_, err := table.Get(t.Context(), "k")
+		require.ErrorIs(t, err, cloud.ErrUnavailable, name)
+		_, err = table.Commit(t.Context(), cloud.Write{Key: "k"})
+		require.ErrorIs(t, err, cloud.ErrInDoubt, name)
 	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -175,13 +175,11 @@
 
 // An invalid response of a peer must not be taken for its state.
 func TestInvalidResponsesOfPeers(t *testing.T) {
-	for _, responses := range []map[string]http1test.Response{http1test.InvalidStatusLines(), http1test.InvalidFields(), http1test.InvalidFraming()} {
-		for name, response := range responses {
-			text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
-			addr := http1test.Server(t, text).Listener.Addr().String()
-			_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
-			require.Error(t, err, name)
-		}
+	for name, response := range http1test.Invalid() {
+		text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
+		addr := http1test.Server(t, text).Listener.Addr().String()
+		_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
+		require.Error(t, err, name)
 	}
 	addr := http1test.Server(t, "HTTP/1.1 200 OK\r\n\r\nnull").Listener.Addr().String()
 	_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
--- a/internal/http1/http1test/responses.go
+++ b/internal/http1/http1test/responses.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -105,6 +106,14 @@
 	return responses
 }
 
+// Invalid returns all invalid responses.
+func Invalid() map[string]Response {
+	responses := InvalidStatusLines()
+	maps.Copy(responses, InvalidFields())
+	maps.Copy(responses, InvalidFraming())
+	return responses
+}
+
 // Valid returns responses that clients must accept.
 func Valid() map[string]Response {
 	return map[string]Response{
--- a/internal/http1/validator_test.go
+++ b/internal/http1/validator_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -29,9 +28,7 @@
 
 // A response must be judged alike however the network cuts it into pieces.
 func TestResponsesInPieces(t *testing.T) {
-	invalid := http1test.InvalidStatusLines()
-	maps.Copy(invalid, http1test.InvalidFields())
-	maps.Copy(invalid, http1test.InvalidFraming())
+	invalid := http1test.Invalid()
 	for _, piece := range []int{1, 2, 3, 7, 1 << 20} {
 		for name, response := range http1test.Valid() {
 			v := &validator{method: http.MethodGet}
--- a/internal/load/answers_test.go
+++ b/internal/load/answers_test.go
@@ -15,10 +15,8 @@
 		arrival := &Arrival{Traffic: &Traffic{Kind: KindCall, Method: http.MethodPost}, Workspace: &Workspace{}}
 		return NewClient([]string{url}, 1).Send(t.Context(), arrival, nil)
 	}
-	for _, responses := range []map[string]http1test.Response{http1test.InvalidStatusLines(), http1test.InvalidFields(), http1test.InvalidFraming()} {
-		for name, response := range responses {
-			require.Equal(t, OutcomeNoAnswer, send(http1test.Server(t, response.Text("")).URL).Outcome, name)
-		}
+	for name, response := range http1test.Invalid() {
+		require.Equal(t, OutcomeNoAnswer, send(http1test.Server(t, response.Text("")).URL).Outcome, name)
 	}
 	require.Equal(t, OutcomeOK, send(http1test.Server(t, "HTTP/1.1 200 OK\r\n\r\ntext").URL).Outcome)
 	require.Equal(t, OutcomeNoAnswer, send(http1test.Server(t, "HTTP/1.1 200 OK\r\n\r\n"+string(make([]byte, maxAnswerBytes+1))).URL).Outcome)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -11,7 +11,6 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"io"
-	"maps"
 	"math/big"
 	"net"
 	"net/http"
@@ -128,9 +127,7 @@
 
 // Every client of the system's own processes must accept valid responses and no others, over TLS, too.
 func TestClientsAcceptValidResponsesOnly(t *testing.T) {
-	invalid := http1test.InvalidStatusLines()
-	maps.Copy(invalid, http1test.InvalidFields())
-	maps.Copy(invalid, http1test.InvalidFraming())
+	invalid := http1test.Invalid()
 	clients := map[string]*http.Client{
 		"pooled": NewHTTPClient(nil, nil), "unpooled": WithoutKeepAlives(NewHTTPClient(nil, nil)), "repeating": RepeatLate(NewHTTPClient(nil, nil), Any),
 		"like the default": WithoutKeepAlives(http.DefaultClient), "repeating like the default": RepeatLate(http.DefaultClient, Any),
