--- a/internal/http1/validator.go
+++ b/internal/http1/validator.go
@@ -209,17 +209,18 @@
 func (v *validator) endField(line []byte) error {
 	v.head.fields++
 	v.recordCost()
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+	name, value, ok := strings.Cut(string(line), ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return invalid("field", line)
 	}
 	if v.state == trailerLine {
 		return nil
 	}
-	switch text := strings.Trim(string(value), " \t"); strings.ToLower(string(name)) {
-	case "content-length":
+	text := strings.Trim(value, " \t")
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
 		return v.setContentLength(text, line)
-	case "transfer-encoding":
+	case strings.EqualFold(name, "Transfer-Encoding"):
 		// Servers may use other codings only if the request has a TE field, which no client here sends.
 		if !strings.EqualFold(text, "chunked") || v.head.hasFraming() {
 			return invalid("transfer coding", line)
