--- a/internal/hostile/endless_test.go
+++ b/internal/hostile/endless_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/bilberrylink/bilberrylink/platform/platformtest"
 )
 
 // Requests that get an endless response at the same time.
@@ -35,12 +37,12 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	text, head := shortFields(), "HTTP/1.1 200 OK\r\n"
+	text, head := shortFields(), platformtest.SuccessHead(attemptID, 0)
 	switch {
 	case strings.HasSuffix(req.URL.Path, "/line"):
 		text, head = strings.Repeat("x", endlessPiece), head+"X-Any: "
 	case strings.HasSuffix(req.URL.Path, "/body"), strings.HasSuffix(req.URL.Path, "/event"):
-		text, head = strings.Repeat("x", endlessPiece), head+"X-Bilberrylink-Response-Signature: s\r\n\r\n"
+		text, head = strings.Repeat("x", endlessPiece), head+"\r\n"
 	}
 	if _, err := io.WriteString(c, head); err != nil {
 		return
--- a/internal/hostile/gateway_test.go
+++ b/internal/hostile/gateway_test.go
@@ -33,6 +33,7 @@
 	gatewayIP     = "127.0.0.95"
 	callerHost    = "h.example"
 	apiKey        = "key"
+	attemptID     = "a" // of all requests
 	callerTimeout = time.Minute
 	startTimeout  = 30 * time.Second
 	answerTimeout = time.Minute // for the ordinary request; a failure, not a bound on the time to answer
@@ -153,7 +154,7 @@
 }
 
 func callerRequest(path, body string) []byte {
-	return platformtest.CallerRequest{Method: http.MethodPost, Path: path, Host: callerHost, AttemptID: "a", APIKey: apiKey,
+	return platformtest.CallerRequest{Method: http.MethodPost, Path: path, Host: callerHost, AttemptID: attemptID, APIKey: apiKey,
 		Timeout: callerTimeout, Body: body}.Encode()
 }
 
