--- a/cloud/cloudhttp/client_test.go
+++ b/cloud/cloudhttp/client_test.go
@@ -1,7 +1,6 @@
 package cloudhttp_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,7 +13,7 @@
 // An invalid response of the platform must be neither a row nor the confirmation of a write, which is in doubt then.
 func TestInvalidResponsesOfThePlatform(t *testing.T) {
 	for name, response := range http1test.Invalid() {
-		text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
+		text := response.JSONText()
 		table := cloudhttp.New(http1test.Server(t, text).URL, nil).Table
 		_, err := table.Get(t.Context(), "k")
 		require.ErrorIs(t, err, cloud.ErrUnavailable, name)
--- a/endpoint/endpointhttp/invalid_test.go
+++ b/endpoint/endpointhttp/invalid_test.go
@@ -14,7 +14,7 @@
 // requireNoAnswer fails the test if a call, a stream, an order, a health check or a report gets an answer of an endpoint that writes a text, with
 // and without a valid response behind it.
 func requireNoAnswer(t *testing.T, response http1test.Response) {
-	valid := http1test.Response{StatusLine: "HTTP/1.1 200 OK\r\n", Fields: "Content-Length: 4\r\n", Rest: http1test.Body}
+	valid := http1test.Valid()["length"]
 	for _, behind := range []string{"", valid.Text("")} {
 		url := http1test.Server(t, response.Text("")+behind).URL
 		service, engine := endpointhttp.NewService(url, nil), endpointhttp.NewEngine(url, nil)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -176,7 +176,7 @@
 // An invalid response of a peer must not be taken for its state.
 func TestInvalidResponsesOfPeers(t *testing.T) {
 	for name, response := range http1test.Invalid() {
-		text := strings.ReplaceAll(response.Text(""), http1test.Body, "null") // JSON of the same length
+		text := response.JSONText()
 		addr := http1test.Server(t, text).Listener.Addr().String()
 		_, _, err := NewStateClient(nil).Fetch(t.Context(), addr, StateQuery{})
 		require.Error(t, err, name)
--- a/internal/entry/agent_client.go
+++ b/internal/entry/agent_client.go
@@ -40,14 +40,17 @@
 type agentsClient struct {
 	pooledHTTP   *http.Client // reuses connections
 	unpooledHTTP *http.Client // opens a connection per request, for use when pooled connections may be dead
+	unaryHTTP    *http.Client // unpooledHTTP with bounded bodies
 	scheme       string
 }
 
 // newAgentsClient returns a client. config is nil for plain TCP.
 func newAgentsClient(dial transport.DialFunc, config *tls.Config) *agentsClient {
+	unpooled := newAgentHTTPClient(dial, config, true)
 	return &agentsClient{
 		pooledHTTP:   newAgentHTTPClient(dial, config, false),
-		unpooledHTTP: newAgentHTTPClient(dial, config, true),
+		unpooledHTTP: unpooled,
+		unaryHTTP:    transport.BoundBodies(unpooled, maxUnaryBodyBytes),
 		scheme:       transport.Scheme(config != nil),
 	}
 }
@@ -129,7 +132,7 @@
 
 // unary returns the client of the agent's unary calls. It opens a connection per call, because a pooled one may be dead.
 func (c *agentsClient) unary(addr string) wire.Agent {
-	return wire.NewAgentProtobufClient(c.scheme+"://"+addr, transport.BoundBodies(c.unpooledHTTP, maxUnaryBodyBytes))
+	return wire.NewAgentProtobufClient(c.scheme+"://"+addr, c.unaryHTTP)
 }
 
 // closeIdleConnections closes idle pooled connections. After one connection to a host went silent, the others may be dead
--- a/internal/http1/http1test/responses.go
+++ b/internal/http1/http1test/responses.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -23,6 +24,9 @@
 	return r.StatusLine + fields + r.Fields + "\r\n" + r.Rest
 }
 
+// JSONText returns the response with JSON of the same length in place of Body.
+func (r Response) JSONText() string { return strings.ReplaceAll(r.Text(""), Body, "null") }
+
 // Body is the content of all valid responses that have content.
 const Body = "text"
 
--- a/internal/http1/validator_test.go
+++ b/internal/http1/validator_test.go
@@ -102,7 +102,7 @@
 		}
 		rest := bytes.NewReader(text)
 		reader := bufio.NewReaderSize(rest, 1<<16)
-		for responses := 0; reader.Buffered()+rest.Len() > 0; responses++ {
+		for reader.Buffered()+rest.Len() > 0 {
 			resp, err := http.ReadResponse(reader, &http.Request{Method: method})
 			if err != nil {
 				require.Error(t, err) // net/http is stricter, or the response is incomplete
--- a/internal/transport/bound.go
+++ b/internal/transport/bound.go
@@ -1,14 +1,14 @@
 package transport
 
-import "net/http"
+import (
+	"cmp"
+	"net/http"
+)
 
 // BoundBodies returns a client like c, for which bodies of responses fail with *http.MaxBytesError behind maxBytes bytes.
 func BoundBodies(c *http.Client, maxBytes int64) *http.Client {
 	bounded := *c
-	bounded.Transport = boundedTransport{next: c.Transport, maxBytes: maxBytes}
-	if c.Transport == nil {
-		bounded.Transport = boundedTransport{next: http.DefaultTransport, maxBytes: maxBytes}
-	}
+	bounded.Transport = boundedTransport{next: cmp.Or(c.Transport, http.DefaultTransport), maxBytes: maxBytes}
 	return &bounded
 }
 
--- a/internal/transport/late.go
+++ b/internal/transport/late.go
@@ -21,8 +21,8 @@
 )
 
 // RepeatLate returns a client like c that makes calls whose response is late once more on a new connection. Calls that are not repeatable are made
-// once. The client accepts valid responses only. The idle connections are closed when a call has shown that one is silent. repeatable calls must not stream their responses. A client
-// with a transport of another kind than that of net/http is returned as it is.
+// once. The client accepts valid responses only. The idle connections are closed when a call has shown that one is silent. repeatable calls must
+// not stream their responses. A client with a transport of another kind than that of net/http is returned as it is.
 func RepeatLate(c *http.Client, repeatable func(*http.Request) bool) *http.Client {
 	repeating := *http1.Client(c)
 	pooled, ok := repeating.Transport.(*http1.Transport)
