--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15. Run it after the build of the deploy file, in any folder.
+# Builds the stand-ins of the scripts of cases 11 and 13 to 15. Run it after the build of the deploy file, in any folder.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,4 +1,4 @@
-// Command standins-3 plays the cases of the third review: it starts gateways as separate processes, and plays the platform's store, the workers
+// Command standins-3 plays the scripts of the third review: it starts gateways as separate processes, and plays the platform's store, the workers
 // and the requesters on loopback addresses.
 package main
 
