--- a/review/12/run.sh
+++ /dev/null
@@ -1,6 +0,0 @@
-#!/bin/sh
-# A part of a prompt crashes workers. The prompts that hold it share a later part with sound prompts.
-# Exit codes: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/bilberry-gateway ] && [ -x target/review-3/standins ] || exit 2
-exec target/review-3/standins -case part-behind -folder review/12
