gateway: an endpoint's own 503 is no promise that a request has not run

Cause: 408, 421, 429 and 503 promise a caller that its request has not run. From an endpoint they state nothing unless its response says so, but they were passed on as they came. Ruled out: a retry by the gateway; the second run has another attempt ID.

Change: such a response without the endpoint's statement is a failure of the endpoint. It is retried where that is safe, and otherwise answered with the gateway's own 502, which promises nothing. This holds for all four statuses and all kinds of routes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -652,13 +652,17 @@
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
 		return failure{kind: errkind.EndpointFailed, reason: "incomplete answer"}, false
 	}
-	if resp.Status >= 500 {
+	if resp.Status >= 500 || resp.PromisesNotRun {
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
 		f := failure{kind: errkind.EndpointFailed, reason: "endpoint failed " + strconv.Itoa(resp.Status)}
 		if s.headerWritten.Load() || a.hasRival() {
 			return f, false // a stream cannot continue with the error, and another attempt may succeed
 		}
 		if !s.tryRetry(f, s.gw.opts.Now()) {
+			if resp.PromisesNotRun { // the request has run, so that this must not reach the caller
+				f.final = true
+				return f, false
+			}
 			return s.writeWhole(a, resp, body)
 		}
 		f.retryPaid = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -724,3 +724,35 @@
 		})
 	}
 }
+
+// An endpoint's own status that callers take for the promise that a request has not run must not reach them when it has run, whatever the
+// kind of the route. Statuses that promise nothing are passed on.
+func TestStatusThatPromisesNotRunIsTrue(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.NonIdempotent, catalog.Idempotent, catalog.Stream} {
+		for status, promises := range map[int]bool{408: true, 421: true, 429: true, 503: true, 400: false, 404: false, 500: false, 502: false, 504: false} {
+			for _, refusesFirst := range []bool{false, true} {
+				name := fmt.Sprintf("%s, %d, after a refusal: %t", kind, status, refusesFirst)
+				tg := newTestGateway(func(_ context.Context, n int, _ *EndpointRequest) (*Response, error) {
+					resp := newResponse(status, "ran")
+					resp.PromisesNotRun = promises
+					if refusesFirst && n == 1 {
+						resp.NotExecuted = true
+					}
+					return resp, nil
+				})
+				caller := tg.serve(t.Context(), kind, nil)
+				require.Equal(t, 1, caller.responses, name)
+				if promises {
+					require.Equal(t, errkind.EndpointFailed, caller.refusedKind, name)
+					require.Zero(t, caller.status, name)
+				} else {
+					require.Equal(t, status, caller.status, name)
+					require.Equal(t, "ran", caller.body.String(), name)
+				}
+				if kind == catalog.NonIdempotent && !refusesFirst {
+					require.Len(t, tg.requests, 1, name)
+				}
+			}
+		}
+	}
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -55,6 +55,7 @@
 type Response struct {
 	Status           int
 	NotExecuted      bool          // the endpoint states that it did not execute the request
+	PromisesNotRun   bool          // a caller would take the status for the statement that the request has not run and never will
 	SignatureValid   bool          // the endpoint's signature is present and valid
 	WrongEndpoint    bool          // another endpoint uses the address
 	ClosesConnection bool          // the endpoint closes the connection, which suggests that it is shutting down
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -373,6 +373,19 @@
 	}
 }
 
+// Guards against a service's own status that looks like a refusal of the entry, whose callers learn from the body alone what has run.
+func TestStatusOfAServiceClaimsNoRunState(t *testing.T) {
+	for _, status := range []int32{408, 421, 429, 503} {
+		f := newFleet(t, func(_ *fakeAgent, _ *wire.RunRequest, out *frameWriter) { out.started().response(status, "own").end() })
+		e := newTestEntry(t, f, Disabled{})
+		got := e.do(t, http.MethodPost, "/services/stock/notes", "text")
+		assert.Equal(t, int(status), got.status)
+		assert.Equal(t, "own", got.body)
+		runs, _ := f.totalCounts()
+		assert.Equal(t, 1, runs, "it has run, and is not repeated")
+	}
+}
+
 // Guards against answers of a recalled version, and against answers of an entry without fresh evidence.
 func TestRecallAndFreshnessAreCheckedAtTheFirstFrame(t *testing.T) {
 	epochs := new(fakeEpochs)
