quarantine: all shared parts of a prompt may be at fault, not the first 64

The tracker bounds itself: 16,384 records, of which those with the fewest and oldest crashes make room, 8,192 new ones for each broken attempt, and a bound on what is sent to peers and logged at once. The entry read 64 messages of a chat; it now reads all, one prompt takes half of its records at most, and its messages to other entries hold the older records in turn.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -29,6 +30,9 @@
 // blameThreshold is the number of crashes at which a prompt is refused, and of blamed prompts at which a part of them is.
 const blameThreshold = 2
 
+// maxPartRecords is the share of the records that one prompt may add for its parts.
+const maxPartRecords = 2
+
 // recentCompletion is the time for which a completed prompt shows that its parts are harmless.
 const recentCompletion = 2 * time.Second
 
@@ -96,9 +100,10 @@
 	metrics    metrics
 	writeQueue *ringbuffer.Buffer[string]
 
-	mu      sync.Mutex
-	records *lru[*Record]   // by fingerprint
-	proven  *lru[time.Time] // expiry of proven fingerprints
+	mu       sync.Mutex
+	records  *lru[*Record]   // by fingerprint
+	proven   *lru[time.Time] // expiry of proven fingerprints
+	gossiped int             // position behind the older records that were last sent to other nodes
 }
 
 type metrics struct {
@@ -197,6 +202,11 @@
 	if t.opts.Disabled {
 		return
 	}
+	if limit := t.opts.MaxRecords / maxPartRecords; len(parts) > limit {
+		parts = slices.Clone(parts)
+		rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+		parts = parts[:limit]
+	}
 	for _, part := range parts {
 		key := partPrefix + part
 		if t.completedLately(key) {
@@ -359,13 +369,24 @@
 	}
 }
 
-// RecentRecords implements Gossip. It returns records that changed lately, the newest change first.
+// RecentRecords implements Gossip. It returns records that changed lately, the newest change first. If there are too many for a message, a
+// half of it is for the older ones in turn.
 func (t *Tracker) RecentRecords() []*wire.BlameRecord {
 	now := time.Now()
 	recent := t.unexpired(func(r *Record) bool { return now.Sub(r.changedAt) < gossipDuration })
 	sort.Slice(recent, func(i, j int) bool { return recent[i].changedAt.After(recent[j].changedAt) })
-	newest := make([]*wire.BlameRecord, 0, min(len(recent), maxGossipRecords))
-	for _, r := range recent[:min(len(recent), maxGossipRecords)] {
+	if len(recent) > maxGossipRecords {
+		const half = maxGossipRecords / 2
+		older := recent[half:]
+		t.mu.Lock()
+		start := t.gossiped % len(older)
+		t.gossiped = start + half
+		t.mu.Unlock()
+		older = slices.Concat(older[start:], older[:start])
+		recent = slices.Concat(recent[:half], older[:half])
+	}
+	newest := make([]*wire.BlameRecord, 0, len(recent))
+	for _, r := range recent {
 		newest = append(newest, &wire.BlameRecord{
 			Fingerprint: r.Fingerprint,
 			Crashes:     int32(r.Crashes),
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -154,3 +155,34 @@
 		assert.Equal(t, "common", first.BlamedPart(bad), "nothing has completed since")
 	})
 }
+
+// Guards against records of which other entries never hear since newer ones fill each message.
+func TestGossipReachesAllRecordsOfALongPrompt(t *testing.T) {
+	const parts = 5 * maxGossipRecords
+	var all []string
+	for i := range parts {
+		all = append(all, strconv.Itoa(i))
+	}
+	first, second := New(Options{}), New(Options{})
+	first.RecordBlamedPrompt("p1", all)
+	first.RecordBlamedPrompt("p2", all)
+	for range 2*parts/maxGossipRecords + 1 {
+		second.MergeRecords(first.RecentRecords())
+	}
+	for _, part := range all {
+		assert.Equal(t, Blamed, second.Check(partPrefix+part), part)
+	}
+}
+
+// Guards against one long prompt that takes the place of all other records.
+func TestPartsOfALongPromptAreBounded(t *testing.T) {
+	tracker := New(Options{MaxRecords: 100})
+	tracker.RecordCrash(t.Context(), "p", "model-1")
+	var all []string
+	for i := range 10_000 {
+		all = append(all, strconv.Itoa(i))
+	}
+	tracker.RecordBlamedPrompt("long", all)
+	assert.Equal(t, Suspect, tracker.Check("p"))
+	assert.Len(t, tracker.records.items, 1+100/maxPartRecords)
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,6 +18,9 @@
 	progressEvents = 4
 )
 
+// maxLoggedParts bounds the parts of a prompt in a line of the log.
+const maxLoggedParts = 64
+
 // subjectsOf returns what may be the cause if the request crashes endpoints.
 func subjectsOf(r *Request) []quarantine.Subject {
 	subjects := make([]quarantine.Subject, 0, 1+len(r.SharedParts))
@@ -28,6 +31,8 @@
 	return subjects
 }
 
+func loggedParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
+
 func (s *requestState) isBlocked() bool {
 	verdict, _ := s.gw.opts.Quarantine.Check(s.subjects)
 	return verdict != quarantine.Admitted
@@ -41,7 +46,7 @@
 		return failure{}, false
 	}
 	s.logEntry("blocked").WithFields(logrus.Fields{
-		"subject": by.Key(), "verdict": verdict.String(), "shared_parts": s.req.SharedParts,
+		"subject": by.Key(), "verdict": verdict.String(), "shared_parts": loggedParts(s.req.SharedParts),
 	}).Info("request is not sent: what it contains has crashed endpoints")
 	return failure{kind: errkind.PromptBlamed, notExecuted: true, final: true, persistent: true, hopeless: verdict == quarantine.Condemned,
 		reason: by.Kind.String() + " has crashed endpoints"}, true
@@ -55,7 +60,7 @@
 		s.gw.opts.Quarantine.RecordCrash(quarantine.NewCrash(e.ID, e.Born, s.req.Fingerprint), s.subjects)
 	}
 	s.logEntry(event).WithError(err).WithFields(logrus.Fields{
-		"endpoint": e.ID, "resume_after": s.lastEventID, "attempt_events": received, "shared_parts": s.req.SharedParts,
+		"endpoint": e.ID, "resume_after": s.lastEventID, "attempt_events": received, "shared_parts": loggedParts(s.req.SharedParts),
 		"call": strconv.FormatUint(s.req.Fingerprint, 16),
 	}).Info("endpoint broke off an attempt")
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -112,13 +112,10 @@
 	return b.String()
 }
 
-// maxSharedParts bounds the messages of a chat that are looked at one by one.
-const maxSharedParts = 64
-
 // sharedParts returns the fingerprints of the first messages. The last one belongs to this chat.
 func (c *chatRequest) sharedParts(model string) []string {
-	var parts []string
-	for _, m := range c.Messages[:min(len(c.Messages)-1, maxSharedParts)] {
+	parts := make([]string, 0, len(c.Messages)-1)
+	for _, m := range c.Messages[:len(c.Messages)-1] {
 		parts = append(parts, computeFingerprint(model, m.Role, string(m.Content)))
 	}
 	return parts
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,7 +8,10 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -27,9 +30,12 @@
 	callTTL       = 5 * time.Minute  // the same of a call, which is not tried: many callers may look up the same thing
 	clearedTTL    = time.Minute      // life of a record without crashes, which overrides older records of peers
 	spreadPeriod  = 10 * time.Second // time after a change during which a record is sent to peers
-	maxRecords    = 2048
-	maxProgress   = 8192 // parts whose latest progress is kept
-	maxExplaining = 16   // records that may explain the crashes of others
+	maxRecords    = 16_384           // twice as many as the parts in a head of 16 KB
+	maxNewRecords = 8192             // of one broken attempt
+	maxProgress   = 16_384           // parts whose latest progress is kept
+	maxExplaining = 16               // records that may explain the crashes of others
+	maxChanged    = 32_768           // records that all gateways together send to each of their peers at once
+	maxLogged     = 16               // verdicts that are logged one by one
 )
 
 // Options configures a Tracker.
@@ -148,14 +154,8 @@
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	c = t.distinguish(c, now)
-	depth, changed := 0, false
-	for _, s := range subjects {
-		if s.Kind == Part {
-			depth++
-		}
-		if t.madeProgress(s, now) {
-			continue
-		}
+	changed := false
+	for depth, s := range t.suspects(subjects, now) {
 		e := t.entry(s)
 		if depth > e.Depth {
 			e.Depth, changed = depth, true
@@ -173,6 +173,25 @@
 	}
 }
 
+// suspects returns the subjects of a broken attempt that have not made progress recently, by position. A random choice of those without a record
+// is left out if there are too many.
+func (t *Tracker) suspects(subjects []Subject, now time.Time) map[int]Subject {
+	suspects, unknown, depth := make(map[int]Subject, len(subjects)), 0, 0
+	for _, i := range rand.Perm(len(subjects)) {
+		s := subjects[i]
+		if depth = i; s.Kind == Call {
+			depth = 0
+		}
+		if t.records[s] == nil {
+			unknown++
+		}
+		if !t.madeProgress(s, now) && (t.records[s] != nil || unknown <= maxNewRecords) {
+			suspects[depth] = s
+		}
+	}
+	return suspects
+}
+
 func ttlOf(kind Kind) time.Duration {
 	if kind == Call {
 		return callTTL
@@ -318,22 +337,18 @@
 	}
 }
 
-// evict removes expired entries, and if too few have expired, those that block nothing.
+// evict removes expired entries, and if too few have expired, those with the fewest and oldest crashes that block nothing.
 func (t *Tracker) evict() {
+	const kept = maxRecords * 3 / 4
 	t.dropExpired()
-	for s, e := range t.records {
-		if len(t.records) < maxRecords*3/4 {
-			return
-		}
-		if e.verdict == Admitted {
-			delete(t.records, s)
-		}
-	}
-	for s := range t.records {
-		if len(t.records) < maxRecords {
+	entries := slices.SortedFunc(maps.Values(t.records), func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.verdict, b.verdict), cmp.Compare(len(a.endpoints), len(b.endpoints)), a.changedAt.Compare(b.changedAt))
+	})
+	for _, e := range entries[:max(len(entries)-kept, 0)] {
+		if e.verdict != Admitted && len(t.records) < maxRecords {
 			return
 		}
-		delete(t.records, s)
+		delete(t.records, e.Subject)
 	}
 }
 
@@ -357,7 +372,7 @@
 		}
 	}
 	explaining := heaviest(heavy, maxExplaining)
-	blocked := map[Kind]int{}
+	blocked, changed := map[Kind]int{}, 0
 	for _, e := range t.records {
 		previous := e.verdict
 		e.verdict = Admitted
@@ -374,7 +389,13 @@
 			e.nextTrialAt = t.trialTime()
 		}
 		e.storeAt = now.Add(storeTime(e.sawCrash))
-		t.log(e, "quarantine_verdict").WithField("cause", cause).Info("verdict on what may crash endpoints has changed")
+		if changed++; changed <= maxLogged {
+			t.log(e, "quarantine_verdict").WithField("cause", cause).Info("verdict on what may crash endpoints has changed")
+		}
+	}
+	if changed > maxLogged {
+		t.opts.Log.WithFields(logrus.Fields{"event": "quarantine_verdicts", "cause": cause, "subjects": changed}).
+			Info("verdicts on what may crash endpoints have changed")
 	}
 	t.blocked.Store(int32(blocked[Call] + blocked[Part]))
 	for _, kind := range []Kind{Call, Part} {
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -8,17 +8,27 @@
 // Changed returns a channel that signals that records have changed at this gateway since the last call of TakeChanged.
 func (t *Tracker) Changed() <-chan struct{} { return t.changed }
 
-// TakeChanged returns the records that have changed at this gateway since the last call.
+// TakeChanged returns the records that have changed at this gateway since the last call. If there are too many, it returns those with the most
+// crashes: all or none of those with as many, as peers would take the ones that they hear of for the cause. Spread returns the others.
 func (t *Tracker) TakeChanged() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	records := make([]Record, 0, len(t.unsent))
+	var changed []*entry
 	for s := range t.unsent {
 		if e := t.records[s]; e != nil {
-			records = append(records, e.clone())
+			changed = append(changed, e)
 		}
 	}
 	clear(t.unsent)
+	if limit := maxChanged / max(t.opts.Gateways(), 1); len(changed) > limit {
+		slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(len(b.endpoints), len(a.endpoints)) })
+		least := len(changed[limit].endpoints)
+		changed = slices.DeleteFunc(changed, func(e *entry) bool { return len(e.endpoints) <= least })
+	}
+	records := make([]Record, len(changed))
+	for i, e := range changed {
+		records[i] = e.clone()
+	}
 	return records
 }
 
