quarantine: parts that always crash together are told apart by later requests

Cause: of parts with the same crashes the one further back in the prompt was blamed. It was in all sound requests, and from five crashes on nothing with it was sent, so that nothing could show that the guess was wrong. Ruled out: late progress; the sound requests before had completed, but more than 2 s earlier.

Change: parts that nothing distinguishes are blocked together. A request with all of them is refused; one without some part that may be at fault instead is tried, first at once, then rarely, and not after three trials that crashed endpoints. Its success clears its parts, its crash those that it lacks. Earlier progress counts at any age, and a condemned part that has made some is tried. Records of peers keep their own time to live. The entry refused each chat with any message that two blamed chats shared; it has the same rule now.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -1,8 +1,9 @@
 // Package blame detects prompts that crash endpoints, so that they are not retried until the whole fleet is down.
 //
 // A prompt that was running on an endpoint when the endpoint crashed is a suspect and is retried alone. After a second
-// crash the prompt is blamed and is refused until its record expires. A part of a prompt that several blamed prompts share is blamed,
-// too, unless prompts with it complete. Prompts and parts are identified by fingerprints. The
+// crash the prompt is blamed and is refused until its record expires. Parts that several blamed prompts share are blamed, too, until prompts
+// with them complete: a prompt with only some of the parts that were blamed together is tried now and then, as any of them may be at
+// fault. Prompts and parts are identified by fingerprints. The
 // records are kept in table rows and in the memory of each entry, and nodes exchange them, so that the rule also holds
 // while the table is down.
 package blame
@@ -30,8 +31,12 @@
 // blameThreshold is the number of crashes at which a prompt is refused, and of blamed prompts at which a part of them is.
 const blameThreshold = 2
 
-// maxPartRecords is the share of the records that one prompt may add for its parts.
-const maxPartRecords = 2
+// Trials of prompts with some of the parts that were blamed together.
+const (
+	partTrialInterval = 4 * time.Second // between the first and the second trial at one entry
+	partTrialFactor   = 4               // by which it grows with each trial
+	maxPartTrials     = 5               // that make it grow
+)
 
 // recentCompletion is the time for which a completed prompt shows that its parts are harmless.
 const recentCompletion = 2 * time.Second
@@ -92,8 +97,15 @@
 	Expires     time.Time `json:"-"`
 	changedAt   time.Time // last change of the record at this entry
 	crashedAt   time.Time // last crash reported to this entry
+
+	completedBefore bool      // of a part: a prompt with it completed at this entry before its first crash
+	trials          int       // of a part
+	nextTrialAt     time.Time // of a part
 }
 
+// maxPartRecords is the share of the records that one prompt may add for its parts.
+const maxPartRecords = 2
+
 // Tracker holds the records known to one entry. It is safe for concurrent use.
 type Tracker struct {
 	opts       Options
@@ -186,14 +198,110 @@
 	return t.Check(fingerprint)
 }
 
-// BlamedPart returns a blamed part among the fingerprints of parts, or an empty string.
-func (t *Tracker) BlamedPart(parts []string) string {
+// CheckParts returns the verdict on a prompt with the given parts, and a part that has led to it. The verdict is Suspect if the prompt lacks parts
+// that were blamed together with its own, so that its own may be harmless, and Blamed if it contains all of them.
+func (t *Tracker) CheckParts(parts []string) (Verdict, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict, decisive := Unproven, ""
+	for _, s := range t.suspectsAmong(parts) {
+		if s.verdict > verdict {
+			verdict, decisive = s.verdict, strings.TrimPrefix(s.record.Fingerprint, partPrefix)
+		}
+	}
+	return verdict, decisive
+}
+
+// TryParts reports whether a prompt for which CheckParts has returned Suspect may run now, and counts it as a trial.
+func (t *Tracker) TryParts(parts []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, suspects := time.Now(), t.suspectsAmong(parts)
+	for _, s := range suspects {
+		if s.verdict == Blamed || now.Before(s.record.nextTrialAt) {
+			return false
+		}
+	}
+	for _, s := range suspects {
+		interval := partTrialInterval
+		for range s.record.trials {
+			interval *= partTrialFactor
+		}
+		s.record.nextTrialAt, s.record.trials = now.Add(interval), min(s.record.trials+1, maxPartTrials)
+	}
+	return true
+}
+
+// suspectPart is a blamed part of a prompt.
+type suspectPart struct {
+	record  *Record
+	verdict Verdict
+}
+
+// suspectsAmong returns the blamed parts among those of a prompt whose blame nothing else explains, with the verdict on the prompt.
+func (t *Tracker) suspectsAmong(parts []string) (suspects []suspectPart) {
+	now, contained := time.Now(), make(map[*Record]bool)
+	var own []*Record
 	for _, part := range parts {
-		if t.Check(partPrefix+part) == Blamed {
-			return part
+		r, ok := t.records.get(partPrefix + part)
+		if ok && r.isBlamedPart(now) && !contained[r] {
+			contained[r] = true
+			own = append(own, r)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	var others []*Record
+	t.records.each(func(r *Record) {
+		if r.isBlamedPart(now) {
+			others = append(others, r)
+		}
+	})
+	for _, r := range own {
+		s := suspectPart{record: r, verdict: Blamed}
+		explained := false
+		for _, other := range others {
+			if other == r || !other.mayExplain(r) {
+				continue
+			}
+			explained = explained || other.explains(r)
+			if !contained[other] {
+				s.verdict = Suspect
+			}
+		}
+		if !explained {
+			suspects = append(suspects, s)
 		}
 	}
-	return ""
+	return suspects
+}
+
+func (r *Record) isBlamedPart(now time.Time) bool {
+	return strings.HasPrefix(r.Fingerprint, partPrefix) && now.Before(r.Expires) && !r.Cleared && r.Crashes >= blameThreshold
+}
+
+// mayExplain reports whether too few blamed prompts would be left to blame a part if this one were at fault.
+func (r *Record) mayExplain(other *Record) bool {
+	if r.completedBefore && !other.completedBefore {
+		return false
+	}
+	left := 0
+	for _, prompt := range other.Endpoints {
+		if !slices.Contains(r.Endpoints, prompt) {
+			left++
+		}
+	}
+	return left < blameThreshold
+}
+
+// explains reports whether another part, whose blame this one may explain, is harmless as far as is known: it is in fewer blamed prompts,
+// or in as many and prompts with it have completed before.
+func (r *Record) explains(other *Record) bool {
+	if len(r.Endpoints) != len(other.Endpoints) {
+		return len(r.Endpoints) > len(other.Endpoints)
+	}
+	return other.completedBefore && !r.completedBefore
 }
 
 // RecordBlamedPrompt records that a prompt with the given parts is blamed. Parts of prompts that have completed lately are not
@@ -209,19 +317,21 @@
 	}
 	for _, part := range parts {
 		key := partPrefix + part
-		if t.completedLately(key) {
+		completed, lately := t.completion(key)
+		if lately {
 			continue
 		}
-		t.merge(Record{Fingerprint: key, Crashes: 1, Endpoints: []string{fingerprint}}, true)
+		t.merge(Record{Fingerprint: key, Crashes: 1, Endpoints: []string{fingerprint}, completedBefore: completed}, true)
 		t.enqueue(key)
 	}
 }
 
-func (t *Tracker) completedLately(fingerprint string) bool {
+// completion reports whether a prompt with a fingerprint has completed at this entry, and whether it has lately.
+func (t *Tracker) completion(fingerprint string) (completed, lately bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	expiresAt, ok := t.proven.get(fingerprint)
-	return ok && time.Until(expiresAt) > t.opts.TTL()-recentCompletion
+	return ok && time.Now().Before(expiresAt), ok && time.Until(expiresAt) > t.opts.TTL()-recentCompletion
 }
 
 // RecordCompletion records that a prompt with the given parts completed. This clears a suspect and the parts, but a blamed prompt stays
@@ -240,6 +350,7 @@
 	cleared := ok && !r.Cleared && r.mayClear()
 	if cleared {
 		r.Cleared = true
+		r.trials, r.nextTrialAt = 0, time.Time{}
 		r.Generation++
 		r.changedAt = time.Now()
 	}
@@ -275,6 +386,7 @@
 		return
 	}
 	previous := *r
+	r.completedBefore = r.completedBefore || update.completedBefore
 	switch {
 	case crashedHere && r.Cleared:
 		r.Crashes, r.Cleared, r.Endpoints = 1, false, nil
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
 
 	"github.com/bilberrylink/bilberrylink/cloud"
 )
@@ -127,6 +129,15 @@
 	assert.Equal(t, Suspect, tracker.Check("z"))
 }
 
+// blamedPart returns a part for which a prompt is refused, or an empty string.
+func blamedPart(t *Tracker, parts []string) string {
+	verdict, part := t.CheckParts(parts)
+	if verdict != Blamed {
+		return ""
+	}
+	return part
+}
+
 // Guards against a part that is not blamed because its blamed prompts were seen by different entries, and against one that stays blamed
 // although prompts with it complete.
 func TestPartOfBlamedPromptsIsBlamed(t *testing.T) {
@@ -136,23 +147,72 @@
 		first.RecordCompletion("sound", common)
 		first.RecordBlamedPrompt("p1", bad)
 		second.RecordBlamedPrompt("p2", bad)
-		assert.Empty(t, first.BlamedPart(bad))
+		assert.Empty(t, blamedPart(first, bad))
 		second.MergeRecords(first.RecentRecords())
 		first.MergeRecords(second.RecentRecords())
-		assert.Equal(t, "bad", first.BlamedPart(bad))
-		assert.Equal(t, "bad", second.BlamedPart(bad))
-		assert.Empty(t, first.BlamedPart(common), "a prompt with it has completed")
+		assert.Equal(t, "bad", blamedPart(first, bad))
+		assert.Equal(t, "bad", blamedPart(second, bad))
+		assert.Empty(t, blamedPart(first, common), "a prompt with it has completed")
 
 		time.Sleep(time.Second)
 		first.RecordCompletion("late", bad)
-		assert.Empty(t, first.BlamedPart(bad))
+		assert.Empty(t, blamedPart(first, bad))
 		second.MergeRecords(first.RecentRecords())
-		assert.Empty(t, second.BlamedPart(bad))
+		assert.Empty(t, blamedPart(second, bad))
 		time.Sleep(recentCompletion)
 		first.RecordBlamedPrompt("p3", bad)
-		assert.Empty(t, first.BlamedPart(bad))
+		assert.Empty(t, blamedPart(first, bad))
 		first.RecordBlamedPrompt("p4", bad)
-		assert.Equal(t, "common", first.BlamedPart(bad), "nothing has completed since")
+		assert.Equal(t, "common", blamedPart(first, bad), "nothing has completed since")
+	})
+}
+
+// Guards against blaming a sound part for one that was always beside it, whatever is known of them and however long sound prompts pause, and
+// against a part at fault that is let through again and again.
+func TestPartsBlamedTogetherAreToldApart(t *testing.T) {
+	const maxRuns = 3 // of prompts with the part at fault after it was blamed
+	rapid.Check(t, func(rt *rapid.T) {
+		shared := rapid.IntRange(1, 100).Draw(rt, "shared parts")
+		position := rapid.IntRange(0, shared-1).Draw(rt, "position")
+		bad, sound := make([]string, shared), make([]string, shared)
+		for i := range bad {
+			bad[i] = strconv.Itoa(i)
+			sound[i] = bad[i]
+		}
+		bad[position], sound[position] = "bad", "sound"
+		before := rapid.Bool().Draw(rt, "sound prompts before")
+		pause := time.Duration(rapid.IntRange(0, 10).Draw(rt, "pause in s")) * time.Second
+		burst := rapid.IntRange(2, 10).Draw(rt, "burst")
+		runs, served, all := 0, 0, 0
+		synctest.Test(t, func(*testing.T) {
+			tracker := New(Options{})
+			run := func(parts []string) bool {
+				verdict, _ := tracker.CheckParts(parts)
+				return verdict == Unproven || verdict == Suspect && tracker.TryParts(parts)
+			}
+			if before {
+				tracker.RecordCompletion("before", sound)
+				time.Sleep(pause)
+			}
+			for i := range burst {
+				tracker.RecordBlamedPrompt(fmt.Sprint("burst", i), bad)
+			}
+			for i := range 20 {
+				time.Sleep(time.Second)
+				if run(bad) {
+					runs++
+					tracker.RecordBlamedPrompt(fmt.Sprint("later", i), bad)
+				}
+				all++
+				if run(sound) {
+					served++
+					tracker.RecordCompletion(fmt.Sprint("sound", i), sound)
+				}
+			}
+		})
+		if runs > maxRuns || served < all-1 {
+			rt.Fatalf("%d runs with the part at fault, %d of %d sound prompts served", runs, served, all)
+		}
 	})
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -201,7 +201,12 @@
 	if d.opts.Blames.Check(r.fingerprint) == blame.Blamed {
 		return errkind.New(errkind.PromptBlamed, "this prompt crashed endpoints and is refused for a while")
 	}
-	if part := d.opts.Blames.BlamedPart(r.parts); part != "" {
+	verdict, part := d.opts.Blames.CheckParts(r.parts)
+	if verdict == blame.Suspect && (r.triesParts || d.opts.Blames.TryParts(r.parts)) {
+		r.triesParts, r.alone = true, true
+		return nil
+	}
+	if verdict == blame.Suspect || verdict == blame.Blamed {
 		d.log.WithFields(logrus.Fields{"request": r.id, "part": part}).Info("refusing a prompt: prompts with this message crashed endpoints")
 		return errkind.New(errkind.PromptBlamed, "prompts with one of these messages crashed endpoints; it is refused for a while")
 	}
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -351,6 +351,61 @@
 	assert.Contains(t, last.body, `"kind":"prompt_blamed"`)
 }
 
+// Guards against a message that crashes endpoints behind many others, and against refusing sound chats that share all others with it, of which
+// nothing is known when they crash together.
+func TestMessageThatCrashesEndpointsIsFoundAmongMany(t *testing.T) {
+	const (
+		messages             = 200
+		maxRunsWithTheCause  = 5
+		chats                = 10
+		trialsOfSoundMessage = 1
+	)
+	for _, position := range []int{0, 100, messages - 1} {
+		f := newFleet(t, crashOnPoison)
+		e := newTestEntry(t, f, Disabled{RetryBudget: true})
+		body := func(cause string, i int) string {
+			var b strings.Builder
+			for j := range messages {
+				text := fmt.Sprint("message ", j)
+				if j == position {
+					text = cause
+				}
+				fmt.Fprintf(&b, `{"role":"user","content":%q},`, text)
+			}
+			return fmt.Sprintf(`{"model":"clerk","max_tokens":5,"messages":[%s{"role":"user","content":"question %s %d"}]}`, b.String(), cause, i)
+		}
+		revive := func() {
+			for name := range f.agents {
+				f.members.update(name, func(n *membership.Node) { n.Live = true })
+			}
+		}
+		last := reply{}
+		for i := range 3 {
+			revive()
+			last = e.chat(t, body("poison", i), "X-Request-Timeout", "500ms")
+		}
+		served := 0
+		for i := range chats {
+			revive()
+			if e.chat(t, body("wineskins", i), "X-Request-Timeout", "2s").status == http.StatusOK {
+				served++
+			}
+			last = e.chat(t, body("poison", 10+i), "X-Request-Timeout", "500ms")
+		}
+		assert.GreaterOrEqual(t, served, chats-trialsOfSoundMessage, "position %d", position)
+		assert.Contains(t, last.body, `"kind":"prompt_blamed"`)
+		runs := 0
+		for _, a := range f.agents {
+			for _, r := range a.runs {
+				if strings.Contains(r.GetModel().GetPrompt(), "poison") {
+					runs++
+				}
+			}
+		}
+		assert.LessOrEqual(t, runs, maxRunsWithTheCause, "position %d", position)
+	}
+}
+
 // Guards against a slow lookup that is given up for a second attempt that its endpoint refuses or that fails.
 func TestFailedHedgeCostsNoAnswer(t *testing.T) {
 	for _, failure := range []*wire.Failure{{Kind: "overloaded", Run: "not_run"}, {Kind: "draining", Run: "not_run"},
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -30,6 +30,7 @@
 	deadline      time.Time
 	arrived       time.Time
 	fingerprint   string
+	triesParts    bool     // a trial of parts that were blamed together with others
 	parts         []string // fingerprints of the messages that other chats may share: all but the last
 	alone         bool     // suspected of crashing an endpoint: to be run while nothing else runs there
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,9 +2,10 @@
 //
 // All requests at an endpoint break when it crashes, so each of them, and each part of its prompt, is a suspect. A subject that
 // makes progress at an endpoint is harmless, and its crashes are forgotten. One that has crashed several endpoints without any progress,
-// beyond the crashes that another subject explains, is blocked. Gateways exchange and merge their records, so that the crashes seen by
-// different gateways add up, and keep those of blocked subjects in the platform's store, so that a restart of all gateways does not
-// lose them.
+// beyond the crashes that another subject explains, is blocked. Parts that were always together in these crashes are blocked together: a
+// request without one of them, which may be the one at fault, is tried now and then, and shows which are harmless. Gateways exchange and
+// merge their records, so that the crashes seen by different gateways add up, and keep those of blocked subjects in the platform's store,
+// so that a restart of all gateways does not lose them.
 package quarantine
 
 import (
@@ -33,16 +34,18 @@
 	maxRecords    = 16_384           // twice as many as the parts in a head of 16 KB
 	maxNewRecords = 8192             // of one broken attempt
 	maxProgress   = 16_384           // parts whose latest progress is kept
-	maxExplaining = 16               // records that may explain the crashes of others
+	maxExplaining = 16               // groups that may explain the crashes of others
 	maxChanged    = 32_768           // records that all gateways together send to each of their peers at once
+	maxStored     = 256              // members of a group whose records are stored
 	maxLogged     = 16               // verdicts that are logged one by one
 )
 
 // Options configures a Tracker.
 type Options struct {
-	Now        func() time.Time // nil: time.Now
-	Gateways   func() int       // number of gateways that share the records; nil: 1
-	Log        *logrus.Logger   // nil: the standard logger
+	Now        func() time.Time                  // nil: time.Now
+	Gateways   func() int                        // number of gateways that share the records; nil: 1
+	Rand       func(time.Duration) time.Duration // returns a random duration below its argument; nil: rand.N
+	Log        *logrus.Logger                    // nil: the standard logger
 	Registerer prometheus.Registerer
 }
 
@@ -55,7 +58,9 @@
 
 	mu       sync.Mutex
 	records  map[Subject]*entry
+	heavy    map[Subject]*entry    // those that may be blocked
 	progress map[Subject]time.Time // latest progress of parts, for recentProgress at least
+	checks   uint64                // number of the latest check
 	unsent   map[Subject]struct{}  // changed here and not sent since
 	lastSent Subject               // of Spread, which continues after it
 
@@ -67,9 +72,15 @@
 	Record
 	endpoints   []uint32 // distinct crashed endpoints, in ascending order
 	calls       int      // different calls in the crashes
-	verdict     Verdict
+	verdict     Verdict  // on a request with all parts of the group and its rivals
+	group       *group   // nil if the record is not heavy
+	progressed  bool     // a part that made progress here before, at any time
+	checked     uint64   // number of the latest check of a request with it
 	changedAt   time.Time
-	nextTrialAt time.Time // Suspected only
+	condemnedAt time.Time // zero unless Condemned
+	setbacks    int       // crashes since, of requests that tried it
+	nextTrialAt time.Time // of a request with all suspects
+	nextProbeAt time.Time // of a request without one of the suspects
 	sawCrash    bool      // this gateway has seen one of the crashes
 	storeAt     time.Time // when this gateway stores the record if no other has
 	removeRow   bool      // the row in the store is outdated
@@ -84,11 +95,14 @@
 	if opts.Gateways == nil {
 		opts.Gateways = func() int { return 1 }
 	}
+	if opts.Rand == nil {
+		opts.Rand = rand.N[time.Duration]
+	}
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
 	t := &Tracker{opts: opts, changed: make(chan struct{}, 1), records: make(map[Subject]*entry),
-		progress: make(map[Subject]time.Time), unsent: make(map[Subject]struct{}), crashedAt: make(map[uint32]time.Time)}
+		heavy: make(map[Subject]*entry), progress: make(map[Subject]time.Time), unsent: make(map[Subject]struct{}), crashedAt: make(map[uint32]time.Time)}
 	t.metrics = newMetrics(opts.Registerer)
 	return t
 }
@@ -105,21 +119,60 @@
 
 func (t *Tracker) check(subjects []Subject) (Verdict, Subject) {
 	now, worst, by := t.opts.Now(), Admitted, Subject{}
+	for _, e := range t.blockedIn(subjects, now) {
+		if verdict := t.verdictNow(e, now); verdict > worst {
+			worst, by = verdict, e.Subject
+		}
+	}
+	return worst, by
+}
+
+// blockedIn returns the entries of the blocked subjects of a request, and counts its parts in their groups.
+func (t *Tracker) blockedIn(subjects []Subject, now time.Time) (blocked []*entry) {
+	t.checks++
+	var found []*entry
 	for _, s := range subjects {
-		e := t.records[s]
-		if e == nil || e.verdict == Admitted || !now.Before(e.ExpiresAt) {
+		e := t.heavy[s]
+		if e == nil || e.group == nil || e.checked == t.checks || !now.Before(e.ExpiresAt) {
 			continue
 		}
-		if e.verdict == Suspected && !now.Before(e.nextTrialAt) {
-			continue
+		e.checked = t.checks
+		found = append(found, e)
+		e.group.found = 0
+		for _, rival := range slices.Concat(e.group.rivals, e.group.weaker) {
+			rival.found = 0
 		}
-		if e.verdict > worst {
-			worst, by = e.verdict, s
+	}
+	for _, e := range found {
+		e.group.found++
+		if e.verdict != Admitted {
+			blocked = append(blocked, e)
 		}
 	}
-	return worst, by
+	return blocked
+}
+
+// verdictNow returns the verdict on a request because of a blocked subject that it contains, after blockedIn.
+func (t *Tracker) verdictNow(e *entry, now time.Time) Verdict {
+	switch {
+	case e.setbacks >= maxSetbacks && !e.progressed:
+		return Condemned
+	case e.group.lacksRival():
+		if now.Before(e.nextProbeAt) {
+			return Suspected
+		}
+	case e.verdict == Condemned && !e.isTriedIfCondemned() && !e.group.lacksWeaker():
+		return Condemned
+	case now.Before(e.nextTrialAt):
+		return Suspected
+	}
+	return Admitted
 }
 
+// isTriedIfCondemned reports whether a condemned subject may be harmless, so that it is tried: a part that made progress before may have met a
+// crash of many endpoints at once.
+func (e *entry) isTriedIfCondemned() bool { return e.Subject.Kind == Part && e.progressed }
+
 // Admit is Check for a request that is sent to an endpoint if it is Admitted. A trial is taken by it.
 func (t *Tracker) Admit(subjects []Subject) (Verdict, Subject) {
 	if t.blocked.Load() == 0 {
@@ -131,40 +184,52 @@
 	if verdict != Admitted {
 		return verdict, by
 	}
-	for _, s := range subjects {
-		if e := t.records[s]; e != nil && e.verdict == Suspected {
-			e.nextTrialAt = t.trialTime()
+	now := t.opts.Now()
+	for i, e := range t.blockedIn(subjects, now) {
+		isProbe := e.group.lacksRival()
+		switch {
+		case !isProbe:
+			e.nextTrialAt = t.trialTime(e.setbacks)
+		case e.verdict == Condemned && now.Sub(e.condemnedAt) >= setbackDelay:
+			e.nextProbeAt = t.trialTime(e.setbacks)
+		default:
+			e.nextProbeAt = now.Add(earlyProbePause)
+		}
+		if i == 0 {
 			t.metrics.trials.Inc()
-			t.log(e, "quarantine_trial").Info("a blocked subject is tried with a request")
+			t.log(e, "quarantine_trial").WithField("lacks_suspect", isProbe).Info("a blocked subject is tried with a request")
 		}
 	}
 	return Admitted, Subject{}
 }
 
-// trialTime returns a random time for the next trial. All gateways together make one in trialInterval on average.
-func (t *Tracker) trialTime() time.Time {
+// trialTime returns a random time for the next trial. All gateways together make one in trialInterval on average, fewer after setbacks.
+func (t *Tracker) trialTime(setbacks int) time.Time {
 	mean := trialInterval * time.Duration(max(t.opts.Gateways(), 1))
-	return t.opts.Now().Add(mean/2 + rand.N(mean))
+	for range setbacks {
+		mean *= setbackFactor
+	}
+	return t.opts.Now().Add(mean/2 + t.opts.Rand(mean))
 }
 
-// RecordCrash records that an endpoint broke off an attempt before it had got far with the answer. The parts among the subjects are in
-// the order of the prompt. Parts that have made progress recently are not suspects.
+// RecordCrash records that an endpoint broke off an attempt before it had got far with the answer. Parts that have made progress recently are not
+// suspects.
 func (t *Tracker) RecordCrash(c Crash, subjects []Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	c = t.distinguish(c, now)
 	changed := false
-	for depth, s := range t.suspects(subjects, now) {
+	for _, s := range t.suspects(subjects, now) {
 		e := t.entry(s)
-		if depth > e.Depth {
-			e.Depth, changed = depth, true
-		}
-		if !e.add(c) {
+		e.progressed = t.progressed(e)
+		added, latest := e.add(c), now.Add(ttlOf(s.Kind))
+		if !added && (len(e.Crashes) < MaxCrashes || latest.Sub(e.ExpiresAt) < minRestartTime) {
 			continue
 		}
+		t.noteSetback(e, latest, now)
+		e.ExpiresAt, e.sawCrash = latest, true
 		t.metrics.crashes.WithLabelValues(s.Kind.String()).Inc()
-		e.ExpiresAt, e.sawCrash = now.Add(ttlOf(s.Kind)), true
 		t.noteChange(e, true)
 		changed = true
 	}
@@ -173,23 +238,40 @@
 	}
 }
 
-// suspects returns the subjects of a broken attempt that have not made progress recently, by position. A random choice of those without a record
-// is left out if there are too many.
-func (t *Tracker) suspects(subjects []Subject, now time.Time) map[int]Subject {
-	suspects, unknown, depth := make(map[int]Subject, len(subjects)), 0, 0
-	for _, i := range rand.Perm(len(subjects)) {
-		s := subjects[i]
-		if depth = i; s.Kind == Call {
-			depth = 0
-		}
-		if t.records[s] == nil {
-			unknown++
-		}
-		if !t.madeProgress(s, now) && (t.records[s] != nil || unknown <= maxNewRecords) {
-			suspects[depth] = s
+// suspects returns the subjects of a broken attempt that may have caused the crash. A random choice of those without a record is left out if
+// there are too many.
+func (t *Tracker) suspects(subjects []Subject, now time.Time) []Subject {
+	suspects, unknown := make([]Subject, 0, len(subjects)), make([]Subject, 0, len(subjects))
+	for _, s := range subjects {
+		p, ok := t.progress[s]
+		switch {
+		case ok && now.Sub(p) < recentProgress:
+		case t.records[s] != nil:
+			suspects = append(suspects, s)
+		default:
+			unknown = append(unknown, s)
 		}
 	}
-	return suspects
+	if len(unknown) > maxNewRecords {
+		rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+		unknown = unknown[:maxNewRecords]
+	}
+	return append(suspects, unknown...)
+}
+
+// progressed reports whether the part of an entry has made progress here, at any time that is known.
+func (t *Tracker) progressed(e *entry) bool {
+	_, ok := t.progress[e.Subject]
+	return ok
+}
+
+// noteSetback counts a crash, after which the record expires at a later time, if it is that of a request that tried a condemned subject.
+func (t *Tracker) noteSetback(e *entry, expiresAt, now time.Time) {
+	if e.verdict != Condemned || now.Sub(e.condemnedAt) < setbackDelay || expiresAt.Sub(e.ExpiresAt) < minRestartTime {
+		return
+	}
+	e.setbacks = min(e.setbacks+1, maxSetbacks)
+	e.nextTrialAt, e.nextProbeAt = t.trialTime(e.setbacks), t.trialTime(e.setbacks)
 }
 
 func ttlOf(kind Kind) time.Duration {
@@ -216,11 +298,6 @@
 	return c
 }
 
-func (t *Tracker) madeProgress(s Subject, now time.Time) bool {
-	at, ok := t.progress[s]
-	return ok && now.Sub(at) < recentProgress
-}
-
 // RecordProgress records that an endpoint has got on with an answer, so that the subjects of the request are harmless.
 func (t *Tracker) RecordProgress(subjects []Subject) {
 	t.mu.Lock()
@@ -242,12 +319,8 @@
 }
 
 func (t *Tracker) noteProgress(s Subject, now time.Time) {
-	if len(t.progress) >= maxProgress {
-		for other, at := range t.progress {
-			if now.Sub(at) >= recentProgress {
-				delete(t.progress, other)
-			}
-		}
+	if _, ok := t.progress[s]; !ok && len(t.progress) >= maxProgress {
+		maps.DeleteFunc(t.progress, func(_ Subject, at time.Time) bool { return now.Sub(at) >= recentProgress })
 		if len(t.progress) >= maxProgress {
 			clear(t.progress)
 		}
@@ -262,7 +335,7 @@
 		t.log(e, "quarantine_cleared").WithField("cause", "progress").Info("a blocked subject is harmless")
 	}
 	e.removeRow = e.removeRow || e.StoredEndpoints > 0
-	e.Generation, e.Crashes, e.StoredEndpoints, e.verdict = e.Generation+1, nil, 0, Admitted
+	e.Generation, e.Crashes, e.StoredEndpoints, e.setbacks, e.verdict = e.Generation+1, nil, 0, 0, Admitted
 	e.ExpiresAt = t.opts.Now().Add(clearedTTL)
 	t.noteChange(e, true)
 }
@@ -283,13 +356,19 @@
 		}
 		if e == nil {
 			e = t.entry(r.Subject)
+			e.ExpiresAt = r.ExpiresAt
 		}
+		if r.Generation == e.Generation {
+			t.noteSetback(e, r.ExpiresAt.Add(-crashTimeError), now)
+		}
+		wasHeavy := e.isHeavy()
 		if !e.merge(r) {
 			continue
 		}
+		e.progressed = t.progressed(e)
 		t.noteChange(e, false)
-		changed = true
-		if len(e.Crashes) > 0 && t.madeProgress(r.Subject, now) {
+		changed = changed || wasHeavy || e.isHeavy()
+		if len(e.Crashes) > 0 && now.Sub(t.progress[r.Subject]) < recentProgress {
 			t.clear(e)
 		}
 	}
@@ -326,17 +405,24 @@
 
 // dropExpired removes the expired entries, which explain nothing any more.
 func (t *Tracker) dropExpired() {
-	now, before := t.opts.Now(), len(t.records)
+	now, wasHeavy := t.opts.Now(), false
 	for s, e := range t.records {
 		if !now.Before(e.ExpiresAt) {
-			delete(t.records, s)
+			wasHeavy = wasHeavy || t.heavy[s] != nil
+			t.remove(s)
 		}
 	}
-	if len(t.records) < before {
+	if wasHeavy {
 		t.judge("expiry")
 	}
 }
 
+func (t *Tracker) remove(s Subject) {
+	delete(t.records, s)
+	delete(t.heavy, s)
+	delete(t.unsent, s)
+}
+
 // evict removes expired entries, and if too few have expired, those with the fewest and oldest crashes that block nothing.
 func (t *Tracker) evict() {
 	const kept = maxRecords * 3 / 4
@@ -348,13 +434,16 @@
 		if e.verdict != Admitted && len(t.records) < maxRecords {
 			return
 		}
-		delete(t.records, e.Subject)
+		t.remove(e.Subject)
 	}
 }
 
 // noteChange updates what is derived from the record of an entry that has changed, here or at a peer.
 func (t *Tracker) noteChange(e *entry, here bool) {
 	e.changedAt, e.endpoints, e.calls = t.opts.Now(), e.crashedEndpoints(), e.callCount()
+	if e.isHeavy() {
+		t.heavy[e.Subject] = e
+	}
 	if !here {
 		return
 	}
@@ -366,32 +455,26 @@
 func (t *Tracker) judge(cause string) {
 	now := t.opts.Now()
 	var heavy []*entry
-	for _, e := range t.records {
+	for s, e := range t.heavy {
 		if now.Before(e.ExpiresAt) && e.isHeavy() {
 			heavy = append(heavy, e)
+			continue
 		}
+		delete(t.heavy, s)
+		e.group = nil
+		t.setVerdict(e, Admitted)
 	}
-	explaining := heaviest(heavy, maxExplaining)
+	judgeGroups(groupsOf(heavy))
 	blocked, changed := map[Kind]int{}, 0
-	for _, e := range t.records {
-		previous := e.verdict
-		e.verdict = Admitted
-		if now.Before(e.ExpiresAt) && e.isHeavy() {
-			e.verdict = verdictFor(e.Subject.Kind, unexplainedCrashes(e, explaining))
+	for _, e := range heavy {
+		if t.setVerdict(e, e.group.verdict) {
+			if changed++; changed <= maxLogged {
+				t.log(e, "quarantine_verdict").WithField("cause", cause).Info("verdict on what may crash endpoints has changed")
+			}
 		}
 		if e.verdict != Admitted {
 			blocked[e.Subject.Kind]++
 		}
-		if e.verdict == previous {
-			continue
-		}
-		if e.verdict == Suspected {
-			e.nextTrialAt = t.trialTime()
-		}
-		e.storeAt = now.Add(storeTime(e.sawCrash))
-		if changed++; changed <= maxLogged {
-			t.log(e, "quarantine_verdict").WithField("cause", cause).Info("verdict on what may crash endpoints has changed")
-		}
 	}
 	if changed > maxLogged {
 		t.opts.Log.WithFields(logrus.Fields{"event": "quarantine_verdicts", "cause": cause, "subjects": changed}).
@@ -403,9 +486,33 @@
 	}
 }
 
+// setVerdict sets the verdict on an entry and reports whether it has changed.
+func (t *Tracker) setVerdict(e *entry, verdict Verdict) bool {
+	if verdict == e.verdict {
+		return false
+	}
+	now, previous := t.opts.Now(), e.verdict
+	e.verdict, e.condemnedAt = verdict, time.Time{}
+	switch {
+	case verdict == Admitted:
+		e.setbacks = 0
+	case previous == Admitted:
+		e.nextTrialAt, e.nextProbeAt = t.trialTime(0), now
+	}
+	if verdict == Condemned {
+		e.condemnedAt, e.nextTrialAt = now, t.trialTime(0)
+	}
+	e.storeAt = now.Add(storeTime(e.sawCrash))
+	return true
+}
+
 func (t *Tracker) log(e *entry, event string) *logrus.Entry {
-	return t.opts.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"event": event, "subject": e.Subject.Key(), "endpoints": len(e.endpoints), "calls": e.calls,
 		"generation": e.Generation, "verdict": e.verdict.String(),
-	})
+	}
+	if g := e.group; g != nil {
+		fields["group"], fields["rivals"] = g.members, len(g.rivals)
+	}
+	return t.opts.Log.WithFields(fields)
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -131,6 +131,9 @@
 			changed, r.ExpiresAt = true, laterOf(r.ExpiresAt, other.ExpiresAt)
 		}
 	}
+	if len(r.Crashes) >= MaxCrashes && other.ExpiresAt.Sub(r.ExpiresAt) > crashTimeError {
+		changed, r.ExpiresAt = true, other.ExpiresAt // of a crash for which there is no room
+	}
 	return changed
 }
 
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -62,15 +62,6 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Hash, b.Hash))
 }
 
-// heaviest returns the entries with the most crashed endpoints, at most limit.
-func heaviest(entries []*entry, limit int) []*entry {
-	sorted := slices.Clone(entries)
-	slices.SortFunc(sorted, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(len(b.endpoints), len(a.endpoints)), compareSubjects(a.Subject, b.Subject))
-	})
-	return sorted[:min(len(sorted), limit)]
-}
-
 // Unstored returns the records that block a subject and are not in the store, as far as it is this gateway's turn to store them, and
 // the subjects whose rows are outdated.
 func (t *Tracker) Unstored() (put []Record, remove []Subject) {
@@ -80,7 +71,7 @@
 	now := t.opts.Now()
 	for s, e := range t.records {
 		switch {
-		case e.verdict != Admitted && (e.rowLost || !e.isStored(e.verdict)) && !now.Before(e.storeAt):
+		case e.verdict != Admitted && e.group.members <= maxStored && (e.rowLost || !e.isStored(e.verdict)) && !now.Before(e.storeAt):
 			put = append(put, e.clone())
 		case e.verdict == Admitted && e.removeRow:
 			remove = append(remove, s)
