quarantine: a crash at any byte of an answer is evidence

Cause: only attempts that broke before the head of an answer, and streams that broke within one event, were recorded. On related paths a stream that crashes its endpoint after four events or more cleared its own record each time, and so did a whole answer with a status of 500 or more.

Change: each attempt that its endpoint breaks off is recorded with the events received. Progress clears a record if the attempt has got three events further than the crashes did, or to the end of an answer. The number takes the place of a part's depth in messages and rows, which decides nothing any more. Answers without a signature, too long ones, and those that the gateway or the caller ends are no crashes.

The entry keeps this rule already; TestCrashInTheMiddleOfAnAnswerIsBlamed guards it.

--- a/exchange/records.go
+++ b/exchange/records.go
@@ -63,7 +63,7 @@
 	for i := range records {
 		r := &records[i]
 		crashes := r.Crashes[:min(len(r.Crashes), quarantine.MaxCrashes)]
-		b = append(b, byte(r.Subject.Kind), byte(clamp(r.Depth, math.MaxUint8)))
+		b = append(b, byte(r.Subject.Kind), byte(clamp(r.Events, math.MaxUint8)))
 		b = binary.BigEndian.AppendUint64(b, r.Subject.Hash)
 		b = binary.BigEndian.AppendUint32(b, r.Generation)
 		b = binary.BigEndian.AppendUint16(b, uint16(clamp(int(r.ExpiresAt.Sub(now)/time.Second), math.MaxUint16)))
@@ -83,7 +83,7 @@
 	relay = r.u8()&flagRelay != 0
 	count := r.u8()
 	for i := 0; i < count && !r.truncated; i++ {
-		record := quarantine.Record{Subject: quarantine.Subject{Kind: quarantine.Kind(r.u8())}, Depth: r.u8()}
+		record := quarantine.Record{Subject: quarantine.Subject{Kind: quarantine.Kind(r.u8())}, Events: r.u8()}
 		record.Subject.Hash, record.Generation = r.u64(), r.u32()
 		record.ExpiresAt = now.Add(time.Duration(r.u16()) * time.Second)
 		record.StoredEndpoints = r.u8()
--- a/exchange/records_test.go
+++ b/exchange/records_test.go
@@ -14,7 +14,7 @@
 
 func sampleRecords(now time.Time) []quarantine.Record {
 	return []quarantine.Record{
-		{Subject: quarantine.PartSubject("p"), Depth: 2, Generation: 3, ExpiresAt: now.Add(time.Minute), StoredEndpoints: 5,
+		{Subject: quarantine.PartSubject("p"), Events: 2, Generation: 3, ExpiresAt: now.Add(time.Minute), StoredEndpoints: 5,
 			Crashes: []quarantine.Crash{{Endpoint: 1, Call: 2}, {Endpoint: 3, Call: 4}}},
 		{Subject: quarantine.CallSubject(7), ExpiresAt: now.Add(time.Hour)},
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -10,17 +10,15 @@
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
-const (
-	// maxSuspectEvents is the number of events up to which a broken attempt is suspected to have crashed its endpoint: an endpoint
-	// that crashes when it starts an answer may send the first event before.
-	maxSuspectEvents = 1
-	// progressEvents is the number of events of one attempt after which the endpoint has survived the start of the answer.
-	progressEvents = 4
-)
+// progressEvents is the number of events of one attempt after which the endpoint has survived the start of the answer.
+const progressEvents = 4
 
 // maxLoggedParts bounds the parts of a prompt in a line of the log.
 const maxLoggedParts = 64
 
+// isMilestone reports whether an attempt that has received a number of events has got on with the answer: when that has doubled.
+func isMilestone(events int) bool { return events >= progressEvents && events&(events-1) == 0 }
+
 // subjectsOf returns what may be the cause if the request crashes endpoints.
 func subjectsOf(r *Request) []quarantine.Subject {
 	subjects := make([]quarantine.Subject, 0, 1+len(r.SharedParts))
@@ -56,9 +54,7 @@
 // the answer had arrived, and what the prompt has in common with others.
 func (s *requestState) recordBrokenAttempt(event string, e *registry.Endpoint, err error, received int) {
 	s.gw.opts.Metrics.observeBroken(received)
-	if received <= maxSuspectEvents {
-		s.gw.opts.Quarantine.RecordCrash(quarantine.NewCrash(e.ID, e.Born, s.req.Fingerprint), s.subjects)
-	}
+	s.gw.opts.Quarantine.RecordCrash(quarantine.NewCrash(e.ID, e.Born, s.req.Fingerprint), s.subjects, received)
 	s.logEntry(event).WithError(err).WithFields(logrus.Fields{
 		"endpoint": e.ID, "resume_after": s.lastEventID, "attempt_events": received, "shared_parts": loggedParts(s.req.SharedParts),
 		"call": strconv.FormatUint(s.req.Fingerprint, 16),
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 )
@@ -69,3 +70,48 @@
 		})
 	}
 }
+
+// A request that crashes each endpoint that runs it must be stopped, wherever in the answer they crash and whatever its route allows: each
+// attempt that breaks off is evidence, and what came before the break is none against it.
+func TestCrashAnywhereInAnAnswerIsStopped(t *testing.T) {
+	const (
+		maxSends = 3 + 3 // the platform's bound: three crashes, and three more requests
+		requests = 24
+	)
+	kinds := []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Stream}
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.SampledFrom(kinds).Draw(rt, "kind")
+		events := rapid.IntRange(0, 70).Draw(rt, "events before the crash")
+		inHead := rapid.Bool().Draw(rt, "crash in the head")
+		pause := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause in ms")) * time.Millisecond
+		sends, served := 0, 0
+		synctest.Test(t, func(t *testing.T) {
+			tg := newTestGateway(nil)
+			tg.script = func(_ context.Context, n int, r *EndpointRequest) (*Response, error) {
+				time.Sleep(20 * time.Millisecond)
+				if r.Request.ID != "crashing" {
+					return newResponse(200, eventText(1, 9)), nil
+				}
+				sends++
+				entry := r.Endpoint.Entry
+				entry.Born = int64(n) // it is back at once
+				tg.registry.Upsert(entry)
+				if inHead {
+					return nil, errReset
+				}
+				from := int(max(r.LastEventID, 0)) + 1
+				return &Response{Status: 200, SignatureValid: true, ContentLength: -1, Body: brokenBody(eventText(from, from+events-1))}, nil
+			}
+			for i := range requests {
+				tg.serve(t.Context(), kind, func(r *Request) { r.ID, r.Fingerprint = "crashing", 7 })
+				if tg.serve(t.Context(), kind, func(r *Request) { r.ID, r.Fingerprint = "sound", uint64(100+i) }).status == 200 {
+					served++
+				}
+				time.Sleep(pause)
+			}
+		})
+		if sends > maxSends || served < requests {
+			rt.Fatalf("%d requests reached endpoints, %d of %d sound ones were served", sends, served, requests)
+		}
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -650,6 +650,9 @@
 			return failure{kind: errkind.EndpointFailed, final: true, reason: "no memory for the answer"}, false
 		}
 		s.gw.opts.Registry.ReportOutcome(e, registry.Failed)
+		if err != nil && !errors.Is(err, intake.ErrTooLarge) {
+			s.recordBrokenAttempt("attempt_broken", e, err, 0)
+		}
 		return failure{kind: errkind.EndpointFailed, reason: "incomplete answer"}, false
 	}
 	if resp.Status >= 500 || resp.PromisesNotRun {
@@ -687,6 +690,8 @@
 	if err := body.Drain(s.writer.Write); err != nil {
 		return failure{kind: errkind.Canceled, reason: "caller left"}, false
 	}
-	s.gw.opts.Quarantine.RecordProgress(s.subjects)
+	if resp.Status < 500 { // an endpoint that fails a request may not have got as far as to crash
+		s.gw.opts.Quarantine.RecordProgress(s.subjects, quarantine.Complete)
+	}
 	return failure{}, true
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/bilberrylink/bilberrylink/catalog"
 	"github.com/bilberrylink/bilberrylink/errkind"
+	"github.com/bilberrylink/bilberrylink/quarantine"
 	"github.com/bilberrylink/bilberrylink/registry"
 )
 
@@ -44,11 +45,11 @@
 		}
 		events := splitter.Push(buf[:n])
 		for _, e := range events {
-			switch received++; received {
-			case 1:
+			if received++; received == 1 {
 				s.recordFirstEvent(plan, sentAt)
-			case progressEvents:
-				s.gw.opts.Quarantine.RecordProgress(s.subjects)
+			}
+			if isMilestone(received) {
+				s.gw.opts.Quarantine.RecordProgress(s.subjects, received)
 			}
 			wasLate := s.missedTarget()
 			if f, ok := s.forwardEvent(a, resp, e); !ok {
@@ -67,7 +68,7 @@
 		}
 		if errors.Is(err, io.EOF) && len(splitter.Rest()) == 0 && s.headerWritten.Load() && a.lead() {
 			s.gw.opts.Registry.ReportOutcome(primary, registry.Succeeded)
-			s.gw.opts.Quarantine.RecordProgress(s.subjects)
+			s.gw.opts.Quarantine.RecordProgress(s.subjects, quarantine.Complete)
 			return failure{}, true
 		}
 		return s.brokenStreamFailure(ctx, a, primary, err, received), false
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -406,6 +406,32 @@
 	}
 }
 
+// Guards against a prompt or a call that is not blamed because its endpoints crash in the middle of the answer.
+func TestCrashInTheMiddleOfAnAnswerIsBlamed(t *testing.T) {
+	for _, tokens := range []int{0, 1, 4, 20} {
+		f := newFleet(t, func(_ *fakeAgent, r *wire.RunRequest, out *frameWriter) {
+			out.started()
+			if r.GetCall() == nil {
+				for i := len(r.GetModel().GetGenerated()); i < len(r.GetModel().GetGenerated())+tokens; i++ {
+					out.tokens(int64(i), "a")
+				}
+			}
+			out.fail(&wire.Failure{Kind: "endpoint_failed", Run: "ran", EndpointCrashed: true})
+		})
+		e := newTestEntry(t, f, Disabled{RetryBudget: true})
+		for range 4 {
+			for name := range f.agents {
+				f.members.update(name, func(n *membership.Node) { n.Live = true })
+			}
+			e.chat(t, streamingChatBody, "X-Request-Timeout", "500ms")
+			e.do(t, http.MethodGet, "/services/stock/stock/7", "")
+		}
+		runs, _ := f.totalCounts()
+		assert.LessOrEqual(t, runs, 4, "two of each, after %d tokens", tokens)
+		assert.Contains(t, e.do(t, http.MethodGet, "/services/stock/stock/7", "").body, `"kind":"prompt_blamed"`)
+	}
+}
+
 // Guards against a slow lookup that is given up for a second attempt that its endpoint refuses or that fails.
 func TestFailedHedgeCostsNoAnswer(t *testing.T) {
 	for _, failure := range []*wire.Failure{{Kind: "overloaded", Run: "not_run"}, {Kind: "draining", Run: "not_run"},
--- a/internal/gatewayd/quarantine_test.go
+++ b/internal/gatewayd/quarantine_test.go
@@ -16,7 +16,7 @@
 // crashAt records at a gateway that an endpoint has crashed during a call with the part "bad".
 func crashAt(n *testNode, i int) {
 	n.daemon.quarantine.RecordCrash(quarantine.NewCrash("i0", int64(i), uint64(i)),
-		[]quarantine.Subject{quarantine.CallSubject(uint64(i)), quarantine.PartSubject("bad")})
+		[]quarantine.Subject{quarantine.CallSubject(uint64(i)), quarantine.PartSubject("bad")}, 0)
 }
 
 func blocks(part string) func(*daemon) bool {
--- a/internal/gatewayd/restored_test.go
+++ b/internal/gatewayd/restored_test.go
@@ -215,7 +215,7 @@
 		f.restartAll()
 		f.requireEverywhere(contactBound, f.all, "part after a restart of all gateways", blocks("bad"))
 
-		f.all[0].daemon.quarantine.RecordProgress([]quarantine.Subject{quarantine.PartSubject("bad")})
+		f.all[0].daemon.quarantine.RecordProgress([]quarantine.Subject{quarantine.PartSubject("bad")}, quarantine.Complete)
 		time.Sleep(time.Second)
 		require.Empty(f.t, f.store.Keys(platformtest.TableBlocked))
 		f.restore(blocked, away)
--- a/quarantine/policy.go
+++ b/quarantine/policy.go
@@ -22,6 +22,10 @@
 	// recentProgress is the time for which progress shows that a part is harmless. Requests with a part in use make progress all the
 	// time; none do if the part crashes endpoints, or if all endpoints fail.
 	recentProgress = 2 * time.Second
+	// survivalMargin is the number of events by which an attempt must outlast the crashes of a subject to show that it is harmless.
+	survivalMargin = 3
+	// latestStartCrash is the number of events up to which a crash belongs to the start of an answer.
+	latestStartCrash = 1
 	// trialInterval is the mean time between two requests, of all gateways together, that try a blocked part which may be harmless.
 	trialInterval = 4 * time.Second
 	// setbackFactor multiplies the interval after each trial of a condemned part that ended in a crash.
@@ -37,6 +41,9 @@
 	crashTimeError = 2 * time.Second
 )
 
+// Complete is the number of events of a whole answer for RecordProgress.
+const Complete = int(^uint(0)>>1) - survivalMargin
+
 // Verdict is the decision on a request.
 type Verdict int
 
@@ -62,6 +69,12 @@
 	return Suspected
 }
 
+// survives reports whether an attempt that received a number of events shows that a subject does not crash endpoints, although it was in
+// attempts that broke after crashEvents events.
+func survives(events, crashEvents int) bool {
+	return events >= max(crashEvents, latestStartCrash)+survivalMargin
+}
+
 // isStored reports whether the store holds enough of a record for its subject to have the same verdict after a restart.
 func (r *Record) isStored(verdict Verdict) bool {
 	if verdict == Condemned && r.Subject.Kind == Part {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -58,11 +58,11 @@
 
 	mu       sync.Mutex
 	records  map[Subject]*entry
-	heavy    map[Subject]*entry    // those that may be blocked
-	progress map[Subject]time.Time // latest progress of parts, for recentProgress at least
-	checks   uint64                // number of the latest check
-	unsent   map[Subject]struct{}  // changed here and not sent since
-	lastSent Subject               // of Spread, which continues after it
+	heavy    map[Subject]*entry   // those that may be blocked
+	progress map[Subject]progress // of parts, for recentProgress at least
+	checks   uint64               // number of the latest check
+	unsent   map[Subject]struct{} // changed here and not sent since
+	lastSent Subject              // of Spread, which continues after it
 
 	crashedAt map[uint32]time.Time // first report of a crash, by Crash.Endpoint
 }
@@ -87,6 +87,12 @@
 	rowLost     bool      // the store has lost the row, whatever peers say of it
 }
 
+// progress is what an endpoint has achieved with a part.
+type progress struct {
+	at     time.Time
+	events int // of the attempt that got furthest
+}
+
 // New returns a Tracker without records.
 func New(opts Options) *Tracker {
 	if opts.Now == nil {
@@ -102,7 +108,7 @@
 		opts.Log = logrus.StandardLogger()
 	}
 	t := &Tracker{opts: opts, changed: make(chan struct{}, 1), records: make(map[Subject]*entry),
-		heavy: make(map[Subject]*entry), progress: make(map[Subject]time.Time), unsent: make(map[Subject]struct{}), crashedAt: make(map[uint32]time.Time)}
+		heavy: make(map[Subject]*entry), progress: make(map[Subject]progress), unsent: make(map[Subject]struct{}), crashedAt: make(map[uint32]time.Time)}
 	t.metrics = newMetrics(opts.Registerer)
 	return t
 }
@@ -212,16 +218,17 @@
 	return t.opts.Now().Add(mean/2 + t.opts.Rand(mean))
 }
 
-// RecordCrash records that an endpoint broke off an attempt before it had got far with the answer. Parts that have made progress recently are not
-// suspects.
-func (t *Tracker) RecordCrash(c Crash, subjects []Subject) {
+// RecordCrash records that an endpoint broke off an attempt after a number of events; 0 for an answer that is no stream. Parts that have
+// recently got further are not suspects.
+func (t *Tracker) RecordCrash(c Crash, subjects []Subject, events int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	c = t.distinguish(c, now)
 	changed := false
-	for _, s := range t.suspects(subjects, now) {
+	for _, s := range t.suspects(subjects, events, now) {
 		e := t.entry(s)
+		e.Events = max(e.Events, min(events, Complete))
 		e.progressed = t.progressed(e)
 		added, latest := e.add(c), now.Add(ttlOf(s.Kind))
 		if !added && (len(e.Crashes) < MaxCrashes || latest.Sub(e.ExpiresAt) < minRestartTime) {
@@ -240,12 +247,12 @@
 
 // suspects returns the subjects of a broken attempt that may have caused the crash. A random choice of those without a record is left out if
 // there are too many.
-func (t *Tracker) suspects(subjects []Subject, now time.Time) []Subject {
+func (t *Tracker) suspects(subjects []Subject, events int, now time.Time) []Subject {
 	suspects, unknown := make([]Subject, 0, len(subjects)), make([]Subject, 0, len(subjects))
 	for _, s := range subjects {
 		p, ok := t.progress[s]
 		switch {
-		case ok && now.Sub(p) < recentProgress:
+		case ok && now.Sub(p.at) < recentProgress && survives(p.events, events):
 		case t.records[s] != nil:
 			suspects = append(suspects, s)
 		default:
@@ -259,10 +266,10 @@
 	return append(suspects, unknown...)
 }
 
-// progressed reports whether the part of an entry has made progress here, at any time that is known.
+// progressed reports whether the part of an entry has made progress here, at any time that is known, beyond its crashes.
 func (t *Tracker) progressed(e *entry) bool {
-	_, ok := t.progress[e.Subject]
-	return ok
+	p, ok := t.progress[e.Subject]
+	return ok && survives(p.events, e.Events)
 }
 
 // noteSetback counts a crash, after which the record expires at a later time, if it is that of a request that tried a condemned subject.
@@ -298,17 +305,18 @@
 	return c
 }
 
-// RecordProgress records that an endpoint has got on with an answer, so that the subjects of the request are harmless.
-func (t *Tracker) RecordProgress(subjects []Subject) {
+// RecordProgress records that an endpoint has got on with an answer, by a number of events or to its end (Complete), so that the subjects of
+// the request are harmless that have not got as far before a crash.
+func (t *Tracker) RecordProgress(subjects []Subject, events int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Now()
 	cleared := false
 	for _, s := range subjects {
 		if s.Kind == Part {
-			t.noteProgress(s, now)
+			t.noteProgress(s, events, now)
 		}
-		if e := t.records[s]; e != nil && len(e.Crashes) > 0 {
+		if e := t.records[s]; e != nil && len(e.Crashes) > 0 && survives(events, e.Events) {
 			t.clear(e)
 			cleared = true
 		}
@@ -318,14 +326,18 @@
 	}
 }
 
-func (t *Tracker) noteProgress(s Subject, now time.Time) {
-	if _, ok := t.progress[s]; !ok && len(t.progress) >= maxProgress {
-		maps.DeleteFunc(t.progress, func(_ Subject, at time.Time) bool { return now.Sub(at) >= recentProgress })
+func (t *Tracker) noteProgress(s Subject, events int, now time.Time) {
+	known, ok := t.progress[s]
+	if ok && known.events > events && now.Sub(known.at) < recentProgress {
+		return
+	}
+	if !ok && len(t.progress) >= maxProgress {
+		maps.DeleteFunc(t.progress, func(_ Subject, p progress) bool { return now.Sub(p.at) >= recentProgress })
 		if len(t.progress) >= maxProgress {
 			clear(t.progress)
 		}
 	}
-	t.progress[s] = now
+	t.progress[s] = progress{at: now, events: events}
 }
 
 // clear forgets the crashes of a subject that has made progress.
@@ -335,7 +347,7 @@
 		t.log(e, "quarantine_cleared").WithField("cause", "progress").Info("a blocked subject is harmless")
 	}
 	e.removeRow = e.removeRow || e.StoredEndpoints > 0
-	e.Generation, e.Crashes, e.StoredEndpoints, e.setbacks, e.verdict = e.Generation+1, nil, 0, 0, Admitted
+	e.Generation, e.Crashes, e.StoredEndpoints, e.Events, e.setbacks, e.verdict = e.Generation+1, nil, 0, 0, 0, Admitted
 	e.ExpiresAt = t.opts.Now().Add(clearedTTL)
 	t.noteChange(e, true)
 }
@@ -368,7 +380,7 @@
 		e.progressed = t.progressed(e)
 		t.noteChange(e, false)
 		changed = changed || wasHeavy || e.isHeavy()
-		if len(e.Crashes) > 0 && now.Sub(t.progress[r.Subject]) < recentProgress {
+		if p := t.progress[r.Subject]; len(e.Crashes) > 0 && now.Sub(p.at) < recentProgress && survives(p.events, e.Events) {
 			t.clear(e)
 		}
 	}
@@ -508,7 +520,7 @@
 
 func (t *Tracker) log(e *entry, event string) *logrus.Entry {
 	fields := logrus.Fields{
-		"event": event, "subject": e.Subject.Key(), "endpoints": len(e.endpoints), "calls": e.calls,
+		"event": event, "subject": e.Subject.Key(), "endpoints": len(e.endpoints), "calls": e.calls, "crash_events": e.Events,
 		"generation": e.Generation, "verdict": e.verdict.String(),
 	}
 	if g := e.group; g != nil {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -25,7 +25,7 @@
 
 // crash records the crash of an endpoint during a call with the given parts.
 func crash(t *Tracker, endpoint int, call uint64, parts ...string) {
-	t.RecordCrash(NewCrash("e", int64(endpoint), call), subjects(call, parts...))
+	t.RecordCrash(NewCrash("e", int64(endpoint), call), subjects(call, parts...), 0)
 }
 
 func subjects(call uint64, parts ...string) []Subject {
@@ -65,7 +65,7 @@
 	require.Equal(t, Admitted, verdictOn(tracker, 8))
 	peer.Merge(tracker.TakeChanged())
 	require.Equal(t, Condemned, verdictOn(peer, 7))
-	peer.RecordProgress(subjects(7))
+	peer.RecordProgress(subjects(7), Complete)
 	tracker.Merge(peer.TakeChanged())
 	require.Equal(t, Admitted, verdictOn(tracker, 7))
 
@@ -118,7 +118,7 @@
 func TestPartInUseIsNotBlocked(t *testing.T) {
 	c := newClock()
 	a, b := newTestTracker(c), newTestTracker(c)
-	a.RecordProgress(subjects(1, "common"))
+	a.RecordProgress(subjects(1, "common"), Complete)
 	for i := range 10 {
 		c.advance(100 * time.Millisecond)
 		crash(a, i, uint64(i), "common", "bad")
@@ -191,7 +191,7 @@
 			require.Equal(t, Admitted, v)
 			trials++
 			if harmless {
-				tracker.RecordProgress(list)
+				tracker.RecordProgress(list, Complete)
 				break
 			}
 			v, _ = tracker.Admit(list)
@@ -233,7 +233,7 @@
 	put, _ = after.Unstored()
 	require.Empty(t, put, "it is in the store already")
 
-	after.RecordProgress(subjects(99, "bad"))
+	after.RecordProgress(subjects(99, "bad"), Complete)
 	_, remove := after.Unstored()
 	require.Equal(t, []Subject{PartSubject("bad")}, remove)
 	after.MarkRemoved(remove)
@@ -299,7 +299,7 @@
 	require.LessOrEqual(t, len(a.records), maxRecords)
 	require.LessOrEqual(t, len(a.crashedAt), maxRecords)
 	for i := range 2 * maxProgress {
-		a.RecordProgress(subjects(1, "p"+strconv.Itoa(i)))
+		a.RecordProgress(subjects(1, "p"+strconv.Itoa(i)), Complete)
 	}
 	require.LessOrEqual(t, len(a.progress), maxProgress)
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -46,7 +46,7 @@
 	return s.Kind.String() + "-" + "0000000000000000"[:width-len(digits)] + digits
 }
 
-// Crash is an attempt that an endpoint broke off before it had got far with the answer. An incarnation of an endpoint crashes once, so
+// Crash is an attempt that an endpoint broke off. An incarnation of an endpoint crashes once, so
 // attempts that broke at the same one were broken by the same crash.
 type Crash struct {
 	Endpoint uint32 `json:"endpoint"` // hash of the endpoint's incarnation
@@ -67,7 +67,7 @@
 // with the same generation, the crashes of both count.
 type Record struct {
 	Subject    Subject
-	Depth      int       // position of a part in the prompt, from 1; the larger, the fewer requests contain a part
+	Events     int       // largest number of events that an endpoint had sent of an attempt when it broke it off
 	Generation uint32    // increases when the subject turns out to be harmless, which removes the crashes
 	Crashes    []Crash   // distinct, at most MaxCrashes
 	ExpiresAt  time.Time // when the record is forgotten
@@ -114,18 +114,16 @@
 
 // merge adds what another record of the subject tells and reports whether that changed anything.
 func (r *Record) merge(other *Record) bool {
-	changed := other.Depth > r.Depth
-	r.Depth = max(r.Depth, other.Depth)
 	switch {
 	case other.Generation < r.Generation:
 		return false
 	case other.Generation > r.Generation:
-		r.Generation, r.ExpiresAt, r.StoredEndpoints = other.Generation, other.ExpiresAt, other.StoredEndpoints
+		r.Generation, r.ExpiresAt, r.StoredEndpoints, r.Events = other.Generation, other.ExpiresAt, other.StoredEndpoints, other.Events
 		r.Crashes = slices.Clone(other.Crashes[:min(len(other.Crashes), MaxCrashes)])
 		return true
 	}
-	changed = changed || other.StoredEndpoints > r.StoredEndpoints
-	r.StoredEndpoints = max(r.StoredEndpoints, other.StoredEndpoints)
+	changed := other.StoredEndpoints > r.StoredEndpoints || other.Events > r.Events
+	r.StoredEndpoints, r.Events = max(r.StoredEndpoints, other.StoredEndpoints), max(r.Events, other.Events)
 	for _, c := range other.Crashes {
 		if r.add(c) {
 			changed, r.ExpiresAt = true, laterOf(r.ExpiresAt, other.ExpiresAt)
--- a/quarantine/row.go
+++ b/quarantine/row.go
@@ -11,7 +11,7 @@
 type row struct {
 	Kind       string  `json:"kind"`
 	Hash       uint64  `json:"hash,string"`
-	Depth      int     `json:"depth"`
+	Events     int     `json:"events"`
 	Generation uint32  `json:"generation"`
 	Crashes    []Crash `json:"crashes"`
 	ExpiresMs  int64   `json:"expires_ms"` // Unix milliseconds
@@ -19,7 +19,7 @@
 
 // EncodeRow returns the value of the row that holds a record.
 func EncodeRow(r *Record) ([]byte, error) {
-	value, err := json.Marshal(row{Kind: r.Subject.Kind.String(), Hash: r.Subject.Hash, Depth: r.Depth, Generation: r.Generation, Crashes: r.Crashes,
+	value, err := json.Marshal(row{Kind: r.Subject.Kind.String(), Hash: r.Subject.Hash, Events: r.Events, Generation: r.Generation, Crashes: r.Crashes,
 		ExpiresMs: r.ExpiresAt.UnixMilli()})
 	return value, errors.Wrap(err, "quarantine row")
 }
@@ -30,7 +30,7 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return Record{}, errors.Wrap(err, "quarantine row")
 	}
-	r := Record{Subject: Subject{Hash: v.Hash}, Depth: v.Depth, Generation: v.Generation, ExpiresAt: time.UnixMilli(v.ExpiresMs)}
+	r := Record{Subject: Subject{Hash: v.Hash}, Events: max(v.Events, 0), Generation: v.Generation, ExpiresAt: time.UnixMilli(v.ExpiresMs)}
 	for _, kind := range []Kind{Call, Part} {
 		if kind.String() == v.Kind {
 			r.Subject.Kind = kind
--- a/quarantine/together_test.go
+++ b/quarantine/together_test.go
@@ -56,7 +56,7 @@
 			return false
 		}
 		if !slices.Contains(parts, s.atFault) {
-			g.RecordProgress(list)
+			g.RecordProgress(list, Complete)
 			s.exchange()
 			return true
 		}
@@ -69,10 +69,10 @@
 		for _, other := range beside {
 			s.calls++
 			if at, list := s.gateways[s.calls%uint64(len(s.gateways))], subjects(s.calls, other...); isFree(at, list) {
-				at.RecordCrash(crash, list)
+				at.RecordCrash(crash, list, 0)
 			}
 		}
-		g.RecordCrash(crash, list)
+		g.RecordCrash(crash, list, 0)
 		s.exchange()
 	}
 	return false
@@ -174,7 +174,7 @@
 func TestPartInAMassCrashIsUsedAgain(t *testing.T) {
 	c := newClock()
 	tracker := newTestTracker(c)
-	tracker.RecordProgress(subjects(1, "common"))
+	tracker.RecordProgress(subjects(1, "common"), Complete)
 	c.advance(time.Minute)
 	for i := range 2 * condemnCrashes {
 		crash(tracker, i, uint64(100+i), "common")
@@ -183,7 +183,7 @@
 	for range 2 * trialInterval / time.Second {
 		c.advance(time.Second)
 		if v, _ := tracker.Admit(subjects(3, "common")); v == Admitted {
-			tracker.RecordProgress(subjects(3, "common"))
+			tracker.RecordProgress(subjects(3, "common"), Complete)
 		}
 	}
 	require.Equal(t, Admitted, verdictOn(tracker, 2, "common"))
@@ -221,6 +221,31 @@
 	}
 }
 
+// An attempt that outlasts earlier crashes shows that its subjects are harmless, and one that does not shows nothing, also not of crashes that a
+// peer has seen.
+func TestOnlyAttemptsThatOutlastTheCrashesClear(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		position := rapid.IntRange(0, 100).Draw(rt, "events before the crash")
+		reached := rapid.IntRange(0, 110).Draw(rt, "events of a later attempt")
+		c := newClock()
+		witness, peer := newTestTracker(c), newTestTracker(c)
+		for i := range blockCrashes {
+			witness.RecordCrash(NewCrash("e", int64(i), 7), subjects(7), position)
+		}
+		peer.Merge(witness.TakeChanged())
+		for _, tracker := range []*Tracker{witness, peer} {
+			tracker.RecordProgress(subjects(7), reached)
+			want := Condemned
+			if reached >= max(position, latestStartCrash)+survivalMargin {
+				want = Admitted
+			}
+			if got := verdictOn(tracker, 7); got != want {
+				rt.Fatalf("%s, want %s", got, want)
+			}
+		}
+	})
+}
+
 // Several parts at fault, which are never together but run beside each other, must not be taken for each other's alibi.
 func TestSeveralPartsAtFaultAreStopped(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -232,7 +257,7 @@
 			s.clock.advance(pause)
 			part := fmt.Sprint("f", s.rng.IntN(faults))
 			if v, _ := tracker.Admit(subjects(call, "common", part)); v != Admitted {
-				tracker.RecordProgress(subjects(100_000+call, "common"))
+				tracker.RecordProgress(subjects(100_000+call, "common"), Complete)
 				continue
 			}
 			if at := crashes[part]; len(at) >= countedCrashes && s.clock.now.Sub(at[countedCrashes-1]) > contactTime {
