registry: a gateway that the store turns away alone has seen no outage

Cause: a gateway that the store turned away alone took its own return for the end of an outage, and removals for entries that had expired in it; others followed it. It compared what it heard of peers with its latest failed call only. On a related path an entry whose grace period was over came back into use in the next outage.

Change: only a second without a response of the store to any gateway is an outage in which entries may expire. The grace period of an entry ends once.

TestStoreThatServedOthersHasNotBeenAway and TestGracePeriodEndsForGood failed before.

--- a/registry/delta.go
+++ b/registry/delta.go
@@ -67,9 +67,7 @@
 	previous := r.appliedVersion
 	r.startedVersion, r.appliedVersion = d.Version, d.Version
 	if d.Ended > 0 && !r.storeDown {
-		if endedAt := r.now().Add(-d.Ended); endedAt.After(r.outageEndedAt) {
-			r.outageEndedAt = endedAt
-		}
+		r.setOutageEnd(r.now().Add(-d.Ended))
 	}
 	if d.Since == 0 {
 		return r.replace(d.Entries, d.Version, previous, restored && !d.Stable), true
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,6 +24,9 @@
 	maxAvoidance = 3 * time.Second
 	// tombstoneTTL is the time for which a removed endpoint is remembered, so that a late entry does not add it again.
 	tombstoneTTL = time.Minute
+	// shortestOutage is the shortest time without a response of the store to any gateway that may be an outage in which entries expire. It is longer
+	// than the time between two responses, and shorter than the silence after which an entry expires.
+	shortestOutage = time.Second
 	// restoredGracePeriod is the time after which an entry that was removed before the store came back from a copy counts as live if the store
 	// still lists it. What the copy lacks is written again within that time, removals included.
 	restoredGracePeriod = 10 * time.Second
@@ -99,6 +102,8 @@
 	records        map[string]*record // by endpoint ID
 	storeDown      bool
 	downSince      time.Time // when the store was first found down, while storeDown
+	refusedSince   time.Time // when calls of this gateway to the store began to fail; zero: the latest one succeeded
+	servedAt       time.Time // when the store last responded to any gateway, as far as is known
 	outageEndedAt  time.Time // of the latest store outage
 	startedVersion int64     // latest position whose changes are applied or being applied
 	appliedVersion int64     // latest position whose changes are completely applied
@@ -230,7 +235,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isRestored(version) && !r.storeDown {
-		r.outageEndedAt = r.now() // entries that the copy lacks are written again, as after an outage
+		r.setOutageEnd(r.now()) // entries that the copy lacks are written again, as after an outage
 	}
 	return r.replace(entries, version, r.appliedVersion, r.nearOutage())
 }
@@ -267,17 +272,54 @@
 func (r *Registry) MarkStoreDown() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.refusedSince.IsZero() {
+		r.refusedSince = r.now()
+	}
 	if !r.storeDown {
+		r.endGracePeriod()
 		r.storeDown, r.downSince = true, r.now()
 	}
 }
 
-// MarkStoreUp records that the store responds again. The grace period of entries that expired in the outage starts now.
+// MarkStoreUp records that the store responds to this gateway. If it did not before, the grace period of entries that expired in the outage starts
+// now, unless the store responded to some gateway all the while: then none has expired because of an outage.
 func (r *Registry) MarkStoreUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.storeDown {
-		r.storeDown, r.outageEndedAt = false, r.now()
+	now, refusedSince, servedAt := r.now(), r.refusedSince, r.servedAt
+	r.refusedSince, r.servedAt = time.Time{}, now
+	switch {
+	case !r.storeDown:
+		return
+	case now.Sub(servedAt) >= shortestOutage:
+		r.outageEndedAt = now
+	case r.outageEndedAt.Before(refusedSince):
+		r.confirmRemovals(refusedSince)
+	}
+	r.storeDown = false
+}
+
+// confirmRemovals records that entries removed since a time have not expired because of an outage.
+func (r *Registry) confirmRemovals(since time.Time) {
+	for _, rec := range r.records {
+		if !rec.removedAt.Before(since) {
+			rec.expiredInOutage = false
+		}
+	}
+}
+
+// endGracePeriod makes the removals of entries final whose grace period is over, before the next outage gives them another one.
+func (r *Registry) endGracePeriod() {
+	if !r.storeDown && r.now().Sub(r.outageEndedAt) >= outageGracePeriod {
+		r.confirmRemovals(time.Time{})
+	}
+}
+
+// setOutageEnd records the end of an outage that is later than those known.
+func (r *Registry) setOutageEnd(at time.Time) {
+	if at.After(r.outageEndedAt) {
+		r.endGracePeriod()
+		r.outageEndedAt = at
 	}
 }
 
@@ -287,19 +329,16 @@
 func (r *Registry) ObserveStoreUp(confirmedAt, othersOutageEndedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if confirmedAt.After(r.servedAt) {
+		r.servedAt = confirmedAt
+	}
 	if !r.storeDown || !confirmedAt.After(r.downSince) {
 		return
 	}
+	r.setOutageEnd(othersOutageEndedAt)
 	r.storeDown = false
-	if othersOutageEndedAt.After(r.outageEndedAt) {
-		r.outageEndedAt = othersOutageEndedAt
-	}
 	if othersOutageEndedAt.Before(r.downSince) {
-		for _, rec := range r.records {
-			if !rec.removedAt.Before(r.downSince) {
-				rec.expiredInOutage = false
-			}
-		}
+		r.confirmRemovals(r.downSince)
 	}
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // fakeClock is a clock that a test advances.
@@ -231,3 +232,66 @@
 		})
 	}
 }
+
+// A gateway that the store has turned away alone or for a moment must not take removals for entries that expired in an outage, nor pass them on
+// as such, however often its state changed in between and whenever it last heard that others were served.
+func TestStoreThatServedOthersHasNotBeenAway(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r, clock := newTestRegistry("a", "b")
+		follower, _ := newTestRegistry("a", "b")
+		follower.now = clock.now
+		clock.advance(time.Minute)
+		r.ApplyVersion(1, func() {})
+		follower.ApplyVersion(1, func() {})
+		others := time.Duration(rapid.IntRange(10, 900).Draw(rt, "interval of the others' responses in ms")) * time.Millisecond
+		own := time.Duration(rapid.IntRange(10, 400).Draw(rt, "interval of the own failures in ms")) * time.Millisecond
+		refusedFor := time.Duration(rapid.IntRange(10, 5000).Draw(rt, "refused for ms")) * time.Millisecond
+		removedAfter := time.Duration(rapid.IntRange(0, int(refusedFor/time.Millisecond)).Draw(rt, "removed after ms")) * time.Millisecond
+		r.MarkStoreUp()
+		started, nextOwn, nextOthers, removed := clock.now(), clock.now(), clock.now().Add(others), false
+		for clock.now().Sub(started) < refusedFor {
+			if !clock.now().Before(nextOwn) {
+				r.MarkStoreDown()
+				nextOwn = clock.now().Add(own)
+			}
+			if !clock.now().Before(nextOthers) {
+				r.ObserveStoreUp(clock.now(), time.Time{})
+				nextOthers = clock.now().Add(others)
+			}
+			if !removed && clock.now().Sub(started) >= removedAfter && rapid.Bool().Draw(rt, "known from a peer") {
+				removed = true
+				r.ApplyVersion(2, func() { r.Remove(2, "a") })
+			}
+			clock.advance(10 * time.Millisecond)
+		}
+		r.MarkStoreUp()
+		if !removed {
+			r.ApplyVersion(2, func() { r.Remove(2, "a") })
+		}
+		follower.ApplyDelta(r.DeltaSince(1))
+		for name, at := range map[string]*Registry{"the gateway": r, "its follower": follower} {
+			if ids := usableIDs(at); len(ids) != 1 {
+				rt.Fatalf("%s uses %v", name, ids)
+			}
+		}
+	})
+}
+
+// An entry whose grace period is over must not be used again in a later outage.
+func TestGracePeriodEndsForGood(t *testing.T) {
+	r, clock := newTestRegistry("a", "b")
+	clock.advance(time.Minute)
+	r.MarkStoreDown()
+	r.Remove(0, "a")
+	require.Equal(t, []string{"a", "b"}, usableIDs(r))
+	clock.advance(time.Second)
+	r.MarkStoreUp()
+	require.Equal(t, []string{"a", "b"}, usableIDs(r))
+	clock.advance(outageGracePeriod)
+	require.Equal(t, []string{"b"}, usableIDs(r))
+	r.MarkStoreDown()
+	require.Equal(t, []string{"b"}, usableIDs(r))
+	clock.advance(time.Second)
+	r.MarkStoreUp()
+	require.Equal(t, []string{"b"}, usableIDs(r))
+}
