gatewayd: gateways that the store turns away learn of the others from peers

Cause: a gateway that was added while the store turned it away knew the seeds only, and one that is no seed did not hear of it.

Change: a gateway that has not read the list of gateways in the store asks its peers for the addresses of those that they hear.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -126,6 +126,16 @@
 	return live
 }
 
+// Addresses returns the addresses of the peers that have sent a state recently.
+func (e *Exchange) Addresses() []string {
+	peers := e.LivePeers()
+	addrs := make([]string, len(peers))
+	for i := range peers {
+		addrs[i] = peers[i].Addr
+	}
+	return addrs
+}
+
 // IsNear reports whether a gateway or an endpoint belongs to the circle of this gateway.
 func (e *Exchange) IsNear(m Member) bool {
 	e.mu.Lock()
--- a/exchange/state.go
+++ b/exchange/state.go
@@ -32,12 +32,14 @@
 	Epoch     int64          `json:"epoch"`
 	Config    []byte         `json:"config,omitempty"` // as stored, compressed by Compress; empty if the fetching gateway has it
 	Endpoints registry.Delta `json:"endpoints"`
+	Gateways  []string       `json:"gateways,omitempty"` // addresses of the gateways that the sender hears, if asked for
 }
 
 // StateQuery tells what the fetching gateway has.
 type StateQuery struct {
 	Epoch            int64 // of its configuration
 	EndpointsVersion int64 // store version of its list of endpoints; 0: none
+	WantsGateways    bool  // it cannot read the list of gateways in the store
 }
 
 // StateHandler serves this gateway's state to peers.
@@ -52,6 +54,7 @@
 			http.Error(w, "epoch and endpoints must be numbers", http.StatusBadRequest)
 			return
 		}
+		query.WantsGateways = req.FormValue("gateways") != ""
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(state(query)) // fails only if the peer has disconnected
 	}).Methods(http.MethodGet)
@@ -92,6 +95,9 @@
 func fetchState(ctx context.Context, client *http.Client, addr string, query StateQuery) (State, error) {
 	var s State
 	values := url.Values{"epoch": {strconv.FormatInt(query.Epoch, 10)}, "endpoints": {strconv.FormatInt(query.EndpointsVersion, 10)}}
+	if query.WantsGateways {
+		values.Set("gateways", "1")
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/state?"+values.Encode(), nil)
 	if err != nil {
 		return s, errors.Wrap(err, "peer state")
--- a/internal/gatewayd/fleet_test.go
+++ b/internal/gatewayd/fleet_test.go
@@ -78,6 +78,14 @@
 	return to
 }
 
+// seedsOf returns the gateways that one knows when it starts.
+func (f *testFleet) seedsOf(n *testNode) []*testNode {
+	if n.seeds != nil {
+		return n.seeds
+	}
+	return f.all
+}
+
 type testNode struct {
 	fleet  *testFleet
 	name   string
@@ -89,7 +97,8 @@
 	closed chan struct{}
 	cancel context.CancelFunc
 	done   sync.WaitGroup
-	frozen bool // receives and sends nothing
+	frozen bool        // receives and sends nothing
+	seeds  []*testNode // that it knows when it starts; nil: all
 }
 
 func newTestFleet(t *testing.T, gateways, domains int) *testFleet {
@@ -148,7 +157,7 @@
 	d.follower = newFollower(d.exchange, d.stateSync, storewatch.Gateway{Name: n.name, FailureDomain: n.domain}, log)
 	n.daemon, n.inbox, n.closed = d, make(chan []byte, 4096), make(chan struct{})
 	d.follower.client = exchange.NewStateClient(n.toPeers())
-	for _, other := range n.fleet.all {
+	for _, other := range n.fleet.seedsOf(n) {
 		require.NoError(n.fleet.t, d.exchange.AddTarget(other.addr))
 	}
 	n.fleet.mu.Lock()
--- a/internal/gatewayd/follower.go
+++ b/internal/gatewayd/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,8 @@
 	// maxFetchDelay spreads the fetches of a new configuration by the gateways of a circle, so that those that have it early become
 	// sources for the others and no small VM sends it to all.
 	maxFetchDelay = 100 * time.Millisecond
+	// gatewaysInterval is the interval at which a gateway that has not read the list of gateways in the store asks a peer for the others.
+	gatewaysInterval = time.Second
 	// refetchDelay is the delay after a fetch that failed or brought nothing.
 	refetchDelay = 400 * time.Millisecond
 	// minPollShare is the shortest long poll, as a share of the longest. Different durations keep the watchers' polls from ending
@@ -37,13 +40,16 @@
 	log       *logrus.Logger
 	client    *exchange.StateClient
 
-	fetchAt time.Time // no fetch before this time; used by run only
+	fetchAt    time.Time   // no fetch before this time; used by run only
+	gatewaysAt time.Time   // when a peer is asked for the other gateways; used by run only
+	listRead   atomic.Bool // the list of gateways in the store has been read
 
 	mu   sync.Mutex
 	role storewatch.Role
 }
 
 func newFollower(e *exchange.Exchange, s *stateSync, self storewatch.Gateway, log *logrus.Logger) *follower {
+	s.gateways = e.Addresses
 	return &follower{exchange: e, stateSync: s, self: self, log: log, client: exchange.NewStateClient(nil)}
 }
 
@@ -65,6 +71,10 @@
 // follow takes over what the peers have confirmed, and fetches what is newer at one of them.
 func (f *follower) follow(ctx context.Context) {
 	peers := f.exchange.LivePeers()
+	if now := time.Now(); !f.listRead.Load() && len(peers) > 0 && !now.Before(f.gatewaysAt) {
+		f.gatewaysAt = now.Add(gatewaysInterval)
+		f.fetch(ctx, peers[rand.IntN(len(peers))])
+	}
 	if _, wantsConfig, ok := f.newest(peers); ok && !time.Now().Before(f.fetchAt) {
 		if wantsConfig && timing.Sleep(ctx, rand.N(maxFetchDelay)) != nil {
 			return
@@ -99,7 +109,8 @@
 // fetch fetches from a peer what this gateway lacks and reports whether that brought anything.
 func (f *follower) fetch(ctx context.Context, p exchange.Peer) bool {
 	own := f.stateSync.versions()
-	state, by, err := f.client.Fetch(ctx, p.Addr, exchange.StateQuery{Epoch: own.Epoch, EndpointsVersion: own.Endpoints})
+	state, by, err := f.client.Fetch(ctx, p.Addr, exchange.StateQuery{Epoch: own.Epoch, EndpointsVersion: own.Endpoints,
+		WantsGateways: !f.listRead.Load()})
 	if err == nil && by == hedge.New {
 		f.log.WithFields(logrus.Fields{"event": "peer_connection_silent", "peer": p.Name}).Warn("peer answers on a new connection only")
 	}
@@ -113,6 +124,11 @@
 		f.log.WithError(err).WithFields(logrus.Fields{"event": "peer_state", "peer": p.Name}).Info("cannot fetch state from a peer")
 		return false
 	}
+	for _, addr := range state.Gateways {
+		if err := f.exchange.AddTarget(addr); err != nil {
+			f.log.WithError(err).WithFields(logrus.Fields{"event": "peer_malformed", "peer": p.Name}).Warn("invalid address of a gateway")
+		}
+	}
 	if state.Endpoints.Version > own.Endpoints {
 		f.stateSync.applyEndpointsOfPeer(state.Endpoints, p.Name)
 	}
--- a/internal/gatewayd/following_test.go
+++ b/internal/gatewayd/following_test.go
@@ -264,3 +264,28 @@
 		}
 	})
 }
+
+// Gateways that the store turns away from their start on must hear of all others, also of each other and of those that are no seeds: what a circle
+// shares, such as the limits of endpoints, is shared by all of it.
+func TestGatewaysWithoutTheStoreFindAllOthers(t *testing.T) {
+	withFleet(t, 6, 2, func(f *testFleet) {
+		f.requireEverywhere(contactBound, f.all, "peers", hears(len(f.all)-1))
+		seeds := f.all[:3]
+		var added []*testNode
+		for i := range 2 {
+			n := &testNode{fleet: f, name: fmt.Sprint("added-", i), domain: "domain-0", addr: fmt.Sprintf("10.1.0.%d:7680", 1+i), seeds: seeds}
+			added = append(added, n)
+		}
+		f.store.SetMode(platformtest.Refuses, names(added)...)
+		for _, n := range added {
+			f.all = append(f.all, n)
+			n.start()
+		}
+		f.requireEverywhere(contactBound, f.all, "peers", hears(len(f.all)-1))
+	})
+}
+
+// hears reports whether a gateway hears of a number of others.
+func hears(others int) func(*daemon) bool {
+	return func(d *daemon) bool { return len(d.exchange.LivePeers()) == others }
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -325,6 +325,7 @@
 			rows, err := d.store.Peers(ctx)
 			if d.logFailure(err, "peer_list_read") {
 				d.addPeers(rows)
+				d.follower.listRead.Store(true)
 				pause = peerListInterval * time.Duration(max(len(rows), 1))
 			}
 		}
--- a/internal/gatewayd/statesync.go
+++ b/internal/gatewayd/statesync.go
@@ -29,6 +29,8 @@
 	// onNews is called when this gateway has read something newer from the store, or when the store has become reachable or
 	// unreachable. What came from a peer is no news for the others.
 	onNews func()
+	// gateways returns the addresses of the other gateways.
+	gateways func() []string
 
 	mu                   sync.Mutex
 	tableUp              map[string]bool // by table; has no entry for a table before the first result of a call
@@ -43,7 +45,7 @@
 func newStateSync(log *logrus.Logger, registerer prometheus.Registerer) *stateSync {
 	s := &stateSync{
 		log: log, config: new(catalog.CurrentSnapshot), registry: registry.New(nil),
-		tableUp: make(map[string]bool), onNews: func() {},
+		tableUp: make(map[string]bool), onNews: func() {}, gateways: func() []string { return nil },
 	}
 	s.evacuation = evacuation.New(evacuation.Options{OnChange: s.registry.SetEvacuated, Log: log, Registerer: registerer})
 	return s
@@ -267,6 +269,9 @@
 func (s *stateSync) stateFor(q exchange.StateQuery) exchange.State {
 	source, epoch := s.config.Source()
 	state := exchange.State{Epoch: epoch, Endpoints: s.registry.DeltaSince(q.EndpointsVersion)}
+	if q.WantsGateways {
+		state.Gateways = s.gateways()
+	}
 	if epoch > q.Epoch {
 		state.Config = s.compressed(source, epoch)
 	}
