soak: endpoints stall, crash while they answer, and deny what they have run

The checker looks for answers that are cut while their endpoint is at work, for late arrivals of the lookup as for those of the part, and at the end for sound prompts that a gateway does not serve.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,7 @@
 	callerTimeout = 5 * time.Second
 	answerMargin  = 2 * time.Second // after the deadline, until an answer must have come
 	longOrders    = 10              // one order of so many has a long body
+	crashingCalls = 200             // one request of so many is the call that crashes endpoints
 )
 
 // caller sends requests one after the other. It keeps its connection for as long as the gateway does.
@@ -61,7 +63,13 @@
 	r := result{attempt: fmt.Sprintf("%016x", c.rng.Uint64()), gateway: c.gateway.name}
 	request := platformtest.CallerRequest{Method: http.MethodPost, Host: host, AttemptID: r.attempt, APIKey: apiKey, Timeout: callerTimeout,
 		Body: "body of " + r.attempt}
-	switch c.rng.IntN(10) {
+	kind := c.rng.IntN(10)
+	if c.world.crashingShare() > 0 && c.rng.IntN(crashingCalls) == 0 {
+		kind = crashingCall
+	}
+	switch kind {
+	case crashingCall:
+		r.kind, request.Method, request.Path, request.Body = "crashing call", http.MethodGet, crashingPath, ""
 	case 0, 1:
 		r.kind, request.Path = "order", "/orders/"+r.attempt
 		if c.rng.IntN(longOrders) == 0 {
@@ -71,10 +79,7 @@
 		r.kind, request.Method, request.Path = "stock", http.MethodGet, "/stock/"+r.attempt
 	default:
 		r.kind, request.Path = "chat", chatPrefix+"x"
-		r.parts = "c0ffee:40," + r.attempt + ":4000"
-		if c.rng.Float64() < c.world.crashingShare() {
-			r.parts = "c0ffee:40," + crashingPart + ":100," + r.attempt + ":4000"
-		}
+		r.parts = c.prompt(c.rng.Float64() < c.world.crashingShare()) + r.attempt + ":4000"
 		request.Parts, request.PromptTokens, request.OutputTokens = r.parts, 4140, 400
 	}
 	r.sentAt = time.Now()
@@ -91,6 +96,33 @@
 	}
 }
 
+// crashingCall is the kind of request that crashes endpoints while they answer.
+const crashingCall = -1
+
+// promptLengths are the numbers of shared parts of prompts behind the first one.
+var promptLengths = []int{0, 3, 100}
+
+// sharedParts returns the parts that all prompts of a length have in common.
+func sharedParts(length int) []string {
+	parts := make([]string, length)
+	for i := range parts {
+		parts[i] = fmt.Sprintf("%d%06x:10", length, i)
+	}
+	return parts
+}
+
+// promptOf returns a prompt up to its last part.
+func promptOf(parts []string) string { return "c0ffee:40," + strings.Join(append(parts, ""), ",") }
+
+// prompt returns a prompt up to its last part. One that crashes endpoints has a further part at any position.
+func (c *caller) prompt(crashes bool) string {
+	parts := sharedParts(promptLengths[c.rng.IntN(len(promptLengths))])
+	if crashes {
+		parts = slices.Insert(parts, c.rng.IntN(len(parts)+1), crashingPart+":100")
+	}
+	return promptOf(parts)
+}
+
 // receive reads the response and reports whether the connection stays open.
 func (c *caller) receive(r *result) bool {
 	if _, err := c.reader.Peek(1); err != nil {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -12,6 +12,7 @@
 const (
 	contactTime      = 3 * time.Second // after a disturbance, until what others know must be known to a gateway
 	crashesBeforeEnd = 5               // crashes of a part after which only maxLateSends of its requests may reach endpoints
+	crashesOfCall    = 3               // the same for a call
 	maxLateSends     = 3
 	limitWindow      = 4 * time.Second
 	limitFactor      = 1.5
@@ -54,7 +55,8 @@
 	refusals     []run
 	probes       int // of the configuration
 	results      []result
-	crashes      []time.Time            // of endpoints, by the crashing part
+	crashes      map[string][]time.Time // of endpoints, by the crashing part or call
+	cuts         map[string]time.Time   // streams that a gateway has cut while their endpoint was at work, by attempt
 	faults       []time.Time            // of gateways and the store: starts, kills, pauses, ends of outages
 	stops        map[string][]time.Time // planned stops, by gateway
 	hardFaults   map[string][]time.Time // kills and pauses, by gateway
@@ -66,7 +68,7 @@
 
 func newChecker() *checker {
 	return &checker{stops: make(map[string][]time.Time), hardFaults: make(map[string][]time.Time), limits: make(map[string]limitChange),
-		limitedUntil: make(map[string]time.Time)}
+		limitedUntil: make(map[string]time.Time), crashes: make(map[string][]time.Time), cuts: make(map[string]time.Time)}
 }
 
 func (c *checker) violate(format string, args ...any) {
@@ -94,10 +96,17 @@
 	c.refusals = append(c.refusals, r)
 }
 
-func (c *checker) recordCrash(at time.Time) {
+func (c *checker) recordCrash(cause string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes = append(c.crashes, at)
+	c.crashes[cause] = append(c.crashes[cause], at)
+}
+
+// recordCut records that an endpoint could not write an event of a stream.
+func (c *checker) recordCut(attempt string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts[attempt] = at
 }
 
 func (c *checker) recordResult(r result) {
@@ -160,7 +169,8 @@
 	for i := range c.results {
 		c.checkResult(&c.results[i], runsByAttempt[c.results[i].attempt])
 	}
-	c.checkCrashingPart()
+	c.checkCrashing(crashingPart, crashesBeforeEnd, func(r *run) bool { return strings.Contains(r.parts, crashingPart+":") })
+	c.checkCrashing(crashingPath, crashesOfCall, func(r *run) bool { return r.path == crashingPath })
 	c.checkLimits()
 	c.checkEvacuations()
 	c.checkSends()
@@ -178,7 +188,7 @@
 	if r.kind == "order" && len(runs) > 1 {
 		c.add("order %s ran %d times", r.attempt, len(runs))
 	}
-	if r.kind == "order" && (r.status == 429 || r.status == 503) && len(runs) > 0 {
+	if r.kind == "order" && slices.Contains([]int{408, 421, 429, 503}, r.status) && len(runs) > 0 {
 		c.add("order %s was answered %d by %s and ran", r.attempt, r.status, r.gateway)
 	}
 	if r.status == 200 && r.complete && len(runs) == 0 {
@@ -193,6 +203,21 @@
 	if plannedStop && !disturbed && r.bytes == 0 && r.status == 0 && len(runs) > 0 {
 		c.add("%s %s got no answer from %s, which was stopping", r.kind, r.attempt, r.gateway)
 	}
+	if !disturbed && c.wasCut(r, runs) {
+		c.add("%s %s was cut by %s while its endpoint was at work", r.kind, r.attempt, r.gateway)
+	}
+}
+
+// wasCut reports whether a gateway has ended an answer that had begun, well before its caller gave up or the gateway had to end, while the latest
+// endpoint was at work on it.
+func (c *checker) wasCut(r *result, runs []run) bool {
+	cutAt, cut := c.cuts[r.attempt]
+	if !cut || r.status != 200 || r.complete || r.endedAt.Sub(r.sentAt) > callerTimeout-time.Second || cutAt.Before(runs[len(runs)-1].at) {
+		return false
+	}
+	return !slices.ContainsFunc(c.stops[r.gateway], func(at time.Time) bool {
+		return r.endedAt.After(at.Add(graceTime*5/6)) && r.endedAt.Before(at.Add(graceTime+time.Second))
+	})
 }
 
 // disturbedAt reports whether a gateway or the store was disturbed shortly before a time.
@@ -200,20 +225,22 @@
 	return slices.ContainsFunc(c.faults, func(fault time.Time) bool { return !fault.After(at) && at.Sub(fault) < contactTime })
 }
 
-func (c *checker) checkCrashingPart() {
-	if len(c.crashes) < crashesBeforeEnd {
+// checkCrashing checks that requests with something that crashes endpoints are not sent any more after a number of crashes.
+func (c *checker) checkCrashing(cause string, tolerated int, contains func(r *run) bool) {
+	crashes := c.crashes[cause]
+	if len(crashes) < tolerated {
 		return
 	}
-	slices.SortFunc(c.crashes, time.Time.Compare)
-	known := c.crashes[crashesBeforeEnd-1].Add(contactTime)
+	slices.SortFunc(crashes, time.Time.Compare)
+	known := crashes[tolerated-1].Add(contactTime)
 	late := 0
 	for _, r := range c.runs {
-		if strings.Contains(r.parts, crashingPart+":") && r.at.After(known) && !c.disturbedAt(r.at) {
+		if contains(&r) && r.at.After(known) && !c.disturbedAt(r.at) {
 			late++
 		}
 	}
 	if late > maxLateSends {
-		c.add("%d requests with a part that had crashed %d endpoints were sent", late, crashesBeforeEnd)
+		c.add("%d requests with %s, which had crashed %d endpoints, were sent", late, cause, tolerated)
 	}
 }
 
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -20,6 +20,7 @@
 	restartTime     = 1500 * time.Millisecond
 	refusalTime     = 2 * time.Second // for which an endpoint that refuses wants no requests
 	crashingPart    = "badbad"
+	crashingPath    = "/stock/crashing" // of a call that crashes endpoints while they answer
 )
 
 // run is a request that an endpoint has begun to execute.
@@ -44,10 +45,12 @@
 	mu        sync.Mutex
 	id        string // of the current incarnation
 	limit     float64
-	garbles   bool // breaks off or adds to some answers
-	invalid   bool // sends some responses that HTTP/1.1 does not allow, or that do not end
-	leaving   bool // states in its answers that it shuts down
-	refuses   bool // refuses requests with a time to return
+	garbles   bool      // breaks off or adds to some answers
+	invalid   bool      // sends some responses that HTTP/1.1 does not allow, or that do not end
+	leaving   bool      // states in its answers that it shuts down
+	refuses   bool      // refuses requests with a time to return
+	denies    bool      // runs some requests and answers them with a status that promises that they have not run
+	stalledTo time.Time // until which it makes no events
 	listener  *silenceableListener
 	listeners []*silenceableListener // of all incarnations; they hold the connections that have been silenced
 	conns     map[net.Conn]struct{}
@@ -66,7 +69,7 @@
 	e.listeners = append(e.listeners, listener)
 	e.addr, e.listener, e.conns = listener.Addr().String(), listener, make(map[net.Conn]struct{})
 	e.id = fmt.Sprintf("i-%s-%d", e.service, e.world.nextID())
-	e.startedAt, e.leaving, e.refuses = time.Now(), false, false
+	e.startedAt, e.leaving, e.refuses, e.denies, e.stalledTo = time.Now(), false, false, false, time.Time{}
 	e.register()
 	go e.accept(listener, e.conns)
 	return nil
@@ -189,10 +192,16 @@
 	}
 	faulty := garbles && rand.IntN(10) == 0
 	time.Sleep(eventPause)
-	if strings.Contains(req.Parts, crashingPart+":") {
-		e.world.checker.recordCrash(time.Now())
+	switch {
+	case strings.Contains(req.Parts, crashingPart+":"):
+		e.world.checker.recordCrash(crashingPart, time.Now())
 		e.crash()
 		return false
+	case req.Path == crashingPath:
+		e.crashWhileAnswering(c, head, req)
+		return false
+	case e.answerDenial(c, req):
+		return true
 	}
 	if strings.HasPrefix(req.Path, chatPrefix) {
 		return e.stream(c, head, req, faulty)
@@ -214,6 +223,7 @@
 // stream sends the events after the last one that the caller has. A faulty stream ends inside an event. The end of the connection ends
 // the answer.
 func (e *endpoint) stream(c net.Conn, head string, req *platformtest.EndpointRequest, faulty bool) bool {
+	listener := c.(*silenceableConn).listener
 	if _, err := io.WriteString(c, head+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"); err != nil {
 		return false
 	}
@@ -223,7 +233,11 @@
 			_, _ = io.WriteString(c, event[:len(event)/2]) // it is cut in any case
 			return false
 		}
+		e.stall()
 		if _, err := io.WriteString(c, event); err != nil {
+			if e.isUp(listener) {
+				e.world.checker.recordCut(req.AttemptID, time.Now())
+			}
 			return false
 		}
 		time.Sleep(eventPause)
@@ -231,5 +245,48 @@
 	return false
 }
 
+// isUp reports whether the incarnation with a listener has not crashed.
+func (e *endpoint) isUp(listener *silenceableListener) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listener == listener
+}
+
+// stall waits while the endpoint makes no events.
+func (e *endpoint) stall() {
+	e.mu.Lock()
+	until := e.stalledTo
+	e.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// crashWhileAnswering crashes at some byte of the answer.
+func (e *endpoint) crashWhileAnswering(c net.Conn, head string, req *platformtest.EndpointRequest) {
+	body := "ran " + req.AttemptID
+	answer := head + "Connection: close\r\n\r\n" + body
+	if rand.IntN(2) == 0 {
+		answer = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	write(c, answer[:rand.IntN(len(answer))])
+	time.Sleep(eventPause)
+	e.world.checker.recordCrash(crashingPath, time.Now())
+	e.crash()
+}
+
+// answerDenial answers some requests that have run with a status that callers take for the promise that they have not, and reports whether it has
+// done so.
+func (e *endpoint) answerDenial(c net.Conn, req *platformtest.EndpointRequest) bool {
+	const share = 3 // one request of so many
+	e.mu.Lock()
+	denies := e.denies
+	e.mu.Unlock()
+	if !denies || rand.IntN(share) > 0 {
+		return false
+	}
+	status := []string{"408", "429", "503"}[rand.IntN(3)]
+	write(c, strings.Replace(platformtest.SuccessHead(req.AttemptID, 0), "200", status, 1)+"Content-Length: 3\r\n\r\nran")
+	return true
+}
+
 // eventOf returns an event of the answer to a request.
 func eventOf(attempt string, i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, attempt) }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,9 @@
 		{"endpoint leaves", w.emptyEndpoint},
 		{"evacuation", w.evacuate},
 		{"refusals", w.refuseRequests},
+		{"denials", w.denyRequests},
+		{"stall", w.stallEndpoint},
+		{"stall", w.stallEndpoint},
 		{"silent connections", w.silenceConnections},
 		{"silent connections", w.silenceConnections},
 		{"odd entries", func(float64) { w.writeOddEntries() }},
@@ -201,6 +204,28 @@
 	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.refuses = false }) })
 }
 
+// denyRequests lets an endpoint deny some of the requests that it has run.
+func (w *world) denyRequests(seconds float64) {
+	e := w.randomEndpoint()
+	e.set(func(e *endpoint) { e.denies = true })
+	w.after(time.Duration(seconds*float64(time.Second)), func() { e.set(func(e *endpoint) { e.denies = false }) })
+}
+
+// stallEndpoint lets an endpoint make no events for longer than gateways wait before they try another one, and for less than callers wait. The
+// others refuse requests meanwhile.
+func (w *world) stallEndpoint(seconds float64) {
+	const shortest, perSecond = 2500 * time.Millisecond, 300 * time.Millisecond
+	stalled, stall := w.randomEndpoint(), shortest+time.Duration(seconds*float64(perSecond))
+	until := time.Now().Add(stall)
+	stalled.set(func(e *endpoint) { e.stalledTo = until })
+	for _, e := range w.endpoints {
+		if e != stalled && e.service == stalled.service {
+			e.set(func(e *endpoint) { e.refuses = true })
+			w.after(stall, func() { e.set(func(e *endpoint) { e.refuses = false }) })
+		}
+	}
+}
+
 func (w *world) limitEndpoints(seconds float64) {
 	const share, stretch = 0.6, 5.0
 	for _, e := range w.endpoints {
--- a/internal/soak/probe.go
+++ b/internal/soak/probe.go
@@ -59,8 +59,31 @@
 	}
 }
 
+// checkPrompts sends sound prompts to all gateways after all disturbances, until each gateway has served each of them: what was blocked beside
+// the part that crashes endpoints must not stay blocked.
+func (w *world) checkPrompts() {
+	const servedWithin = 15 * time.Second
+	for _, g := range w.gateways {
+		for _, shared := range promptLengths {
+			served := false
+			for startedAt := time.Now(); !served && time.Since(startedAt) < servedWithin; time.Sleep(probePause) {
+				served = w.sendRequest(g, platformtest.CallerRequest{Method: http.MethodPost, Path: chatPrefix + "x", APIKey: apiKey,
+					Parts: promptOf(sharedParts(shared)) + "1:4000", PromptTokens: 4140, OutputTokens: 400}) == http.StatusOK
+			}
+			if !served {
+				w.checker.violate("%s does not serve a sound prompt with %d further parts", g.name, shared)
+			}
+		}
+	}
+}
+
 // send sends a request on a connection of its own and returns the status of the answer; 0: there was none.
 func (w *world) send(g *gateway, prefix, key string) (status int) {
+	return w.sendRequest(g, platformtest.CallerRequest{Method: http.MethodGet, Path: prefix, APIKey: key})
+}
+
+// sendRequest is send for any request, which gets an ID at the end of its path.
+func (w *world) sendRequest(g *gateway, request platformtest.CallerRequest) (status int) {
 	conn, err := net.DialTimeout("tcp", g.callerAddr, probeTimeout)
 	if err != nil {
 		return 0
@@ -68,7 +91,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
 	id := fmt.Sprintf("probe-%d", w.nextID())
-	request := platformtest.CallerRequest{Method: http.MethodGet, Path: prefix + id, Host: host, AttemptID: id, APIKey: key, Timeout: probeTimeout}
+	request.Path, request.Host, request.AttemptID, request.Timeout = request.Path+id, host, id, probeTimeout
 	if _, err := conn.Write(request.Encode()); err != nil {
 		return 0
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -142,6 +142,7 @@
 	callers.Go(func() { w.probe(callersCtx) })
 	w.disturb()
 	w.pending.Wait()
+	w.checkPrompts()
 	stopCallers()
 	callers.Wait()
 	for _, g := range w.gateways {
