--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,7 +20,7 @@
 	takeOver   func() bool // begins another attempt beside this one, if one is allowed
 	superseded bool        // another attempt has got on with the answer
 	silent     bool        // another attempt was begun because of its silence
-	lost       bool        // it was canceled because its endpoint counts as lost
+	lost       bool        // it was canceled since its endpoint counts as lost: it accepts no connections
 	retryPaid  bool        // lost only: the next attempt has been taken from the retry budget
 	ended      bool
 
--- a/quarantine/policy.go
+++ b/quarantine/policy.go
@@ -50,7 +50,7 @@
 const (
 	Admitted  Verdict = iota // no subject of the request is blocked, or it is tried with this request
 	Suspected                // a subject is blocked that may be harmless; it is tried now and then
-	Condemned                // a subject is blocked until its record expires
+	Condemned                // a subject is blocked and not tried with this request
 )
 
 // isHeavy reports whether the crashes of a record suffice to block its subject, whatever else may explain them.
@@ -95,7 +95,7 @@
 	// rivals would explain the crashes as well, with as many of their own or more: one of theirs may be at fault instead. Weaker ones have fewer.
 	rivals, weaker []*group
 
-	found int // distinct members in the request that is being checked
+	found int // distinct members in the request that is being checked, set by Tracker.blockedIn
 }
 
 // groupKey identifies a group.
@@ -106,7 +106,8 @@
 	outdated   bool
 }
 
-// groupsOf returns the groups of entries with enough crashes, the heaviest first, and sets the group of each entry.
+// groupsOf returns the groups of entries with enough crashes, the heaviest first, and sets the group of each entry. Parts whose records are full
+// differ in the time of their latest crash only.
 func groupsOf(heavy []*entry) []*group {
 	latest := make(map[groupKey]time.Time)
 	keys := make([]groupKey, len(heavy))
