gateway: a takeover that reaches no endpoint tries the next one at once

With the change for silent endpoints, a second attempt that got no connection ended the takeover, and the next endpoint was tried after another silence only. Before, it was tried at once.

A takeover now goes on like any request after a failure, within the route's attempts and the retry budget. TestTakeoverTriesTheNextEndpointAtOnce guards it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,10 +29,10 @@
 	progressAt   time.Time
 }
 
-// takeover is an attempt that runs beside a silent one.
+// takeover is one or several attempts, one after the other, that run beside a silent one.
 type takeover struct {
-	attempt  *attempt
-	done     chan struct{} // closed when it has ended
+	attempt  *attempt      // the latest
+	done     chan struct{} // closed when they have ended
 	failure  failure
 	answered bool
 }
@@ -155,20 +155,27 @@
 		return false
 	}
 	s.logRetry("endpoint silent")
-	a, ctx := s.newAttempt(ctx)
-	t := &takeover{attempt: a, done: make(chan struct{})}
+	t := &takeover{done: make(chan struct{})}
 	s.takeovers = append(s.takeovers, t)
+	var attemptCtx context.Context
+	t.attempt, attemptCtx = s.newAttempt(ctx)
 	go func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		defer close(t.done)
-		t.failure, t.answered = s.attempt(ctx, a)
-		if t.answered || !a.hasRival() {
-			return
+		for {
+			t.failure, t.answered = s.attempt(attemptCtx, t.attempt)
+			if t.answered || !t.attempt.hasRival() {
+				return
+			}
+			if ctx.Err() != nil || t.attempt.superseded || !s.tryRetry(t.failure, s.gw.opts.Now()) {
+				break
+			}
+			s.logRetry(t.failure.reason)
+			t.attempt, attemptCtx = s.newAttempt(ctx)
 		}
 		s.takeovers = slices.DeleteFunc(s.takeovers, func(other *takeover) bool { return other == t }) // the silent attempt goes on
-		if !a.superseded {
-			s.failedAttempts++
+		if !t.attempt.superseded {
 			s.logEntry("takeover_failed").WithField("reason", t.failure.reason).
 				Info("no other endpoint has taken a request whose endpoint is silent")
 		}
