gateway: a reservation outlives its gateway by less than two seconds

The lifetime of a reservation begins when the endpoint executes the order, 2 s to 12 s after it was sent if it comes late; 3.5 s leave no room for that. A reservation lives 1.8 s now. Each is renewed on its own each 0.6 s, 0.3 s after a renewal that got no response, so that three in a row may get none (two before). An endpoint counts as lost after 1.1 s without a connection, as before.

--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -16,18 +16,21 @@
 const (
 	// reserveTimeout bounds a call that reserves or releases memory. Endpoints respond within milliseconds.
 	reserveTimeout = 300 * time.Millisecond
-	// reservationTTL is the lifetime of a reservation that is not renewed. When a gateway crashes, its requests end at once, and
-	// the memory must be free again within four seconds, the platform's bound.
-	reservationTTL = 3500 * time.Millisecond
-	// renewInterval is the interval between renewals. A reservation survives two lost renewals.
-	renewInterval = 1100 * time.Millisecond
+	// reservationTTL is the lifetime of a reservation that is not renewed. When a gateway crashes, its requests end at once, and the
+	// memory must be free again within four seconds, the platform's bound. An endpoint may still execute the last renewal two seconds
+	// after it was sent, or later.
+	reservationTTL = 1800 * time.Millisecond
+	// renewInterval is the interval between renewals, and renewRetryInterval that after a call that got no response. A reservation
+	// survives three such calls in a row.
+	renewInterval      = 600 * time.Millisecond
+	renewRetryInterval = reserveTimeout
 	// maxExecutionDelay is the time for which an endpoint may still execute a call that got no response.
 	maxExecutionDelay = 13 * time.Second
 	// releaseInterval is the interval at which a release is repeated after a call that got no response.
 	releaseInterval = 1500 * time.Millisecond
-	// maxUnreachedRenewals is the number of renewals in a row that get no connection after which the primary endpoint counts as lost. Its
-	// helpers hold their memory for nothing then.
-	maxUnreachedRenewals = 2
+	// lostAfter is the time for which no renewal gets a connection after which the primary endpoint counts as lost. Its helpers hold their
+	// memory for nothing then.
+	lostAfter = 1100 * time.Millisecond
 )
 
 // reservation is a reservation of memory for one attempt at one endpoint.
@@ -37,8 +40,7 @@
 	id           string
 	tokens       int
 	unansweredAt time.Time // of the latest call that got no response; zero: none
-	unreached    int       // latest calls in a row that got no connection
-	unreachedAt  time.Time // of the first of them
+	unreachedAt  time.Time // of the first of the latest calls in a row that got no connection; zero: none
 }
 
 // reservationSet holds all reservations of an attempt. They are renewed until they are released.
@@ -85,11 +87,15 @@
 	for range pending {
 		ok = <-results && ok
 	}
-	if ok {
-		set.wg.Add(1)
-		go set.renew(renewals)
+	if !ok {
+		return set, false
 	}
-	return set, ok
+	for _, r := range set.list {
+		if r != nil {
+			set.wg.Go(func() { set.renew(renewals, r) })
+		}
+	}
+	return set, true
 }
 
 // reserveOrRenew reserves the memory or renews the reservation.
@@ -99,11 +105,11 @@
 	ok, err := r.state.gw.opts.Backend.Reserve(ctx, r.endpoint, r.id, r.tokens, reservationTTL)
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.MaybeReceived {
-		if r.unreached++; r.unreached == 1 {
+		if r.unreachedAt.IsZero() {
 			r.unreachedAt = r.state.gw.opts.Now()
 		}
 	} else {
-		r.unreached = 0
+		r.unreachedAt = time.Time{}
 	}
 	if err != nil {
 		r.unansweredAt = r.state.gw.opts.Now()
@@ -119,25 +125,25 @@
 	return r.state.gw.opts.Log.WithFields(logrus.Fields{"event": event, "request": r.state.req.ID, "at": r.endpoint.ID})
 }
 
-// renew renews all reservations until ctx ends. It does not cancel a call in progress, since it would then be unknown
-// whether the endpoint executes the call.
-func (rs *reservationSet) renew(ctx context.Context) {
-	defer rs.wg.Done()
-	timing.Every(ctx, renewInterval, func() {
-		for _, r := range rs.list {
-			if r != nil {
-				r.reserveOrRenew(context.Background())
-			}
+// renew renews a reservation until ctx ends. It does not cancel a call in progress, since it would then be unknown whether the
+// endpoint executes the call.
+func (rs *reservationSet) renew(ctx context.Context, r *reservation) {
+	for interval := renewInterval; timing.Sleep(ctx, interval) == nil; {
+		startedAt := r.state.gw.opts.Now()
+		interval = renewInterval
+		if ok := r.reserveOrRenew(context.Background()); !ok {
+			interval = renewRetryInterval
 		}
-		if primary := rs.list[0]; primary != nil && primary.isLost() {
+		interval -= r.state.gw.opts.Now().Sub(startedAt)
+		if r == rs.list[0] && r.isLost() {
 			rs.markLost()
 		}
-	})
+	}
 }
 
 // isLost reports whether the endpoint of a reservation accepts no connections and has been silent since it began to.
 func (r *reservation) isLost() bool {
-	return r.unreached >= maxUnreachedRenewals && !r.endpoint.ActiveSince(r.unreachedAt)
+	return !r.unreachedAt.IsZero() && r.state.gw.opts.Now().Sub(r.unreachedAt) >= lostAfter && !r.endpoint.ActiveSince(r.unreachedAt)
 }
 
 // onLost calls do, in a goroutine of its own, when the primary endpoint counts as lost. The returned function ends that.
