quarantine: each crash of a trial counts as a setback where it is seen

Prompts with a part at fault ran four times later than three seconds after the fifth crash; three are allowed. Seen in one random draw of TestPartAtFaultIsFoundAmongChangingOnes.

A gateway counted the crash of a trial as a setback only if no other crash of the subject came in the second before, which was meant for attempts that broke at the same endpoint. Its peers counted each. So its next trial came after the shorter pause. A crash of an endpoint that is new in the record counts now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -232,11 +232,12 @@
 		e := t.entry(s)
 		e.Events = max(e.Events, min(events, Complete))
 		e.progressed = t.progressed(e)
+		isNew := !slices.Contains(e.endpoints, c.Endpoint) // not the crash of an endpoint that broke other attempts, too
 		added, latest := e.add(c), now.Add(ttlOf(s.Kind))
 		if !added && (len(e.Crashes) < MaxCrashes || latest.Sub(e.ExpiresAt) < minRestartTime) {
 			continue
 		}
-		if latest.Sub(e.ExpiresAt) >= minRestartTime {
+		if added && isNew || latest.Sub(e.ExpiresAt) >= minRestartTime {
 			t.noteSetback(e, now)
 		}
 		e.ExpiresAt, e.sawCrash = latest, true
--- a/quarantine/together_test.go
+++ b/quarantine/together_test.go
@@ -277,3 +277,20 @@
 		}
 	})
 }
+
+// Crashes of trials that follow each other closely must each count as a setback at the gateway that sees them, as they do at its peers. Otherwise its next
+// trial comes too early.
+func TestSetbacksInQuickSuccessionCount(t *testing.T) {
+	c := newClock()
+	tracker := newTestTracker(c)
+	for i := range condemnCrashes {
+		crash(tracker, i, uint64(100+i), "a", "b")
+	}
+	c.advance(setbackDelay)
+	for i := range maxSetbacks {
+		crash(tracker, condemnCrashes+i, uint64(200+i), "a", "b")
+		c.advance(minRestartTime / 2)
+	}
+	c.advance(recordTTL / 2)
+	require.Equal(t, Condemned, verdictOn(tracker, 300, "a"))
+}
